--- /dev/null
+++ b/internal/connection/peer/protocol.go
@@ -0,0 +1,108 @@
+// Package peer is the protocol between entry nodes: HTTP with JSON, with the
+// shared peer key as bearer token.
+//
+//	POST /peer/probe           Probe           -> 200 Probe
+//	POST /peer/generate        HomeRequest     -> 200 SSE of endpoint.Chunk
+//	GET  /peer/log?after=REV                   -> 200 []object.Record, 410 if compacted
+//	GET  /peer/snapshot                        -> 200 SnapshotBody
+//	POST /peer/shares/release  ReleaseRequest  -> 200 ReleaseReply
+//	GET  /peer/burn                            -> 200, the node's histograms
+//	GET  /peer/explain?request=ID              -> 200 []Step, 404
+package peer
+
+import (
+	"time"
+
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// Digest is what one node tells of itself. Digests are passed on by probes;
+// the one with the highest Incarnation, then Seq, replaces older ones.
+type Digest struct {
+	Node          string `json:"node"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+	Address       string `json:"address"`
+	// Incarnation is the epoch of the node's session row.
+	Incarnation int64 `json:"incarnation"`
+	Seq         int64 `json:"seq"`
+	// AppliedRevision is the configuration revision in force at the node.
+	AppliedRevision int64 `json:"appliedRevision"`
+	Ready           bool  `json:"ready"`
+	Leaving         bool  `json:"leaving,omitempty"`
+	// Load holds one line for each model that the node is a home for.
+	Load []PoolLoad `json:"load,omitempty"`
+	// Suspects are crash suspicions that the node has observed.
+	Suspects []Suspect `json:"suspects,omitempty"`
+}
+
+// PoolLoad is the load of one model's groups at their home node.
+type PoolLoad struct {
+	Model string `json:"model"`
+	Slots int    `json:"slots"`
+	// Running and Queued count requests.
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+}
+
+// Suspect is the suspicion against one request fingerprint at one node.
+type Suspect struct {
+	Fingerprint uint64  `json:"fingerprint"`
+	Weight      float64 `json:"weight"`
+	// AgeMillis is the time since the last crash that it was part of.
+	AgeMillis int64 `json:"ageMillis"`
+}
+
+// Probe carries a bounded number of digests; the first is the sender's own.
+type Probe struct {
+	Digests []Digest `json:"digests"`
+}
+
+// HomeRequest hands a request from its entry node to a home node.
+type HomeRequest struct {
+	RequestID   string `json:"requestID"`
+	Account     string `json:"account"`
+	Rank        string `json:"rank"`
+	Model       string `json:"model"`
+	Prompt      string `json:"prompt"`
+	MaxTokens   int    `json:"maxTokens"`
+	CostTokens  int64  `json:"costTokens"`
+	Fingerprint uint64 `json:"fingerprint"`
+	// RemainingMillis is the time left until the caller's deadline; 0 means
+	// that there is none.
+	RemainingMillis int64    `json:"remainingMillis,omitempty"`
+	ResumeIndex     int      `json:"resumeIndex,omitempty"`
+	Delivered       string   `json:"delivered,omitempty"`
+	Avoid           []string `json:"avoid,omitempty"`
+	// Isolate asks for a group that runs nothing else, for a crash suspect.
+	Isolate bool `json:"isolate,omitempty"`
+}
+
+// ReleaseRequest asks a node to give up part of its share of a cap.
+type ReleaseRequest struct {
+	Account         string  `json:"account"`
+	Gainer          string  `json:"gainer"`
+	TokensPerSecond float64 `json:"tokensPerSecond"`
+	InFlight        int     `json:"inFlight"`
+}
+
+// ReleaseReply tells what was moved in the share row; zeros where nothing was.
+type ReleaseReply struct {
+	TokensPerSecond float64 `json:"tokensPerSecond"`
+	InFlight        int     `json:"inFlight"`
+}
+
+// SnapshotBody is the whole configuration of one revision.
+type SnapshotBody struct {
+	Revision   int64               `json:"revision"`
+	Objects    []*object.Object    `json:"objects"`
+	Placements []*object.Placement `json:"placements"`
+}
+
+// Step is one recorded decision on the way of a request.
+type Step struct {
+	Time    time.Time `json:"time"`
+	Node    string    `json:"node"`
+	Reason  string    `json:"reason"`
+	Message string    `json:"message"`
+}
