Name the gaining process and its bucket depth in a share release

Cause: a share part must belong to one process, so that a restarted node does not admit beside its predecessor, and a request larger than the local bucket needs depth rather than rate. Change: ReleaseRequest carries Holder and BurstTokens.

--- a/internal/connection/peer/protocol.go
+++ b/internal/connection/peer/protocol.go
@@ -80,10 +80,15 @@
 
 // ReleaseRequest asks a node to give up part of its share of a cap.
 type ReleaseRequest struct {
-	Account         string  `json:"account"`
-	Gainer          string  `json:"gainer"`
+	Account string `json:"account"`
+	Gainer  string `json:"gainer"`
+	// Holder identifies the gainer's process; the part moves to it alone.
+	Holder          string  `json:"holder"`
 	TokensPerSecond float64 `json:"tokensPerSecond"`
-	InFlight        int     `json:"inFlight"`
+	// BurstTokens is the bucket depth that the gainer needs beyond what moves
+	// along with the rate.
+	BurstTokens float64 `json:"burstTokens,omitempty"`
+	InFlight    int     `json:"inFlight"`
 }
 
 // ReleaseReply tells what was moved in the share row; zeros where nothing was.
