Let a proposed deletion name the resource version that it read

Cause: object.Change named a deleted object by key only, so a deletion could not be refused when another operator had changed the object meanwhile. Change: Change.ResourceVersion, 0 for an unconditional deletion.

--- a/internal/version/object/placement.go
+++ b/internal/version/object/placement.go
@@ -45,6 +45,9 @@
 	Placement        *Placement `json:"placement,omitempty"`
 	Deleted          *Key       `json:"deleted,omitempty"`
 	DeletedPlacement string     `json:"deletedPlacement,omitempty"`
+	// ResourceVersion, on a proposed deletion of an object, is the version
+	// that must still be current; 0 deletes any version.
+	ResourceVersion int64 `json:"resourceVersion,omitempty"`
 }
 
 // Record is one accepted revision of the configuration log.
