--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -17,10 +17,18 @@
 	ConfigApplied  = Event{1101, logrus.InfoLevel, "configuration revision applied"}
 	ConfigAccepted = Event{1102, logrus.InfoLevel, "configuration change accepted"}
 	ConfigLagging  = Event{1103, logrus.WarnLevel, "configuration head could not be read"}
+	// ConfigCaughtUp follows ConfigLagging when the store answers again.
+	ConfigCaughtUp = Event{1104, logrus.InfoLevel, "configuration head is read again"}
+	// ConfigLoaded replaces single records: at start, and when the node was
+	// further behind than the log reaches back.
+	ConfigLoaded = Event{1105, logrus.InfoLevel, "configuration loaded as a whole"}
+	// ConfigHeadLower means that the store lost accepted revisions.
+	ConfigHeadLower = Event{1106, logrus.ErrorLevel, "configuration head is lower than the revision in force and is ignored"}
+	ConfigCompacted = Event{1107, logrus.InfoLevel, "old configuration log entries deleted"}
 )
 
 // Catalogue lists every event in number order.
 var Catalogue = []Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, NodeIsolated, NodeRejoined,
-	ConfigApplied, ConfigAccepted, ConfigLagging,
+	ConfigApplied, ConfigAccepted, ConfigLagging, ConfigCaughtUp, ConfigLoaded, ConfigHeadLower, ConfigCompacted,
 }
--- /dev/null
+++ b/internal/version/configlog/acceptor.go
@@ -0,0 +1,199 @@
+package configlog
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"slices"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/table"
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+const (
+	// maxProposeAttempts bounds how often a proposal is planned anew because
+	// the head moved.
+	maxProposeAttempts = 64
+	// maxSettleAttempts bounds how often a transaction with an unknown
+	// outcome is sent again.
+	maxSettleAttempts = 4
+	// retryDelay is the mean wait before a retry; the actual one is jittered.
+	retryDelay = 10 * time.Millisecond
+)
+
+// Acceptor implements Log over the table service.
+type Acceptor struct {
+	store table.Store
+	log   *eventlog.Logger
+}
+
+// NewAcceptor returns a Log that accepts proposals in the store.
+func NewAcceptor(store table.Store, log *eventlog.Logger) *Acceptor {
+	return &Acceptor{store: store, log: log}
+}
+
+// Propose implements Log. It blocks on the store until an answer or ctx ends.
+func (a *Acceptor) Propose(ctx context.Context, p Proposal) (object.Record, error) {
+	var err error
+	for range maxProposeAttempts {
+		var record object.Record
+		var overtaken bool
+		record, overtaken, err = a.attempt(ctx, p)
+		if !overtaken {
+			return record, err
+		}
+		if waitErr := sleep(ctx, jitter(retryDelay)); waitErr != nil {
+			return object.Record{}, fmt.Errorf("%w: the change was not accepted before its deadline: %w", table.ErrUnavailable, waitErr)
+		}
+	}
+	return object.Record{}, fmt.Errorf("the change was overtaken %d times and not accepted, send it again: %w", maxProposeAttempts, err)
+}
+
+// attempt plans and commits the proposal once. It reports overtaken when
+// another acceptance came first and the proposal must be planned anew.
+func (a *Acceptor) attempt(ctx context.Context, p Proposal) (record object.Record, overtaken bool, err error) {
+	s, err := readState(ctx, a.store, p.Changes)
+	if err != nil {
+		return object.Record{}, false, err
+	}
+	record, txn, err := plan(p, s, newNonce(), time.Now())
+	if err != nil {
+		return object.Record{}, false, err
+	}
+	if p.DryRun || len(txn.Writes) == 0 {
+		return record, false, checkVersions(ctx, a.store, txn)
+	}
+	err = a.commit(ctx, record, txn)
+	if err == nil {
+		if len(record.Changes) > 0 {
+			a.log.Log(eventlog.ConfigAccepted, eventlog.Fields{"revision": record.Revision, "author": p.Author, "changes": len(record.Changes)})
+		}
+		return record, false, nil
+	}
+	var conflict *table.ConflictError
+	if errors.As(err, &conflict) && !namesExtra(conflict.Keys, p) {
+		return object.Record{}, true, err
+	}
+	return object.Record{}, false, fmt.Errorf("accept revision %d: %w", record.Revision, err)
+}
+
+// checkVersions asserts the checks and writes of a transaction that is not
+// committed.
+func checkVersions(ctx context.Context, store table.Store, txn table.Txn) error {
+	checks := slices.Clone(txn.Checks)
+	for _, write := range txn.Writes {
+		checks = append(checks, table.Check{Key: write.Key, Version: write.Expect})
+	}
+	var conflicts []string
+	for _, check := range checks {
+		row, err := store.Get(ctx, check.Key)
+		if err != nil {
+			return fmt.Errorf("check %s: %w", check.Key, err)
+		}
+		if row.Version != check.Version {
+			conflicts = append(conflicts, check.Key)
+		}
+	}
+	if len(conflicts) > 0 {
+		return &table.ConflictError{Keys: conflicts}
+	}
+	return nil
+}
+
+// namesExtra reports whether a conflict names one of the proposal's own
+// checks or writes, which planning anew cannot mend.
+func namesExtra(keys []string, p Proposal) bool {
+	for _, check := range p.Checks {
+		if slices.Contains(keys, check.Key) {
+			return true
+		}
+	}
+	for _, write := range p.Writes {
+		if slices.Contains(keys, write.Key) {
+			return true
+		}
+	}
+	return false
+}
+
+// commit applies the transaction. While its outcome is unknown it is sent
+// again with the same nonce: it cannot take effect twice, because it asserts
+// the version of the head.
+func (a *Acceptor) commit(ctx context.Context, record object.Record, txn table.Txn) error {
+	err := a.store.Commit(ctx, txn)
+	if !errors.Is(err, table.ErrUnknown) || len(record.Changes) == 0 {
+		return err
+	}
+	for range maxSettleAttempts {
+		if sleep(ctx, jitter(retryDelay)) != nil {
+			break
+		}
+		var settled bool
+		settled, err = a.settle(ctx, record.Revision, txn)
+		if settled {
+			return err
+		}
+	}
+	return fmt.Errorf("revision %d: %w: read the objects before sending the change again", record.Revision, table.ErrUnknown)
+}
+
+// settle finds out whether a transaction whose answer was lost took effect.
+// The log row is written once, so its nonce tells whose revision it is. The
+// transaction is sent again first, because an absent log row does not prove
+// that a delayed transaction will never arrive.
+func (a *Acceptor) settle(ctx context.Context, revision int64, txn table.Txn) (bool, error) {
+	err := a.store.Commit(ctx, txn)
+	if err == nil {
+		return true, nil
+	}
+	var conflict *table.ConflictError
+	if !errors.As(err, &conflict) {
+		return false, err
+	}
+	row, readErr := a.store.Get(ctx, table.LogKey(revision))
+	switch {
+	case readErr != nil:
+		return false, readErr
+	case row.Version > 0 && row.Nonce == txn.Nonce:
+		return true, nil
+	case row.Version == 0 && slices.Contains(conflict.Keys, table.KeyHead):
+		// The log entry was compacted: its author cannot be told any more.
+		return false, table.ErrUnknown
+	default:
+		return true, err
+	}
+}
+
+// Records returns up to limit accepted revisions after the given one, oldest
+// first. Revisions that were compacted are missing.
+func (a *Acceptor) Records(ctx context.Context, after int64, limit int) ([]object.Record, error) {
+	rows, err := a.store.List(ctx, table.Range{Prefix: table.PrefixLog, From: table.LogKey(after + 1), To: table.LogKey(after + 1 + int64(limit))})
+	if err != nil {
+		return nil, fmt.Errorf("read the configuration log after revision %d: %w", after, err)
+	}
+	return decodeRecords(rows)
+}
+
+// newNonce returns a nonce that no other transaction has.
+func newNonce() string { return rand.Text() }
+
+// jitter returns a random duration between half and one and a half of d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + mathrand.N(d+1)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/version/configlog/acceptor_test.go
@@ -0,0 +1,145 @@
+package configlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"currantladder.example/currantladder/internal/connection/table"
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+func rank(name string, queueBound int) *object.Object {
+	return &object.Object{
+		Kind:     object.KindRank,
+		Metadata: object.Metadata{Name: name},
+		Spec:     &object.RankSpec{FirstTokenTargetMillis: 670, InterTokenTargetMillis: 27, QueueBound: queueBound, MaxAttempts: 2, Objective: 0.9},
+	}
+}
+
+func account(name, keyHash string, ranks ...string) *object.Object {
+	return &object.Object{
+		Kind:     object.KindClientAccount,
+		Metadata: object.Metadata{Name: name},
+		Spec: &object.ClientAccountSpec{KeyHashes: []string{strings.Repeat(keyHash, 64)}, Ranks: ranks,
+			TokensPerSecond: 100, BurstTokens: 100, MaxInFlight: 2, Class: object.AccountSmall},
+	}
+}
+
+func put(objects ...*object.Object) Proposal {
+	p := Proposal{Author: "operator"}
+	for _, o := range objects {
+		p.Changes = append(p.Changes, object.Change{Object: o})
+	}
+	return p
+}
+
+func mustPropose(t *testing.T, a *Acceptor, p Proposal) object.Record {
+	t.Helper()
+	record, err := a.Propose(context.Background(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
+func TestProposeVersionsAndGenerations(t *testing.T) {
+	a := NewAcceptor(newFakeStore(1), eventlog.Discard())
+	first := mustPropose(t, a, put(rank("urgent", 5)))
+	same := mustPropose(t, a, put(rank("urgent", 5)))
+	if same.Revision != first.Revision || len(same.Changes) != 0 {
+		t.Errorf("identical object: got revision %d with %d changes, want revision %d without", same.Revision, len(same.Changes), first.Revision)
+	}
+	second := mustPropose(t, a, put(rank("urgent", 6)))
+	if got := second.Changes[0].Object.Metadata; got.Generation != 2 || got.ResourceVersion != 2 {
+		t.Errorf("got %+v, want generation 2 at resource version 2", got)
+	}
+	stale := rank("urgent", 7)
+	stale.Metadata.ResourceVersion = 1
+	_, err := a.Propose(context.Background(), put(stale))
+	var version *VersionError
+	var conflict *table.ConflictError
+	if !errors.As(err, &version) || version.Current != 2 || !errors.As(err, &conflict) {
+		t.Errorf("stale write: got %v, want a conflict that names version 2", err)
+	}
+	deletion := Proposal{Changes: []object.Change{{Deleted: &object.Key{Kind: object.KindRank, Name: "urgent"}, ResourceVersion: 1}}}
+	if _, err := a.Propose(context.Background(), deletion); !errors.As(err, &version) {
+		t.Errorf("stale deletion: got %v, want a conflict", err)
+	}
+	deletion.Changes[0].ResourceVersion = 2
+	deletion.DryRun = true
+	mustPropose(t, a, deletion)
+	deletion.DryRun = false
+	if record := mustPropose(t, a, deletion); record.Revision != 3 {
+		t.Errorf("deletion after a dry run: got revision %d, want 3", record.Revision)
+	}
+}
+
+func TestProposeListsFaultsAcrossObjects(t *testing.T) {
+	a := NewAcceptor(newFakeStore(1), eventlog.Discard())
+	mustPropose(t, a, put(account("nurse", "a", "urgent"), rank("urgent", 5)))
+	high, low := rank("high", 5), rank("low", 5)
+	high.Spec.(*object.RankSpec).FloorShare = 0.6
+	low.Spec.(*object.RankSpec).FloorShare = 0.4
+	p := put(high, low, account("captain", "a", "digest"), rank("Bad", 5))
+	p.Changes = append(p.Changes, object.Change{Deleted: &object.Key{Kind: object.KindRank, Name: "urgent"}})
+	_, err := a.Propose(context.Background(), p)
+	var invalid *InvalidError
+	if !errors.As(err, &invalid) {
+		t.Fatalf("got %v, want an InvalidError", err)
+	}
+	for _, want := range []string{"Rank/Bad metadata.name", `names rank "digest"`, `names rank "urgent"`, "already a key of ClientAccount/captain", "sums to 1 over all ranks"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("fault %q is missing from: %v", want, err)
+		}
+	}
+	if len(invalid.Faults) != 5 {
+		t.Errorf("got %d faults, want 5: %v", len(invalid.Faults), invalid.Faults)
+	}
+}
+
+func TestProposeChecksAndWritesAreOneTransaction(t *testing.T) {
+	store := newFakeStore(1)
+	a := NewAcceptor(store, eventlog.Discard())
+	placement := &object.Placement{Group: "g", Generation: 1, Members: []string{"h1"}, Phase: object.PhaseLoading}
+	p := Proposal{Author: "controller", Changes: []object.Change{{Placement: placement}},
+		Writes: []table.Write{{Key: table.PrefixHost + "h1", Value: []byte(`{}`)}},
+		Checks: []table.Check{{Key: table.PrefixOwnership + "d", Version: 1}}}
+	var conflict *table.ConflictError
+	if _, err := a.Propose(context.Background(), p); !errors.As(err, &conflict) || len(store.rows) != 0 {
+		t.Fatalf("lost ownership: got %v with %d rows, want a conflict and nothing written", err, len(store.rows))
+	}
+	p.Checks = nil
+	mustPropose(t, a, p)
+	other := *placement
+	other.Members = []string{"h2"}
+	p = Proposal{Changes: []object.Change{{Placement: &other}}}
+	if _, err := a.Propose(context.Background(), p); !errors.As(err, &conflict) {
+		t.Errorf("other members at the same generation: got %v, want a conflict", err)
+	}
+}
+
+func TestProposeSettlesLostAnswers(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			store := newFakeStore(seed)
+			store.lossRate = 0.5
+			a := NewAcceptor(store, eventlog.Discard())
+			for bound := 1; bound <= 5; bound++ {
+				record, err := a.Propose(context.Background(), put(rank("urgent", bound)))
+				if errors.Is(err, table.ErrUnknown) {
+					continue
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := record.Changes[0].Object.Metadata.ResourceVersion; got != record.Revision || store.commits != int(record.Revision) {
+					t.Fatalf("revision %d, resource version %d after %d commits", record.Revision, got, store.commits)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/version/configlog/validate.go
@@ -0,0 +1,165 @@
+package configlog
+
+import (
+	"fmt"
+	"sort"
+
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// floorShareTolerance absorbs rounding in sums of floor shares.
+const floorShareTolerance = 1e-9
+
+// validate returns every fault of the changes: those of each object by itself
+// and those across objects, judged on the state after all changes.
+func validate(s *state, changes []object.Change) []object.Fault {
+	faults := validateEach(changes)
+	if !touches(changes, object.KindRank) && !touches(changes, object.KindClientAccount) {
+		return faults
+	}
+	after := objectsAfter(s, changes)
+	faults = append(faults, rankReferenceFaults(after)...)
+	faults = append(faults, keyHashFaults(after)...)
+	return append(faults, floorShareFaults(after)...)
+}
+
+func validateEach(changes []object.Change) []object.Fault {
+	var faults []object.Fault
+	seen := make(map[string]bool)
+	for i, change := range changes {
+		id, ok := changeID(change)
+		if !ok {
+			faults = append(faults, object.Fault{Field: fmt.Sprintf("changes[%d]", i), Message: "must name one object or one placement"})
+			continue
+		}
+		if seen[id] {
+			faults = append(faults, object.Fault{Field: id, Message: "is changed twice: keep one of the changes"})
+		}
+		seen[id] = true
+		if change.Object != nil {
+			faults = append(faults, objectFaults(change.Object)...)
+		}
+	}
+	return faults
+}
+
+// changeID names what a change touches, and reports false for a change that
+// touches nothing or several things.
+func changeID(change object.Change) (string, bool) {
+	var ids []string
+	if change.Object != nil {
+		ids = append(ids, change.Object.Key().String())
+	}
+	if change.Deleted != nil {
+		ids = append(ids, change.Deleted.String())
+	}
+	if change.Placement != nil {
+		ids = append(ids, placementKey(change.Placement.Group))
+	}
+	if change.DeletedPlacement != "" {
+		ids = append(ids, placementKey(change.DeletedPlacement))
+	}
+	if len(ids) != 1 {
+		return "", false
+	}
+	return ids[0], true
+}
+
+func objectFaults(o *object.Object) []object.Fault {
+	faults := o.Validate()
+	if o.Spec != nil && o.Spec.Kind() != o.Kind {
+		faults = append(faults, object.Fault{Field: "kind", Message: fmt.Sprintf("is %q but the spec is of kind %q", o.Kind, o.Spec.Kind())})
+	}
+	for i := range faults {
+		faults[i].Field = o.Key().String() + " " + faults[i].Field
+	}
+	return faults
+}
+
+func touches(changes []object.Change, kind object.Kind) bool {
+	for _, change := range changes {
+		if key, ok := changedKey(change); ok && key.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// objectsAfter returns the known objects after the changes, sorted by key.
+func objectsAfter(s *state, changes []object.Change) []*object.Object {
+	byKey := make(map[object.Key]*object.Object, len(s.objects))
+	for key, row := range s.objects {
+		byKey[key] = row.value
+	}
+	for _, change := range changes {
+		switch {
+		case change.Object != nil:
+			byKey[change.Object.Key()] = change.Object
+		case change.Deleted != nil:
+			delete(byKey, *change.Deleted)
+		}
+	}
+	after := make([]*object.Object, 0, len(byKey))
+	for _, o := range byKey {
+		after = append(after, o)
+	}
+	sort.Slice(after, func(i, j int) bool { return after[i].Key().String() < after[j].Key().String() })
+	return after
+}
+
+// rankReferenceFaults lists accounts that name a rank which does not exist,
+// which includes a deletion of a rank in use.
+func rankReferenceFaults(objects []*object.Object) []object.Fault {
+	ranks := make(map[string]bool)
+	for _, o := range objects {
+		if o.Kind == object.KindRank {
+			ranks[o.Metadata.Name] = true
+		}
+	}
+	var faults []object.Fault
+	for _, o := range objects {
+		account, ok := o.Spec.(*object.ClientAccountSpec)
+		if !ok {
+			continue
+		}
+		for i, rank := range account.Ranks {
+			if !ranks[rank] {
+				field := fmt.Sprintf("%s spec.ranks[%d]", o.Key(), i)
+				faults = append(faults, object.Fault{Field: field, Message: fmt.Sprintf("names rank %q, which does not exist: create the rank in the same change, or remove it from the account first", rank)})
+			}
+		}
+	}
+	return faults
+}
+
+func keyHashFaults(objects []*object.Object) []object.Fault {
+	owners := make(map[string]object.Key)
+	var faults []object.Fault
+	for _, o := range objects {
+		account, ok := o.Spec.(*object.ClientAccountSpec)
+		if !ok {
+			continue
+		}
+		for i, hash := range account.KeyHashes {
+			if owner, taken := owners[hash]; taken {
+				field := fmt.Sprintf("%s spec.keyHashes[%d]", o.Key(), i)
+				faults = append(faults, object.Fault{Field: field, Message: fmt.Sprintf("is already a key of %s: issue another key", owner)})
+			}
+			owners[hash] = o.Key()
+		}
+	}
+	return faults
+}
+
+func floorShareFaults(objects []*object.Object) []object.Fault {
+	sum := 0.0
+	for _, o := range objects {
+		if rank, ok := o.Spec.(*object.RankSpec); ok {
+			sum += rank.FloorShare
+		}
+	}
+	if sum < 1-floorShareTolerance {
+		return nil
+	}
+	return []object.Fault{{Field: "Rank spec.floorShare", Message: fmt.Sprintf("sums to %g over all ranks: keep the sum below 1", sum)}}
+}
