Load the settings file and list every fault at once

Cause: settings had types only. TLS keys are cert_file and cert_key_file, because key_file holds the peer key.

--- /dev/null
+++ b/internal/process/settings/keys.go
@@ -0,0 +1,144 @@
+package settings
+
+import "time"
+
+// Section names.
+const (
+	sectionNode      = "node"
+	sectionCallers   = "callers"
+	sectionPeers     = "peers"
+	sectionOperators = "operators"
+	sectionPlatform  = "platform"
+	sectionTiming    = "timing"
+	sectionLog       = "log"
+)
+
+// userPrefix starts the keys that name operators: user.NAME = SHA-256 hash.
+const userPrefix = "user."
+
+// Bounds of settings.
+const (
+	minPeriod  = 10 * time.Millisecond
+	maxPeriod  = time.Minute
+	maxTimeout = 24 * time.Hour
+
+	minBodyBytes   = 1 << 10
+	maxBodyBytes   = 1 << 30
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
+	maxStreams     = 1 << 20
+
+	// minKeyLength is the shortest peer key, in bytes.
+	minKeyLength = 16
+)
+
+// key describes one setting. docs/SETTINGS.md lists them all.
+type key struct {
+	section  string
+	name     string
+	required bool
+	// fallback is the value of an absent key that is not required.
+	fallback string
+	unit     string
+	meaning  string
+	// secret values are not repeated in faults.
+	secret bool
+	parse  parser
+}
+
+// allKeys returns every setting but the user.NAME keys.
+func allKeys() []key {
+	var keys []key
+	keys = append(keys, nodeKeys()...)
+	keys = append(keys, listenerKeys(sectionCallers, "4194304", "10000", func(s *Settings) *Listener { return &s.Callers })...)
+	keys = append(keys, listenerKeys(sectionPeers, "16777216", "20000", func(s *Settings) *Listener { return &s.Peers.Listener })...)
+	keys = append(keys, peerKeys()...)
+	keys = append(keys, listenerKeys(sectionOperators, "4194304", "200", func(s *Settings) *Listener { return &s.Operators.Listener })...)
+	keys = append(keys, operatorKeys()...)
+	keys = append(keys, platformKeys()...)
+	keys = append(keys, timingKeys()...)
+	return append(keys, logKeys()...)
+}
+
+func nodeKeys() []key {
+	return []key{
+		{section: sectionNode, name: "name", required: true, unit: "name", meaning: "name of the node, unique in the fleet", parse: parseName(func(s *Settings) *string { return &s.Node.Name })},
+		{section: sectionNode, name: "region", required: true, unit: "name", meaning: "region of the node", parse: parseName(func(s *Settings) *string { return &s.Node.Region })},
+		{section: sectionNode, name: "failure_domain", required: true, unit: "name", meaning: "failure domain of the node", parse: parseName(func(s *Settings) *string { return &s.Node.FailureDomain })},
+	}
+}
+
+// listenerKeys returns the keys that all listeners have.
+func listenerKeys(section, body, streams string, listener func(*Settings) *Listener) []key {
+	text := func(field func(*Listener) *string) func(*Settings) *string {
+		return func(s *Settings) *string { return field(listener(s)) }
+	}
+	address := text(func(l *Listener) *string { return &l.Address })
+	parse := parseAddress(address)
+	if section == sectionPeers {
+		parse = parsePeerAddress(address)
+	}
+	return []key{
+		{section: section, name: "address", required: true, unit: "IP:port", meaning: "address to listen on", parse: parse},
+		{section: section, name: "cert_file", unit: "path", meaning: "TLS certificate; TLS is on when both files are set", parse: parseText(text(func(l *Listener) *string { return &l.CertFile }))},
+		{section: section, name: "cert_key_file", unit: "path", meaning: "private key of the certificate", parse: parseText(text(func(l *Listener) *string { return &l.KeyFile }))},
+		{section: section, name: "max_body_bytes", fallback: body, unit: "bytes", meaning: "largest request body", parse: parseInteger(func(s *Settings) *int64 { return &listener(s).MaxBodyBytes }, minBodyBytes, maxBodyBytes)},
+		{section: section, name: "max_header_bytes", fallback: "65536", unit: "bytes", meaning: "largest request header", parse: parseInteger(func(s *Settings) *int { return &listener(s).MaxHeaderBytes }, minHeaderBytes, maxHeaderBytes)},
+		{section: section, name: "header_timeout", fallback: "5s", unit: "duration", meaning: "bound of reading a request header", parse: parseDuration(func(s *Settings) *time.Duration { return &listener(s).HeaderTimeout }, minPeriod, maxTimeout)},
+		{section: section, name: "idle_timeout", fallback: "1m", unit: "duration", meaning: "bound of an idle connection that is kept alive", parse: parseDuration(func(s *Settings) *time.Duration { return &listener(s).IdleTimeout }, minPeriod, maxTimeout)},
+		{section: section, name: "max_streams", fallback: streams, unit: "requests", meaning: "most requests at one time", parse: parseInteger(func(s *Settings) *int { return &listener(s).MaxStreams }, 1, maxStreams)},
+	}
+}
+
+func peerKeys() []key {
+	return []key{
+		{section: sectionPeers, name: "key", unit: "text", secret: true, meaning: "shared key of all nodes, at least 16 bytes; this or key_file is required", parse: parseText(func(s *Settings) *string { return &s.Peers.Key })},
+		{section: sectionPeers, name: "key_file", unit: "path", meaning: "file that holds the shared key; surrounding white space is dropped", parse: readKeyFile},
+		{section: sectionPeers, name: "seeds", unit: "IP:port, …", meaning: "peer addresses for a start while the table service is down", parse: parseSeeds},
+		{section: sectionPeers, name: "ca_file", unit: "path", meaning: "certificates that verify other nodes when TLS is on", parse: parseText(func(s *Settings) *string { return &s.Peers.CAFile })},
+	}
+}
+
+func operatorKeys() []key {
+	return []key{
+		{section: sectionOperators, name: "users_file", unit: "path", meaning: "file with a line NAME = SHA-256 hash for each operator; this or user.NAME is required", parse: readUsersFile},
+	}
+}
+
+func platformKeys() []key {
+	return []key{
+		{section: sectionPlatform, name: "url", required: true, unit: "URL", meaning: "base URL of the table service, host list and object store", parse: parseURL(func(s *Settings) *string { return &s.Platform.URL })},
+		{section: sectionPlatform, name: "call_timeout", fallback: "2s", unit: "duration", meaning: "bound of one call to the platform", parse: parseDuration(func(s *Settings) *time.Duration { return &s.Platform.CallTimeout }, minPeriod, maxPeriod)},
+	}
+}
+
+func timingKeys() []key {
+	period := func(name, fallback, meaning string, field func(*Timing) *time.Duration) key {
+		return key{section: sectionTiming, name: name, fallback: fallback, unit: "duration", meaning: meaning,
+			parse: parseDuration(func(s *Settings) *time.Duration { return field(&s.Timing) }, minPeriod, maxPeriod)}
+	}
+	timeout := func(name, fallback, meaning string, field func(*Timing) *time.Duration) key {
+		return key{section: sectionTiming, name: name, fallback: fallback, unit: "duration", meaning: meaning,
+			parse: parseDuration(func(s *Settings) *time.Duration { return field(&s.Timing) }, minPeriod, maxTimeout)}
+	}
+	return []key{
+		timeout("lease_ttl", "10s", "how long a session is valid after its renewal was sent", func(t *Timing) *time.Duration { return &t.LeaseTTL }),
+		period("lease_renew", "3s", "period of renewing the session; below lease_ttl", func(t *Timing) *time.Duration { return &t.LeaseRenew }),
+		period("head_poll", "1s", "mean period of reading the configuration head", func(t *Timing) *time.Duration { return &t.HeadPoll }),
+		period("peer_probe", "500ms", "period of probing peers", func(t *Timing) *time.Duration { return &t.PeerProbe }),
+		timeout("peer_timeout", "3s", "how long a silent peer counts as live; above peer_probe", func(t *Timing) *time.Duration { return &t.PeerTimeout }),
+		period("host_list_poll", "1s", "period of reading the host list", func(t *Timing) *time.Duration { return &t.HostListPoll }),
+		period("health_probe", "500ms", "period of probing endpoint hosts", func(t *Timing) *time.Duration { return &t.HealthProbe }),
+		timeout("health_bound", "2s", "age at which an observation of a host no longer counts; above health_probe", func(t *Timing) *time.Duration { return &t.HealthBound }),
+		timeout("order_timeout", "10s", "bound of an order to an endpoint", func(t *Timing) *time.Duration { return &t.OrderTimeout }),
+		timeout("isolation", "10s", "how long a node without table service and peers accepts work; above peer_timeout", func(t *Timing) *time.Duration { return &t.Isolation }),
+		timeout("share_void", "1m", "how long a node is unreachable before its cap shares are reclaimed; above lease_ttl", func(t *Timing) *time.Duration { return &t.ShareVoid }),
+		timeout("drain_timeout", "10m", "how long a stopping node waits for its requests", func(t *Timing) *time.Duration { return &t.DrainTimeout }),
+	}
+}
+
+func logKeys() []key {
+	return []key{
+		{section: sectionLog, name: "level", fallback: "info", unit: "level", meaning: "lowest level that is logged", parse: parseLevel(func(s *Settings) *string { return &s.Log.Level })},
+	}
+}
