Keep sessions and ownerships in the table service and probe endpoint hosts

A renewal asserts every ownership, so its success proves that none was taken over before it was sent. Observation.Seen is now the moment before the probe was sent, and Latency is added for stragglers.

--- /dev/null
+++ b/internal/connection/health/probe.go
@@ -0,0 +1,58 @@
+package health
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/hostlist"
+)
+
+// maxStateBytes bounds the answer to a probe.
+const maxStateBytes = 1 << 20
+
+// ProbeFunc reads the state of a host once. It ends with ctx.
+type ProbeFunc func(ctx context.Context, host hostlist.Host) (endpoint.State, error)
+
+// HTTPProbe returns a probe that reads GET /v1/state from engines and GET
+// /health from services. A service that answers 200 is reported as ready.
+func HTTPProbe(client *http.Client) ProbeFunc {
+	return func(ctx context.Context, host hostlist.Host) (endpoint.State, error) {
+		if host.Role == hostlist.RoleService {
+			_, err := get(ctx, client, "http://"+host.Address+"/health")
+			return endpoint.State{Host: host.Name, State: endpoint.EngineReady}, err
+		}
+		body, err := get(ctx, client, "http://"+host.Address+"/v1/state")
+		if err != nil {
+			return endpoint.State{}, err
+		}
+		var state endpoint.State
+		if err := json.Unmarshal(body, &state); err != nil {
+			return endpoint.State{}, fmt.Errorf("host %s: decode state: %w", host.Name, err)
+		}
+		return state, nil
+	}
+}
+
+func get(ctx context.Context, client *http.Client, url string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxStateBytes))
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("GET %s: status %d", url, answer.StatusCode)
+	}
+	return body, nil
+}
--- a/internal/connection/health/types.go
+++ b/internal/connection/health/types.go
@@ -13,8 +13,10 @@
 type Observation struct {
 	// State is the last state read from the host.
 	State endpoint.State
-	// Seen is when that answer was received; zero before the first.
+	// Seen is when the probe that read State was sent; zero before the first.
 	Seen time.Time
+	// Latency is the moving mean of the duration of successful probes.
+	Latency time.Duration
 	// Err is the error of the last probe, nil if it succeeded.
 	Err error
 	// Failed is when the first probe failed since the last success; zero
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -19,8 +19,28 @@
 	ConfigLagging  = Event{1103, logrus.WarnLevel, "configuration head could not be read"}
 )
 
+// Events of leases, 1200 to 1249.
+var (
+	LeaseStarted       = Event{1201, logrus.InfoLevel, "session started"}
+	LeaseRenewalFailed = Event{1202, logrus.WarnLevel, "session could not be renewed"}
+	LeaseLost          = Event{1203, logrus.ErrorLevel, "session was replaced by another process of this node name"}
+	LeaseReleased      = Event{1204, logrus.InfoLevel, "session released"}
+	OwnershipAcquired  = Event{1205, logrus.InfoLevel, "controller duty acquired"}
+	OwnershipLost      = Event{1206, logrus.WarnLevel, "controller duty was taken over by another node"}
+)
+
+// Events of group controllers, 1250 to 1299.
+var (
+	GroupStep       = Event{1251, logrus.InfoLevel, "group controller took a step"}
+	GroupStepFailed = Event{1252, logrus.WarnLevel, "group controller could not take a step and will plan again"}
+	OrderFailed     = Event{1253, logrus.WarnLevel, "endpoint did not carry out an order"}
+	OrderStale      = Event{1254, logrus.WarnLevel, "endpoint refused an order with an old fencing token"}
+)
+
 // Catalogue lists every event in number order.
 var Catalogue = []Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, NodeIsolated, NodeRejoined,
 	ConfigApplied, ConfigAccepted, ConfigLagging,
+	LeaseStarted, LeaseRenewalFailed, LeaseLost, LeaseReleased, OwnershipAcquired, OwnershipLost,
+	GroupStep, GroupStepFailed, OrderFailed, OrderStale,
 }
--- /dev/null
+++ b/internal/process/lease/write.go
@@ -0,0 +1,42 @@
+package lease
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+
+	"currantladder.example/currantladder/internal/connection/table"
+)
+
+// put writes one row together with checks and returns its new version. Where
+// the outcome is unknown it reads the row back and compares the nonce.
+func (k *Keeper) put(ctx context.Context, key string, expect table.Version, value any, checks []table.Check) (table.Version, error) {
+	nonce := newNonce()
+	write := table.Write{Key: key, Expect: expect, Value: encode(value)}
+	err := k.store.Commit(ctx, table.Txn{Nonce: nonce, Checks: checks, Writes: []table.Write{write}})
+	if err != nil && !errors.Is(err, table.ErrUnknown) {
+		return 0, err
+	}
+	if err == nil {
+		k.contact()
+		return expect + 1, nil
+	}
+	row, readErr := k.store.Get(ctx, key)
+	if readErr != nil || row.Nonce != nonce {
+		return 0, err
+	}
+	return row.Version, nil
+}
+
+func newNonce() string { return rand.Text() }
+
+// encode marshals a row value. The row types hold only strings and integers,
+// which always encode.
+func encode(value any) json.RawMessage {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
