--- /dev/null
+++ b/internal/connection/table/client.go
@@ -0,0 +1,163 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+)
+
+// maxAnswerBytes bounds one answer of the table service.
+const maxAnswerBytes = 64 << 20
+
+// maxErrorBytes bounds the part of a refusal's text that errors carry.
+const maxErrorBytes = 512
+
+// Client is a Store over the table service's HTTP protocol. It is safe for
+// concurrent use.
+type Client struct {
+	raw httpRaw
+}
+
+// NewClient returns a client of the service at baseURL, such as
+// "http://127.0.0.1:7000". A nil httpClient means http.DefaultClient.
+func NewClient(baseURL string, httpClient *http.Client) *Client {
+	if httpClient == nil {
+		httpClient = http.DefaultClient
+	}
+	return &Client{raw: httpRaw{base: strings.TrimSuffix(baseURL, "/"), http: httpClient}}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	return c.raw.Get(ctx, key)
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, r Range) ([]Row, error) {
+	return ListAll(ctx, c.raw, r)
+}
+
+// Commit implements Store.
+func (c *Client) Commit(ctx context.Context, txn Txn) error {
+	return Settle(ctx, c.raw, txn)
+}
+
+// httpRaw implements Raw over HTTP.
+type httpRaw struct {
+	base string
+	http *http.Client
+}
+
+// Get implements Raw.
+func (h httpRaw) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	query := url.Values{"key": {key}}
+	err := h.read(ctx, "/table/row?"+query.Encode(), &row)
+	if err == nil && row.Key != key {
+		err = fmt.Errorf("%w: the answer is for row %q, asked for %q", ErrUnavailable, row.Key, key)
+	}
+	if err != nil {
+		return Row{}, fmt.Errorf("row %s: %w", key, err)
+	}
+	return row, nil
+}
+
+// Rows implements Raw.
+func (h httpRaw) Rows(ctx context.Context, r Range) (RowList, error) {
+	query := url.Values{"prefix": {r.Prefix}, "from": {r.From}, "to": {r.To}, "limit": {strconv.Itoa(r.Limit)}}
+	var list RowList
+	if err := h.read(ctx, "/table/rows?"+query.Encode(), &list); err != nil {
+		return RowList{}, fmt.Errorf("rows %s: %w", r.Prefix, err)
+	}
+	return list, nil
+}
+
+// read gets path and decodes the answer. A read has no effect, so every
+// failure is ErrUnavailable.
+func (h httpRaw) read(ctx context.Context, path string, target any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := h.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer closeBody(response)
+	if response.StatusCode != http.StatusOK {
+		return refusalError(response)
+	}
+	if err := decode(response.Body, target); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return nil
+}
+
+// TryCommit implements Raw.
+func (h httpRaw) TryCommit(ctx context.Context, txn Txn) (CommitResult, error) {
+	body, err := json.Marshal(txn)
+	if err != nil {
+		return CommitResult{}, fmt.Errorf("transaction %s: %w", txn.Nonce, err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+"/table/commit", bytes.NewReader(body))
+	if err != nil {
+		return CommitResult{}, fmt.Errorf("transaction %s: %w", txn.Nonce, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := h.http.Do(request)
+	if err != nil {
+		return CommitResult{}, fmt.Errorf("transaction %s: %w: %w", txn.Nonce, ErrUnknown, err)
+	}
+	defer closeBody(response)
+	if response.StatusCode != http.StatusOK {
+		return CommitResult{}, fmt.Errorf("transaction %s: %w", txn.Nonce, commitRefusal(response))
+	}
+	var result CommitResult
+	if err := decode(response.Body, &result); err != nil {
+		return CommitResult{}, fmt.Errorf("transaction %s: %w: %w", txn.Nonce, ErrUnknown, err)
+	}
+	return result, nil
+}
+
+// commitRefusal tells refusals without an effect from server failures after
+// which the transaction may have been applied.
+func commitRefusal(response *http.Response) error {
+	status := response.StatusCode
+	if status >= 500 && status != http.StatusServiceUnavailable {
+		return fmt.Errorf("%w: status %d", ErrUnknown, status)
+	}
+	return refusalError(response)
+}
+
+// refusalError converts an answer other than 200. A status below 500 other
+// than 429 means a faulty call, which a retry does not help.
+func refusalError(response *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	message := strings.TrimSpace(string(text))
+	status := response.StatusCode
+	if status >= 500 || status == http.StatusTooManyRequests {
+		return fmt.Errorf("%w: status %d: %s", ErrUnavailable, status, message)
+	}
+	return fmt.Errorf("table service refused the call: status %d: %s", status, message)
+}
+
+// decode reads one JSON value that fills the whole answer.
+func decode(body io.Reader, target any) error {
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, target)
+}
+
+// closeBody drains what is left, so that the connection is used again.
+func closeBody(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBytes))
+	_ = response.Body.Close()
+}
--- /dev/null
+++ b/internal/connection/table/settle.go
@@ -0,0 +1,158 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Pauses between two sends of a transaction whose outcome is open.
+const (
+	firstResendPause = 20 * time.Millisecond
+	maxResendPause   = 640 * time.Millisecond
+)
+
+// Raw is one exchange at a time with the table service. It neither repeats
+// calls nor settles lost answers. Errors wrap ErrUnavailable when the call had
+// no effect and ErrUnknown when it may have had one.
+type Raw interface {
+	// Get reads one row; an absent row has Version 0 and no error.
+	Get(ctx context.Context, key string) (Row, error)
+	// Rows reads one page of a range.
+	Rows(ctx context.Context, r Range) (RowList, error)
+	// TryCommit sends the transaction once.
+	TryCommit(ctx context.Context, txn Txn) (CommitResult, error)
+}
+
+// Settle commits the transaction and settles lost answers. It sends a
+// transaction whose outcome is open again, with the same nonce, until ctx
+// ends. Its result is that of Store.Commit.
+//
+// A transaction that only inserts rows has no second effect as long as nobody
+// deletes those rows before ctx ends.
+func Settle(ctx context.Context, raw Raw, txn Txn) error {
+	ambiguous := false
+	pause := firstResendPause
+	for {
+		if err := ctx.Err(); err != nil {
+			return endedError(ambiguous, txn.Nonce, err)
+		}
+		result, err := raw.TryCommit(ctx, txn)
+		switch {
+		case err == nil && result.Committed:
+			return nil
+		case err == nil && !ambiguous:
+			return &ConflictError{Keys: result.Conflicts}
+		case err == nil:
+			return readBack(ctx, raw, txn, result.Conflicts)
+		case errors.Is(err, ErrUnknown):
+			ambiguous = true
+		case !ambiguous:
+			return err
+		case !errors.Is(err, ErrUnavailable):
+			return fmt.Errorf("transaction %s: %w: a repeat failed: %w", txn.Nonce, ErrUnknown, err)
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, maxResendPause)
+	}
+}
+
+// endedError reports that ctx ended while the transaction was open.
+func endedError(ambiguous bool, nonce string, cause error) error {
+	if ambiguous {
+		return fmt.Errorf("transaction %s: %w: %w", nonce, ErrUnknown, cause)
+	}
+	return fmt.Errorf("transaction %s: %w: %w", nonce, ErrUnavailable, cause)
+}
+
+// evidence is what one row tells about a transaction that wrote it.
+type evidence int
+
+const (
+	evidenceNone evidence = iota
+	evidenceApplied
+	evidenceNotApplied
+)
+
+// readBack settles a conflict that follows an ambiguous send: the conflict may
+// be with the transaction's own first effect.
+func readBack(ctx context.Context, raw Raw, txn Txn, conflicts []string) error {
+	if len(txn.Writes) == 0 {
+		return &ConflictError{Keys: conflicts}
+	}
+	pause := firstResendPause
+	notApplied := false
+	for i := 0; i < len(txn.Writes); {
+		row, err := raw.Get(ctx, txn.Writes[i].Key)
+		if ctx.Err() != nil {
+			return endedError(true, txn.Nonce, ctx.Err())
+		}
+		if err != nil {
+			sleep(ctx, pause)
+			pause = min(2*pause, maxResendPause)
+			continue
+		}
+		switch judge(txn.Writes[i], row, txn.Nonce) {
+		case evidenceApplied:
+			return nil
+		case evidenceNotApplied:
+			notApplied = true
+		}
+		i++
+	}
+	if notApplied {
+		return &ConflictError{Keys: conflicts}
+	}
+	return fmt.Errorf("transaction %s: %w: its rows were written again since", txn.Nonce, ErrUnknown)
+}
+
+// judge compares a row read after a conflict with the write of an ambiguous
+// transaction. Versions are never used twice, so a row at or below the
+// expected version, or whose next version another transaction wrote, shows
+// that the transaction was not applied.
+func judge(w Write, row Row, nonce string) evidence {
+	switch {
+	case row.Nonce == nonce && row.Version > 0:
+		return evidenceApplied
+	case row.Version == 0:
+		return evidenceNone
+	case row.Version <= w.Expect:
+		return evidenceNotApplied
+	case w.Expect > 0 && row.Version == w.Expect+1:
+		return evidenceNotApplied
+	default:
+		return evidenceNone
+	}
+}
+
+// ListAll reads all pages of a range; it serves implementations of Store.List.
+func ListAll(ctx context.Context, raw Raw, r Range) ([]Row, error) {
+	var rows []Row
+	for {
+		page, err := raw.Rows(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, page.Rows...)
+		if r.Limit > 0 {
+			if len(page.Rows) >= r.Limit {
+				return rows, nil
+			}
+			r.Limit -= len(page.Rows)
+		}
+		if !page.More || len(page.Rows) == 0 {
+			return rows, nil
+		}
+		r.From = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/connection/table/table.go
+++ b/internal/connection/table/table.go
@@ -18,6 +18,8 @@
 )
 
 // Version counts the writes of a row from 1; 0 means that the row is absent.
+// A row that is created again after a deletion goes on counting, so that no
+// version is used twice and a late transaction cannot match another row.
 type Version int64
 
 // Row is one stored record.
