Carry completions and service calls from entry node to home node to endpoint

Cause: the request path had interfaces but no path.

Ruled out: letting the home node retry by itself, because then delivered text would live in two places; the entry keeps it and resumes from it.

Conclusion: needs the node's wiring.

--- /dev/null
+++ b/internal/connection/peer/client.go
@@ -0,0 +1,216 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/request/refusal"
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// Timeouts and bounds of peer links.
+const (
+	dialTimeout         = 500 * time.Millisecond
+	idleConnTimeout     = time.Minute
+	maxIdleConnsPerHost = 256
+	// HeartbeatInterval is the period of comments in a quiet answer.
+	HeartbeatInterval = 500 * time.Millisecond
+	// silenceTimeout is how long an answer may carry neither frame nor
+	// heartbeat before the home counts as gone.
+	silenceTimeout = 2 * time.Second
+	// MaxBodyBytes bounds a peer answer that is read whole.
+	MaxBodyBytes = 64 << 20
+)
+
+// LinkError reports a failed connection to a peer.
+type LinkError struct {
+	Address string
+	// Handed is false only where no byte was handed to a connection.
+	Handed bool
+	Err    error
+}
+
+// Error implements error.
+func (e *LinkError) Error() string {
+	return fmt.Sprintf("peer %s: handed=%t: %v", e.Address, e.Handed, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *LinkError) Unwrap() error { return e.Err }
+
+var errSilent = errors.New("no frame and no heartbeat within the timeout")
+
+// Client calls other nodes. It is safe for concurrent use.
+type Client struct {
+	http   *http.Client
+	key    string
+	scheme string
+}
+
+// NewClient returns a client that presents the shared peer key. tlsConfig is
+// nil for plain HTTP.
+func NewClient(key string, tlsConfig *tls.Config) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		TLSClientConfig:     tlsConfig,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	scheme := "http"
+	if tlsConfig != nil {
+		scheme = "https"
+	}
+	return &Client{http: &http.Client{Transport: transport}, key: key, scheme: scheme}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) request(ctx context.Context, method, address, path string, body any) (*http.Request, error) {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		reader = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, reader)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// call sends one request and decodes the JSON answer.
+func (c *Client) call(ctx context.Context, method, address, path string, body, answer any) error {
+	request, err := c.request(ctx, method, address, path, body)
+	if err != nil {
+		return &LinkError{Address: address, Err: err}
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return &LinkError{Address: address, Handed: true, Err: err}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return &LinkError{Address: address, Handed: true, Err: fmt.Errorf("%s %s: %s", method, path, response.Status)}
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, MaxBodyBytes)).Decode(answer); err != nil {
+		return &LinkError{Address: address, Handed: true, Err: err}
+	}
+	return nil
+}
+
+// Probe exchanges digests with a peer.
+func (c *Client) Probe(ctx context.Context, address string, probe Probe) (Probe, error) {
+	var reply Probe
+	err := c.call(ctx, http.MethodPost, address, "/peer/probe", probe, &reply)
+	return reply, err
+}
+
+// Log returns the records after a revision that the peer holds.
+func (c *Client) Log(ctx context.Context, address string, after int64) ([]object.Record, error) {
+	var records []object.Record
+	err := c.call(ctx, http.MethodGet, address, "/peer/log?after="+strconv.FormatInt(after, 10), nil, &records)
+	return records, err
+}
+
+// Snapshot returns the peer's whole configuration.
+func (c *Client) Snapshot(ctx context.Context, address string) (SnapshotBody, error) {
+	var body SnapshotBody
+	err := c.call(ctx, http.MethodGet, address, "/peer/snapshot", nil, &body)
+	return body, err
+}
+
+// Release asks a peer to move part of its share of a cap.
+func (c *Client) Release(ctx context.Context, address string, r ReleaseRequest) (ReleaseReply, error) {
+	var reply ReleaseReply
+	err := c.call(ctx, http.MethodPost, address, "/peer/shares/release", r, &reply)
+	return reply, err
+}
+
+// Explain returns the peer's recorded steps of a request.
+func (c *Client) Explain(ctx context.Context, address, requestID string) ([]Step, error) {
+	var steps []Step
+	err := c.call(ctx, http.MethodGet, address, "/peer/explain?request="+url.QueryEscape(requestID), nil, &steps)
+	return steps, err
+}
+
+// Generate runs a request at a home node and passes its frames to sink. It
+// blocks until the answer has ended and returns the error of sink or a
+// *LinkError.
+func (c *Client) Generate(ctx context.Context, address string, r HomeRequest, sink func(Frame) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
+	defer silence.Stop()
+	var handed atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { handed.Store(true) },
+	})
+	request, err := c.request(traced, http.MethodPost, address, "/peer/generate", r)
+	if err != nil {
+		return &LinkError{Address: address, Err: err}
+	}
+	// The transport must not send the request again by itself.
+	request.GetBody = nil
+	response, err := c.http.Do(request)
+	if err != nil {
+		return &LinkError{Address: address, Handed: handed.Load(), Err: err}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return refusedLink(address, response)
+	}
+	return readFrames(address, response.Body, silence, sink)
+}
+
+// refusedLink converts an answer other than 200: the peer has refused the
+// request before it was queued.
+func refusedLink(address string, response *http.Response) error {
+	var body refusal.Body
+	if err := json.NewDecoder(io.LimitReader(response.Body, MaxBodyBytes)).Decode(&body); err != nil || body.Error == nil {
+		return &LinkError{Address: address, Err: fmt.Errorf("refused: %s", response.Status)}
+	}
+	return &LinkError{Address: address, Err: body.Error}
+}
+
+func readFrames(address string, body io.Reader, silence *time.Timer, sink func(Frame) error) error {
+	reader := endpoint.NewEventReader(body)
+	heartbeat := func() { silence.Reset(silenceTimeout) }
+	for {
+		data, err := reader.Next(heartbeat)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return &LinkError{Address: address, Handed: true, Err: err}
+		}
+		silence.Reset(silenceTimeout)
+		var frame Frame
+		if err := json.Unmarshal(data, &frame); err != nil {
+			return &LinkError{Address: address, Handed: true, Err: fmt.Errorf("frame is not valid JSON: %w", err)}
+		}
+		if err := sink(frame); err != nil {
+			return err
+		}
+	}
+}
--- a/internal/connection/peer/protocol.go
+++ b/internal/connection/peer/protocol.go
@@ -2,7 +2,7 @@
 // shared peer key as bearer token.
 //
 //	POST /peer/probe           Probe           -> 200 Probe
-//	POST /peer/generate        HomeRequest     -> 200 SSE of endpoint.Chunk
+//	POST /peer/generate        HomeRequest     -> 200 SSE of Frame
 //	GET  /peer/log?after=REV                   -> 200 []object.Record, 410 if compacted
 //	GET  /peer/snapshot                        -> 200 SnapshotBody
 //	POST /peer/shares/release  ReleaseRequest  -> 200 ReleaseReply
@@ -13,6 +13,8 @@
 import (
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/object"
 )
 
@@ -53,9 +55,26 @@
 	AgeMillis int64 `json:"ageMillis"`
 }
 
-// Probe carries a bounded number of digests; the first is the sender's own.
+// Probe carries a bounded number of digests of the sender's region, its own
+// first, and one summary for each region that it knows.
 type Probe struct {
-	Digests []Digest `json:"digests"`
+	Digests []Digest        `json:"digests"`
+	Regions []RegionSummary `json:"regions,omitempty"`
+}
+
+// RegionSummary tells other regions of one region's nodes.
+type RegionSummary struct {
+	Region string `json:"region"`
+	// AgeMillis is the time since the summary was made.
+	AgeMillis int64 `json:"ageMillis"`
+	// Nodes counts live nodes.
+	Nodes int `json:"nodes"`
+	// MinApplied is the lowest configuration revision in force at a live node.
+	MinApplied int64 `json:"minApplied"`
+	// Lagging names, up to a bound, live nodes that are at MinApplied while
+	// another node is ahead.
+	Lagging []string   `json:"lagging,omitempty"`
+	Load    []PoolLoad `json:"load,omitempty"`
 }
 
 // HomeRequest hands a request from its entry node to a home node.
@@ -74,6 +93,9 @@
 	ResumeIndex     int      `json:"resumeIndex,omitempty"`
 	Delivered       string   `json:"delivered,omitempty"`
 	Avoid           []string `json:"avoid,omitempty"`
+	// Resumed is true for a request that was already queued or started
+	// elsewhere.
+	Resumed bool `json:"resumed,omitempty"`
 	// Isolate asks for a group that runs nothing else, for a crash suspect.
 	Isolate bool `json:"isolate,omitempty"`
 }
@@ -111,3 +133,39 @@
 	Reason  string    `json:"reason"`
 	Message string    `json:"message"`
 }
+
+// Frame is one event of a home node's answer. Exactly one field is set.
+type Frame struct {
+	Assigned *Assigned       `json:"assigned,omitempty"`
+	Chunk    *endpoint.Chunk `json:"chunk,omitempty"`
+	End      *End            `json:"end,omitempty"`
+}
+
+// Assigned tells that the request got a slot.
+type Assigned struct {
+	Group      string `json:"group"`
+	WaitMillis int64  `json:"waitMillis"`
+}
+
+// EndCause tells why a home node stopped before the answer was whole.
+type EndCause string
+
+// Causes of an early end.
+const (
+	// EndRefused: the home refused the request; it did not run there.
+	EndRefused EndCause = "refused"
+	// EndFailed: the group failed; the entry may resume elsewhere.
+	EndFailed EndCause = "failed"
+	// EndPreempted: urgent work took the slot; the entry offers the rest of
+	// the request again, which costs no attempt.
+	EndPreempted EndCause = "preempted"
+)
+
+// End is the last frame of an answer that is not whole.
+type End struct {
+	Cause   EndCause       `json:"cause"`
+	Group   string         `json:"group,omitempty"`
+	Refusal *refusal.Error `json:"refusal"`
+	// Crashed is true when the group's endpoint died with the request.
+	Crashed bool `json:"crashed,omitempty"`
+}
--- /dev/null
+++ b/internal/connection/peer/server.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/request/refusal"
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// ErrCompacted reports that records after the asked revision are gone.
+var ErrCompacted = errors.New("records were compacted; read the snapshot")
+
+// Handlers is what a node offers to its peers.
+type Handlers interface {
+	Probe(probe Probe) Probe
+	// Generate runs a request on this node's groups; it blocks until its end.
+	Generate(ctx context.Context, r HomeRequest, sink func(Frame) error) error
+	// Log returns the records after a revision, or ErrCompacted.
+	Log(after int64) ([]object.Record, error)
+	Snapshot() SnapshotBody
+	Release(ctx context.Context, r ReleaseRequest) ReleaseReply
+	Explain(requestID string) []Step
+}
+
+// NewServer returns the peer listener's handler. Calls without the key are
+// refused.
+func NewServer(key string, handlers Handlers) http.Handler {
+	s := &server{handlers: handlers}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /peer/probe", s.probe)
+	mux.HandleFunc("POST /peer/generate", s.generate)
+	mux.HandleFunc("GET /peer/log", s.log)
+	mux.HandleFunc("GET /peer/snapshot", s.snapshot)
+	mux.HandleFunc("POST /peer/shares/release", s.release)
+	mux.HandleFunc("GET /peer/explain", s.explain)
+	return requireKey(key, mux)
+}
+
+func requireKey(key string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(token), []byte(key)) != 1 {
+			refusal.New(refusal.KindUnauthorized, http.StatusUnauthorized, "the peer key is wrong; set the same key in [peers] on every node").Write(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type server struct{ handlers Handlers }
+
+// decode reads a JSON body, or answers 400 and returns false.
+func decode(w http.ResponseWriter, r *http.Request, target any) bool {
+	if err := json.NewDecoder(r.Body).Decode(target); err != nil {
+		refusal.New(refusal.KindBadRequest, http.StatusBadRequest, "body is not valid JSON: "+err.Error()).Write(w)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *server) probe(w http.ResponseWriter, r *http.Request) {
+	var probe Probe
+	if decode(w, r, &probe) {
+		reply(w, s.handlers.Probe(probe))
+	}
+}
+
+func (s *server) log(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a revision", http.StatusBadRequest)
+		return
+	}
+	records, err := s.handlers.Log(after)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusGone)
+		return
+	}
+	reply(w, records)
+}
+
+func (s *server) snapshot(w http.ResponseWriter, _ *http.Request) { reply(w, s.handlers.Snapshot()) }
+
+func (s *server) release(w http.ResponseWriter, r *http.Request) {
+	var request ReleaseRequest
+	if decode(w, r, &request) {
+		reply(w, s.handlers.Release(r.Context(), request))
+	}
+}
+
+func (s *server) explain(w http.ResponseWriter, r *http.Request) {
+	reply(w, s.handlers.Explain(r.URL.Query().Get("request")))
+}
+
+func (s *server) generate(w http.ResponseWriter, r *http.Request) {
+	var request HomeRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	writer := newFrameWriter(w)
+	stop := writer.heartbeat(r.Context())
+	err := s.handlers.Generate(r.Context(), request, writer.frame)
+	stop()
+	if err == nil {
+		writer.done()
+		return
+	}
+	// Without the terminal event the entry node sees a truncated answer.
+	panic(http.ErrAbortHandler)
+}
+
+// frameWriter writes server-sent events. It is safe for concurrent use.
+type frameWriter struct {
+	mu      sync.Mutex
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+func newFrameWriter(w http.ResponseWriter) *frameWriter {
+	f := &frameWriter{w: w, control: http.NewResponseController(w)}
+	_ = f.write(nil, []byte(": open\n\n"))
+	return f
+}
+
+// write sends prefix and data in one flush.
+func (f *frameWriter) write(prefix, data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, err := f.w.Write(append(prefix, data...)); err != nil {
+		return err
+	}
+	return f.control.Flush()
+}
+
+func (f *frameWriter) frame(frame Frame) error {
+	data, err := json.Marshal(frame)
+	if err != nil {
+		return err
+	}
+	return f.write([]byte("data: "), append(data, '\n', '\n'))
+}
+
+func (f *frameWriter) done() { _ = f.write(nil, []byte("data: "+endpoint.DoneMarker+"\n\n")) }
+
+// heartbeat sends comments until the returned function is called, which waits
+// for the sender to end.
+func (f *frameWriter) heartbeat(ctx context.Context) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var duty sync.WaitGroup
+	duty.Go(func() {
+		ticker := time.NewTicker(HeartbeatInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				_ = f.write(nil, []byte(": alive\n\n"))
+			}
+		}
+	})
+	return func() {
+		cancel()
+		duty.Wait()
+	}
+}
--- /dev/null
+++ b/internal/process/callerapi/completions.go
@@ -0,0 +1,224 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/request/refusal"
+	"currantladder.example/currantladder/internal/request/relay"
+	"currantladder.example/currantladder/internal/request/share"
+)
+
+// Bounds of generated tokens.
+const (
+	defaultMaxTokens = 256
+	maxMaxTokens     = 32_768
+)
+
+// completionBody is the part of a completions request that is used. Fields
+// that engines do not take are accepted and ignored.
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens *int   `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	N         *int   `json:"n"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatBody struct {
+	completionBody
+	Messages            []chatMessage `json:"messages"`
+	MaxCompletionTokens *int          `json:"max_completion_tokens"`
+}
+
+func badJSON(err error) *refusal.Error {
+	return refusal.New(refusal.KindBadRequest, http.StatusBadRequest, "the body is not a valid request: "+err.Error())
+}
+
+func (s *Server) completions(w http.ResponseWriter, r *http.Request, current *session) *refusal.Error {
+	var body completionBody
+	if err := json.Unmarshal(current.body, &body); err != nil {
+		return badJSON(err)
+	}
+	return s.complete(w, r, current, body, textFormat{})
+}
+
+func (s *Server) chatCompletions(w http.ResponseWriter, r *http.Request, current *session) *refusal.Error {
+	var body chatBody
+	if err := json.Unmarshal(current.body, &body); err != nil {
+		return badJSON(err)
+	}
+	if len(body.Messages) == 0 {
+		return refusal.New(refusal.KindBadRequest, http.StatusBadRequest, "messages is empty; send at least one message")
+	}
+	if body.MaxTokens == nil {
+		body.MaxTokens = body.MaxCompletionTokens
+	}
+	body.Prompt = chatPrompt(body.Messages)
+	return s.complete(w, r, current, body.completionBody, chatFormat{})
+}
+
+// chatPrompt joins messages to the prompt that the engines take.
+func chatPrompt(messages []chatMessage) string {
+	var prompt strings.Builder
+	for _, message := range messages {
+		prompt.WriteString(message.Role + ": " + message.Content + "\n")
+	}
+	prompt.WriteString("assistant: ")
+	return prompt.String()
+}
+
+// complete validates, admits and runs one completion.
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, current *session, body completionBody, format answerFormat) *refusal.Error {
+	maxTokens, refused := current.validate(body)
+	if refused != nil {
+		return refused
+	}
+	request := s.relayRequest(current, body, maxTokens)
+	refuse, isolate := s.deps.Suspects.Judge(request.Fingerprint, current.received)
+	if refuse {
+		return refusal.New(refusal.KindCrashSuspect, http.StatusUnprocessableEntity, "this request was in flight at several endpoints that died and is refused for now; change the request or send it later")
+	}
+	request.Isolate = isolate
+	admission, refused := s.deps.Limiter.Admit(current.account.Name, request.CostTokens, current.received)
+	if refused != nil {
+		return refused
+	}
+	return s.run(w, r, current, body.Stream, request, admission, format)
+}
+
+func (c *session) validate(body completionBody) (maxTokens int, refused *refusal.Error) {
+	maxTokens = defaultMaxTokens
+	if body.MaxTokens != nil {
+		maxTokens = *body.MaxTokens
+	}
+	switch {
+	case body.Prompt == "":
+		return 0, refusal.New(refusal.KindBadRequest, http.StatusBadRequest, "prompt is empty; send a prompt")
+	case body.N != nil && *body.N != 1:
+		return 0, refusal.New(refusal.KindBadRequest, http.StatusBadRequest, "n must be 1; send one request for each answer")
+	case maxTokens < 1 || maxTokens > maxMaxTokens:
+		return 0, refusal.New(refusal.KindBadRequest, http.StatusBadRequest, fmt.Sprintf("max_tokens is %d; use 1 to %d", maxTokens, maxMaxTokens))
+	case !slices.Contains(c.modelNames(), body.Model):
+		return 0, refusal.New(refusal.KindUnknownModel, http.StatusNotFound, fmt.Sprintf("model %q is not served; see GET /v1/models", body.Model))
+	}
+	return maxTokens, nil
+}
+
+func (c *session) modelNames() []string {
+	var models []string
+	for _, group := range c.snapshot.Groups() {
+		models = append(models, group.Spec.Model)
+	}
+	slices.Sort(models)
+	return slices.Compact(models)
+}
+
+func (s *Server) relayRequest(current *session, body completionBody, maxTokens int) relay.Request {
+	return relay.Request{
+		ID:          current.id,
+		Account:     current.account.Name,
+		Rank:        current.rank.Name,
+		Model:       body.Model,
+		Prompt:      body.Prompt,
+		MaxTokens:   maxTokens,
+		CostTokens:  int64(endpoint.CountTokens(body.Prompt) + maxTokens),
+		Fingerprint: s.deps.Suspects.Fingerprint(body.Model, body.Prompt, maxTokens),
+		Deadline:    current.deadline,
+	}
+}
+
+// run relays the answer to the caller and settles the admission.
+func (s *Server) run(w http.ResponseWriter, r *http.Request, current *session, stream bool, request relay.Request, admission share.Admission, format answerFormat) *refusal.Error {
+	out := newAnswerWriter(w, format, answerHead{ID: current.id, Model: request.Model, Created: current.received.Unix()}, stream)
+	pace := newPacer(current.received)
+	result, refused := s.deps.Relay.Run(r.Context(), request, func(text string) error {
+		pace.token(time.Now())
+		return out.token(text)
+	})
+	promptTokens := int64(endpoint.CountTokens(request.Prompt))
+	admission.Settle(promptTokens + int64(pace.tokens))
+	if refused == nil {
+		sample := pace.sample(current)
+		sample.Outcome = OutcomeWhole
+		s.deps.Observer.Observe(sample)
+		out.finish(result)
+		return nil
+	}
+	if !out.started() {
+		return refused
+	}
+	sample := pace.sample(current)
+	sample.Outcome, sample.Kind = OutcomeUnknown, refused.Kind
+	s.deps.Observer.Observe(sample)
+	out.abort(refused)
+	return nil
+}
+
+// pacer measures the times between tokens of one answer.
+type pacer struct {
+	received time.Time
+	last     time.Time
+	first    time.Duration
+	longest  time.Duration
+	tokens   int
+}
+
+func newPacer(received time.Time) *pacer { return &pacer{received: received} }
+
+func (p *pacer) token(now time.Time) {
+	p.tokens++
+	if p.tokens == 1 {
+		p.first = now.Sub(p.received)
+	} else {
+		p.longest = max(p.longest, now.Sub(p.last))
+	}
+	p.last = now
+}
+
+func (p *pacer) sample(current *session) Sample {
+	return Sample{
+		Rank:          current.rank.Name,
+		Account:       current.account.Name,
+		Class:         current.account.Class,
+		FirstToken:    p.first,
+		MaxInterToken: p.longest,
+		Tokens:        p.tokens,
+	}
+}
+
+// modelList is the answer of GET /v1/models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(w http.ResponseWriter, r *http.Request) {
+	current := &session{snapshot: s.deps.View.Current()}
+	if refused := s.authenticate(r, current); refused != nil {
+		refused.Write(w)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range current.modelNames() {
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "currantladder"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/internal/process/callerapi/services.go
@@ -0,0 +1,210 @@
+package callerapi
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/request/claim"
+	"currantladder.example/currantladder/internal/request/refusal"
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// serviceRetryAfter is the hint to callers while a service has no endpoint.
+const serviceRetryAfter = 2 * time.Second
+
+// maxUnhandedAttempts bounds tries that fail before a byte was handed over.
+const maxUnhandedAttempts = 3
+
+// maxIdempotencyKeyLength bounds the caller's key, in bytes.
+const maxIdempotencyKeyLength = 255
+
+// serviceCall is one call of a plain service on its way.
+type serviceCall struct {
+	name    string
+	spec    *object.ServiceSpec
+	request endpoint.ServiceRequest
+	key     string
+}
+
+// service handles one call of a plain service.
+func (s *Server) service(w http.ResponseWriter, r *http.Request, current *session) *refusal.Error {
+	call, refused := newServiceCall(r, current)
+	if refused != nil {
+		return refused
+	}
+	admission, refused := s.deps.Limiter.Admit(current.account.Name, 0, current.received)
+	if refused != nil {
+		return refused
+	}
+	defer admission.Settle(0)
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(call.spec.TimeoutMillis)*time.Millisecond)
+	defer cancel()
+	w.Header().Set(HeaderIdempotencyKey, call.key)
+	if call.spec.IsIdempotent(call.request.Method, r.URL.Path[len("/services/")+len(call.name):]) {
+		return s.callIdempotent(ctx, w, current, call)
+	}
+	return s.callOnce(ctx, w, current, call)
+}
+
+func newServiceCall(r *http.Request, current *session) (*serviceCall, *refusal.Error) {
+	name := r.PathValue("service")
+	spec := current.snapshot.Service(name)
+	if spec == nil {
+		return nil, refusal.New(refusal.KindUnknownService, http.StatusNotFound, fmt.Sprintf("service %q is not declared; ask the operator for its name", name))
+	}
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > maxIdempotencyKeyLength {
+		return nil, refusal.New(refusal.KindBadRequest, http.StatusBadRequest, fmt.Sprintf("header %s is longer than %d bytes; use a shorter key", HeaderIdempotencyKey, maxIdempotencyKeyLength))
+	}
+	if key == "" {
+		key = current.id
+	}
+	path := r.URL.EscapedPath()[len("/services/")+len(name):]
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	header := http.Header{}
+	header.Set(HeaderIdempotencyKey, key)
+	header.Set(HeaderRequestID, current.id)
+	for _, name := range []string{"Content-Type", "Accept"} {
+		if value := r.Header.Get(name); value != "" {
+			header.Set(name, value)
+		}
+	}
+	request := endpoint.ServiceRequest{Method: r.Method, Path: path, Header: header, Body: current.body}
+	return &serviceCall{name: name, spec: spec, request: request, key: key}, nil
+}
+
+// fingerprint tells calls apart that carry the same key.
+func (c *serviceCall) fingerprint() uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(c.request.Method + " " + c.request.Path + "\n")
+	_, _ = digest.Write(c.request.Body)
+	return digest.Sum64()
+}
+
+// callIdempotent retries on other endpoints within the rank's budget.
+func (s *Server) callIdempotent(ctx context.Context, w http.ResponseWriter, current *session, call *serviceCall) *refusal.Error {
+	s.deps.Relay.Budget.First(current.rank.Name, time.Now())
+	avoid := make(map[string]bool)
+	handed := false
+	for attempt := 1; ; attempt++ {
+		answer, host, err := s.attempt(ctx, call, avoid)
+		if err == nil {
+			writeAnswer(w, answerOf(answer))
+			s.observeWhole(current)
+			return nil
+		}
+		if host == "" {
+			return noServiceEndpoint(call.name, handed)
+		}
+		handed = handed || endpoint.WasHanded(err)
+		avoid[host] = true
+		if ctx.Err() != nil || !s.deps.Relay.Budget.Retry(current.rank.Name, attempt, time.Now()) {
+			return serviceFailed(call.name, err, handed)
+		}
+	}
+}
+
+// callOnce hands a non-idempotent call to at most one connection.
+func (s *Server) callOnce(ctx context.Context, w http.ResponseWriter, current *session, call *serviceCall) *refusal.Error {
+	outcome, refused := s.deps.Claims.Begin(ctx, claim.Call{
+		Service:     call.name,
+		Account:     current.account.Name,
+		Key:         call.key,
+		Fingerprint: call.fingerprint(),
+	})
+	if refused != nil {
+		return refused
+	}
+	if outcome.Replay != nil {
+		w.Header().Set(HeaderReplayed, strconv.FormatBool(true))
+		writeAnswer(w, *outcome.Replay)
+		s.observeWhole(current)
+		return nil
+	}
+	return s.runClaimed(ctx, w, current, call, outcome.Ticket)
+}
+
+// runClaimed runs a call whose claim is held. Only tries that handed no byte
+// over are followed by another.
+func (s *Server) runClaimed(ctx context.Context, w http.ResponseWriter, current *session, call *serviceCall, ticket *claim.Ticket) *refusal.Error {
+	// The claim is settled even when the caller has left.
+	settleCtx := context.WithoutCancel(ctx)
+	avoid := make(map[string]bool)
+	for attempt := 1; ; attempt++ {
+		answer, host, err := s.attempt(ctx, call, avoid)
+		if err == nil {
+			recorded := answerOf(answer)
+			_ = s.deps.Claims.Record(settleCtx, ticket, recorded)
+			writeAnswer(w, recorded)
+			s.observeWhole(current)
+			return nil
+		}
+		if host != "" && endpoint.WasHanded(err) {
+			return serviceFailed(call.name, err, true)
+		}
+		avoid[host] = true
+		if host != "" && attempt < maxUnhandedAttempts {
+			continue
+		}
+		_ = s.deps.Claims.Abandon(settleCtx, ticket)
+		return noServiceEndpoint(call.name, false)
+	}
+}
+
+// attempt calls one endpoint. host is empty where there is none to call.
+func (s *Server) attempt(ctx context.Context, call *serviceCall, avoid map[string]bool) (answer endpoint.ServiceAnswer, host string, err error) {
+	host, address, ok := s.deps.Services.Pick(call.name, avoid)
+	if !ok {
+		return answer, "", fmt.Errorf("service %s has no live endpoint", call.name)
+	}
+	answer, err = s.deps.Client.Call(ctx, address, call.request)
+	return answer, host, err
+}
+
+func noServiceEndpoint(service string, handed bool) *refusal.Error {
+	refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, fmt.Sprintf("service %s has no live endpoint; send the request again later", service))
+	if handed {
+		refused.Ran = refusal.RanUnknown
+	}
+	return refused.After(serviceRetryAfter)
+}
+
+func serviceFailed(service string, err error, handed bool) *refusal.Error {
+	message := fmt.Sprintf("service %s did not answer (%v); look up whether the call took effect before you send it again with a new key", service, err)
+	if !handed {
+		return refusal.New(refusal.KindNoEndpoint, http.StatusBadGateway, message)
+	}
+	return refusal.Unknown(refusal.KindIncomplete, http.StatusBadGateway, message)
+}
+
+func answerOf(answer endpoint.ServiceAnswer) claim.Answer {
+	return claim.Answer{Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: answer.Body}
+}
+
+func writeAnswer(w http.ResponseWriter, answer claim.Answer) {
+	if answer.ContentType != "" {
+		w.Header().Set("Content-Type", answer.ContentType)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func (s *Server) observeWhole(current *session) {
+	elapsed := time.Since(current.received)
+	s.deps.Observer.Observe(Sample{
+		Rank:       current.rank.Name,
+		Account:    current.account.Name,
+		Class:      current.account.Class,
+		Outcome:    OutcomeWhole,
+		FirstToken: elapsed,
+	})
+}
--- /dev/null
+++ b/internal/request/dispatch/home.go
@@ -0,0 +1,428 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/request/answer"
+	"currantladder.example/currantladder/internal/request/queue"
+	"currantladder.example/currantladder/internal/request/refusal"
+	"currantladder.example/currantladder/internal/request/route"
+)
+
+// progressTokens is the number of tokens between two progress events.
+const progressTokens = 16
+
+// Timeouts of the stream from an engine.
+const (
+	// firstChunkTimeout bounds the wait for the first chunk of a run.
+	firstChunkTimeout = 10 * time.Second
+	// nextChunkTimeout bounds the wait between two chunks.
+	nextChunkTimeout = 2 * time.Second
+)
+
+// openRetryAfter is the hint to callers while no group of a model is open.
+const openRetryAfter = 2 * time.Second
+
+// Target is one replica group that this node is home for.
+type Target struct {
+	Group      string
+	Generation int64
+	// Address is the leading engine's host:port.
+	Address string
+	// Slots is the number of concurrent streams; 0 while the gate is closed.
+	Slots int
+	// Why tells why the gate is closed.
+	Why string
+}
+
+// Sink receives the frames of one answer, in order. It may block.
+type Sink func(peer.Frame) error
+
+// CrashReporter learns when the endpoint of a group died, with the
+// fingerprints of all requests that were in flight there.
+type CrashReporter func(group string, fingerprints []uint64)
+
+// Home runs requests on the groups that this node is home for. It is safe for
+// concurrent use.
+type Home struct {
+	ctx    context.Context
+	client *endpoint.Client
+	crash  CrashReporter
+
+	mu       sync.Mutex
+	pools    map[string]*pool
+	targets  map[string]map[string]Target // model -> group -> target
+	inFlight map[string]map[string]*run   // group -> request ID -> run
+	priority map[string]int
+	duties   sync.WaitGroup
+}
+
+// run is one request in flight at a group.
+type run struct {
+	fingerprint uint64
+	generation  int64
+	cancel      context.CancelCauseFunc
+	// reported is true once a crash report has counted the run.
+	reported bool
+}
+
+// errGateClosed cancels the streams of a group whose gate closed.
+var errGateClosed = errors.New("a member of the replica group is missing")
+
+// errPreempted cancels a stream whose slot goes to urgent work.
+var errPreempted = errors.New("preempted by urgent work")
+
+// NewHome returns a home whose duties end with ctx.
+func NewHome(ctx context.Context, client *endpoint.Client, crash CrashReporter) *Home {
+	return &Home{
+		ctx:      ctx,
+		client:   client,
+		crash:    crash,
+		pools:    make(map[string]*pool),
+		targets:  make(map[string]map[string]Target),
+		inFlight: make(map[string]map[string]*run),
+		priority: make(map[string]int),
+	}
+}
+
+// Wait blocks until all duties have ended.
+func (h *Home) Wait() { h.duties.Wait() }
+
+// Configure sets ranks and targets by model. Streams of groups whose gate is
+// closed, or whose generation changed, are cancelled; their entry nodes
+// resume them elsewhere.
+func (h *Home) Configure(ranks []queue.Rank, targets map[string][]Target) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, rank := range ranks {
+		h.priority[rank.Name] = rank.Priority
+	}
+	for model := range targets {
+		h.poolLocked(model)
+	}
+	for model, p := range h.pools {
+		h.targets[model] = indexTargets(targets[model])
+		p.configure(h.ctx, ranks, slotsOf(targets[model]))
+	}
+	h.cancelClosedLocked()
+}
+
+func indexTargets(targets []Target) map[string]Target {
+	byGroup := make(map[string]Target, len(targets))
+	for _, target := range targets {
+		byGroup[target.Group] = target
+	}
+	return byGroup
+}
+
+func slotsOf(targets []Target) []queue.Group {
+	groups := make([]queue.Group, 0, len(targets))
+	for _, target := range targets {
+		groups = append(groups, queue.Group{Name: target.Group, Slots: target.Slots})
+	}
+	return groups
+}
+
+func (h *Home) cancelClosedLocked() {
+	open := make(map[string]int64)
+	known := make(map[string]bool)
+	for _, targets := range h.targets {
+		for group, target := range targets {
+			known[group] = true
+			if target.Slots > 0 {
+				open[group] = target.Generation
+			}
+		}
+	}
+	for group, runs := range h.inFlight {
+		for _, r := range runs {
+			if known[group] && open[group] != r.generation {
+				r.cancel(errGateClosed)
+			}
+		}
+	}
+}
+
+func (h *Home) poolLocked(model string) *pool {
+	p := h.pools[model]
+	if p == nil {
+		p = newPool()
+		h.pools[model] = p
+		h.duties.Go(func() { p.run(h.ctx) })
+	}
+	return p
+}
+
+// Stats returns the load of each model's pool.
+func (h *Home) Stats() map[string]Stats {
+	h.mu.Lock()
+	pools := make(map[string]*pool, len(h.pools))
+	for model, p := range h.pools {
+		pools[model] = p
+	}
+	h.mu.Unlock()
+	all := make(map[string]Stats, len(pools))
+	for model, p := range pools {
+		reply := make(chan Stats, 1)
+		select {
+		case p.stats <- reply:
+			all[model] = <-reply
+		case <-h.ctx.Done():
+			return all
+		}
+	}
+	return all
+}
+
+// Serve runs one request and passes its frames to sink. It returns after the
+// terminal chunk or an End frame was passed, or with the error of sink.
+func (h *Home) Serve(ctx context.Context, r peer.HomeRequest, sink Sink) error {
+	p, refused := h.openPool(r)
+	if refused != nil {
+		return sink(endFrame(peer.EndRefused, "", refused, false))
+	}
+	offered := time.Now()
+	signals, ok := p.offer(ctx, queueRequest(r, offered))
+	if !ok {
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		p.cancel(h.ctx, r.RequestID)
+		return ctx.Err()
+	case s := <-signals:
+		if s.refusal != nil {
+			return sink(endFrame(peer.EndRefused, "", s.refusal, false))
+		}
+		return h.runAssigned(ctx, p, r, s.group, signals, offered, sink)
+	}
+}
+
+func (h *Home) openPool(r peer.HomeRequest) (*pool, *refusal.Error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, target := range h.targets[r.Model] {
+		if target.Slots > 0 {
+			return h.pools[r.Model], nil
+		}
+	}
+	why := "this node is not home for a group of it"
+	for _, target := range h.targets[r.Model] {
+		why = fmt.Sprintf("group %s: %s", target.Group, target.Why)
+	}
+	refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable,
+		fmt.Sprintf("no replica group of model %q is open here (%s); send the request again later", r.Model, why))
+	return nil, refused.After(openRetryAfter)
+}
+
+func queueRequest(r peer.HomeRequest, now time.Time) queue.Request {
+	request := queue.Request{
+		ID:         r.RequestID,
+		Account:    r.Account,
+		Rank:       r.Rank,
+		CostTokens: r.CostTokens,
+		Prefix:     route.PrefixBlocks(r.Prompt),
+		Resumed:    r.Resumed,
+		Avoid:      r.Avoid,
+	}
+	if r.RemainingMillis > 0 {
+		request.Deadline = now.Add(time.Duration(r.RemainingMillis) * time.Millisecond)
+	}
+	return request
+}
+
+// runAssigned runs the request on the group that the scheduler chose.
+func (h *Home) runAssigned(ctx context.Context, p *pool, r peer.HomeRequest, group string, signals <-chan signal, offered time.Time, sink Sink) error {
+	runCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	target, open := h.register(r, group, cancel)
+	if !open {
+		p.finish(h.ctx, r.RequestID, 0)
+		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "replica group "+group+" closed before the request started; send it again")
+		return sink(endFrame(peer.EndRefused, group, refused, false))
+	}
+	stop := watchPreemption(runCtx, signals, cancel)
+	defer stop()
+	wait := time.Since(offered)
+	if err := sink(peer.Frame{Assigned: &peer.Assigned{Group: group, WaitMillis: wait.Milliseconds()}}); err != nil {
+		h.unregister(group, r.RequestID)
+		p.finish(h.ctx, r.RequestID, 0)
+		return err
+	}
+	assembler := answer.New(r.RequestID, r.ResumeIndex, "")
+	err := h.stream(runCtx, p, r, target, assembler, sink)
+	crashed := err != nil && ctx.Err() == nil && isCrash(runCtx, err)
+	if crashed {
+		h.reportCrash(group, r.RequestID)
+	}
+	h.unregister(group, r.RequestID)
+	p.finish(h.ctx, r.RequestID, int64(assembler.Next()-r.ResumeIndex))
+	var broken *sinkError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &broken):
+		return broken.err
+	case ctx.Err() != nil:
+		return ctx.Err()
+	}
+	return sink(h.failedFrame(runCtx, group, err, crashed))
+}
+
+func (h *Home) failedFrame(runCtx context.Context, group string, err error, crashed bool) peer.Frame {
+	if errors.Is(context.Cause(runCtx), errPreempted) {
+		refused := refusal.Unknown(refusal.KindOverloaded, http.StatusServiceUnavailable, "the request was preempted by urgent work; send it again")
+		return endFrame(peer.EndPreempted, group, refused, false)
+	}
+	message := fmt.Sprintf("replica group %s failed: %v; send the request again", group, err)
+	refused := refusal.Unknown(refusal.KindIncomplete, http.StatusBadGateway, message)
+	if !endpoint.WasHanded(err) {
+		refused.Ran = refusal.RanNo
+	}
+	return endFrame(peer.EndFailed, group, refused, crashed)
+}
+
+func endFrame(cause peer.EndCause, group string, refused *refusal.Error, crashed bool) peer.Frame {
+	return peer.Frame{End: &peer.End{Cause: cause, Group: group, Refusal: refused, Crashed: crashed}}
+}
+
+// watchPreemption cancels the run when the scheduler takes its slot back. The
+// returned function ends the watch.
+func watchPreemption(ctx context.Context, signals <-chan signal, cancel context.CancelCauseFunc) func() {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case s := <-signals:
+			if s.preempt {
+				cancel(errPreempted)
+			}
+		case <-ctx.Done():
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
+func (h *Home) register(r peer.HomeRequest, group string, cancel context.CancelCauseFunc) (Target, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	target := h.targets[r.Model][group]
+	if target.Slots == 0 {
+		return target, false
+	}
+	if h.inFlight[group] == nil {
+		h.inFlight[group] = make(map[string]*run)
+	}
+	h.inFlight[group][r.RequestID] = &run{fingerprint: r.Fingerprint, generation: target.Generation, cancel: cancel}
+	return target, true
+}
+
+func (h *Home) unregister(group, requestID string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.inFlight[group], requestID)
+	if len(h.inFlight[group]) == 0 {
+		delete(h.inFlight, group)
+	}
+}
+
+// sinkError marks an error of the way back to the caller.
+type sinkError struct{ err error }
+
+// Error implements error.
+func (e *sinkError) Error() string { return "answer could not be passed on: " + e.err.Error() }
+
+// stream copies chunks from the engine to sink until the answer is whole.
+func (h *Home) stream(ctx context.Context, p *pool, r peer.HomeRequest, target Target, assembler *answer.Assembler, sink Sink) error {
+	watchdog := newWatchdog(ctx, firstChunkTimeout)
+	defer watchdog.stop()
+	stream, err := h.client.Generate(watchdog.ctx, target.Address, h.generateRequest(r, target))
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	reported := assembler.Next()
+	for !assembler.Whole() {
+		chunk, err := stream.Next()
+		if err != nil {
+			return chunkError(err)
+		}
+		watchdog.reset(nextChunkTimeout)
+		if err := assembler.Accept(chunk); err != nil {
+			return err
+		}
+		if err := sink(peer.Frame{Chunk: &chunk}); err != nil {
+			return &sinkError{err}
+		}
+		if assembler.Next()-reported >= progressTokens {
+			p.progress(ctx, r.RequestID, int64(assembler.Next()-reported))
+			reported = assembler.Next()
+		}
+	}
+	return nil
+}
+
+func chunkError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return endpoint.ErrTruncated
+	}
+	return err
+}
+
+func (h *Home) generateRequest(r peer.HomeRequest, target Target) endpoint.GenerateRequest {
+	h.mu.Lock()
+	priority := h.priority[r.Rank]
+	h.mu.Unlock()
+	return endpoint.GenerateRequest{
+		RequestID:   r.RequestID,
+		Model:       r.Model,
+		Group:       target.Group,
+		Generation:  target.Generation,
+		Prompt:      r.Prompt,
+		MaxTokens:   r.MaxTokens,
+		Priority:    priority,
+		ResumeIndex: r.ResumeIndex,
+		Delivered:   r.Delivered,
+	}
+}
+
+// isCrash reports whether the engine broke the connection by itself: not a
+// refusal, not a cancelled run, not a mismatched chunk.
+func isCrash(runCtx context.Context, err error) bool {
+	if runCtx.Err() != nil {
+		return false
+	}
+	var call *endpoint.CallError
+	if errors.As(err, &call) {
+		return call.Handed && call.Status == 0
+	}
+	return errors.Is(err, endpoint.ErrTruncated)
+}
+
+// reportCrash reports every request in flight at the group, once for each
+// death: the streams that break after the first one are already counted.
+func (h *Home) reportCrash(group, requestID string) {
+	h.mu.Lock()
+	runs := h.inFlight[group]
+	if own := runs[requestID]; own == nil || own.reported {
+		h.mu.Unlock()
+		return
+	}
+	var fingerprints []uint64
+	for _, r := range runs {
+		r.reported = true
+		fingerprints = append(fingerprints, r.fingerprint)
+	}
+	h.mu.Unlock()
+	if h.crash != nil {
+		h.crash(group, fingerprints)
+	}
+}
--- /dev/null
+++ b/internal/request/dispatch/pool.go
@@ -0,0 +1,173 @@
+// Package dispatch runs requests at the home node of a set of replica groups:
+// it queues them, binds each to a free slot of a group and relays the engine's
+// chunks to the entry node.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"currantladder.example/currantladder/internal/request/queue"
+	"currantladder.example/currantladder/internal/request/refusal"
+)
+
+// eventCapacity bounds the events waiting for a pool's loop. Senders block
+// when it is full, which slows requests down and loses nothing.
+const eventCapacity = 1024
+
+// signalCapacity holds every signal that a request can get: an assignment and
+// a preemption.
+const signalCapacity = 2
+
+// signal tells a request's goroutine what the scheduler decided.
+type signal struct {
+	group   string
+	preempt bool
+	refusal *refusal.Error
+}
+
+// pool owns the scheduler of one model's groups. Its loop goroutine is the
+// only one that touches the scheduler.
+type pool struct {
+	events    chan func(now time.Time)
+	scheduler *queue.Scheduler
+	waiters   map[string]chan signal
+	running   int
+	slots     int
+	stats     chan chan Stats
+}
+
+// Stats is the load of one pool.
+type Stats struct {
+	Slots   int
+	Running int
+	Queued  int
+}
+
+func newPool() *pool {
+	return &pool{
+		events:    make(chan func(time.Time), eventCapacity),
+		scheduler: queue.New(),
+		waiters:   make(map[string]chan signal),
+		stats:     make(chan chan Stats),
+	}
+}
+
+// run is the pool's duty. It ends with ctx.
+func (p *pool) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-p.events:
+			event(time.Now())
+		case reply := <-p.stats:
+			reply <- Stats{Slots: p.slots, Running: p.running, Queued: p.scheduler.Queued()}
+			continue
+		case <-timer.C:
+		}
+		p.carryOut(time.Now())
+		p.rearm(timer)
+	}
+}
+
+func (p *pool) rearm(timer *time.Timer) {
+	now := time.Now()
+	wake := p.scheduler.NextWake(now)
+	if wake.IsZero() {
+		timer.Stop()
+		return
+	}
+	timer.Reset(max(wake.Sub(now), time.Millisecond))
+}
+
+func (p *pool) carryOut(now time.Time) {
+	decisions := p.scheduler.Next(now)
+	for _, expiry := range decisions.Expire {
+		p.notify(expiry.RequestID, signal{refusal: expiry.Refusal})
+		delete(p.waiters, expiry.RequestID)
+	}
+	for _, assignment := range decisions.Assign {
+		p.running++
+		p.notify(assignment.RequestID, signal{group: assignment.Group})
+	}
+	for _, id := range decisions.Preempt {
+		p.notify(id, signal{preempt: true})
+	}
+}
+
+// notify never blocks: a request gets at most signalCapacity signals.
+func (p *pool) notify(id string, s signal) {
+	waiter := p.waiters[id]
+	if waiter == nil {
+		return
+	}
+	select {
+	case waiter <- s:
+	default:
+	}
+}
+
+// send hands an event to the loop, or gives up when ctx ends.
+func (p *pool) send(ctx context.Context, event func(now time.Time)) bool {
+	select {
+	case p.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// offer queues the request. The refusal, if any, arrives as a signal.
+func (p *pool) offer(ctx context.Context, r queue.Request) (<-chan signal, bool) {
+	waiter := make(chan signal, signalCapacity)
+	ok := p.send(ctx, func(now time.Time) {
+		if refused := p.scheduler.Offer(r, now); refused != nil {
+			waiter <- signal{refusal: refused}
+			return
+		}
+		p.waiters[r.ID] = waiter
+	})
+	return waiter, ok
+}
+
+func (p *pool) progress(ctx context.Context, id string, tokens int64) {
+	p.send(ctx, func(now time.Time) { p.scheduler.Progress(id, tokens, now) })
+}
+
+func (p *pool) finish(ctx context.Context, id string, tokens int64) {
+	p.send(ctx, func(now time.Time) {
+		delete(p.waiters, id)
+		p.running--
+		p.scheduler.Finish(id, tokens, now)
+	})
+}
+
+// cancel withdraws a request that was not assigned yet, or frees its slot
+// where the assignment raced with the cancellation.
+func (p *pool) cancel(ctx context.Context, id string) {
+	p.send(ctx, func(now time.Time) {
+		if _, waiting := p.waiters[id]; !waiting {
+			return
+		}
+		delete(p.waiters, id)
+		if p.scheduler.Cancel(id, now) {
+			return
+		}
+		p.running--
+		p.scheduler.Finish(id, 0, now)
+	})
+}
+
+func (p *pool) configure(ctx context.Context, ranks []queue.Rank, groups []queue.Group) {
+	p.send(ctx, func(now time.Time) {
+		p.slots = 0
+		for _, group := range groups {
+			p.slots += group.Slots
+		}
+		p.scheduler.SetRanks(ranks, now)
+		p.scheduler.SetGroups(groups, now)
+	})
+}
