--- a/internal/request/share/manager.go
+++ b/internal/request/share/manager.go
@@ -192,13 +192,22 @@
 // refreshPresence gives up every share once the node's presence is void.
 func (m *Manager) refreshPresence(now time.Time) {
 	proof := evidence{session: m.options.Session(), listed: m.listedAt()}
+	before := m.presence.valid
 	lapsed := m.presence.observe(proof, now, m.options.Void)
 	if lapsed {
-		for _, l := range m.ledgers {
-			l.forget(now)
-		}
+		m.forgetAll(now)
+	}
+	if m.presence.valid && !before {
+		m.readable = m.presence.since
+		m.options.Log.Log(eventlog.SharesReturned, eventlog.Fields{"incarnation": m.presence.incarnation})
+	}
+}
+
+func (m *Manager) forgetAll(now time.Time) {
+	for _, l := range m.ledgers {
+		l.forget(now)
 	}
-	m.readable = m.presence.since
+	m.options.Log.Log(eventlog.SharesVoid, eventlog.Fields{"proven": m.presence.proven})
 }
 
 // listedAt returns the moment before the last host list was asked for that
