Tell when the last session renewal was sent

Cause: cap shares are void once a node has had no renewal for the void time, counted from before the renewal was sent. LastContact is later than that and also counts refused renewals. Change: lease.Keeper has Proven.

--- a/internal/process/lease/keeper.go
+++ b/internal/process/lease/keeper.go
@@ -300,6 +300,17 @@
 	return k.row.Incarnation
 }
 
+// Proven returns the moment before the last successful renewal of the present
+// session was sent; zero without one.
+func (k *Keeper) Proven() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.validUntil.IsZero() {
+		return time.Time{}
+	}
+	return k.validUntil.Add(-k.ttl)
+}
+
 // LastContact returns when the table service last answered; zero before.
 func (k *Keeper) LastContact() time.Time {
 	k.mu.Lock()
