--- /dev/null
+++ b/internal/request/claim/record.go
@@ -0,0 +1,82 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/table"
+	"currantladder.example/currantladder/internal/request/refusal"
+)
+
+// MaxAnswerBytes is the largest body that is recorded. A larger answer reaches
+// the caller, but a repeat is only told that the call ran.
+const MaxAnswerBytes = 64 << 10
+
+// keyHashBytes is the length of the hashed idempotency key in a row key.
+const keyHashBytes = 16
+
+// stage is how far a claimed call has come.
+type stage string
+
+const (
+	// stageClaimed: the call may run or have run.
+	stageClaimed stage = "claimed"
+	// stageAnswered: the call ran and its answer is recorded.
+	stageAnswered stage = "answered"
+	// stageNotKept: the call ran and its answer was too large to record.
+	stageNotKept stage = "not_kept"
+)
+
+// record is the value of a claim row.
+type record struct {
+	Stage       stage     `json:"stage"`
+	Fingerprint uint64    `json:"fingerprint"`
+	Nonce       string    `json:"nonce"`
+	Taken       time.Time `json:"taken"`
+	Answer      *Answer   `json:"answer,omitempty"`
+}
+
+// rowKey returns the key of a call's claim. Names of services and accounts
+// hold no slash.
+func rowKey(call Call) string {
+	sum := sha256.Sum256([]byte(call.Key))
+	return table.PrefixClaim + call.Service + "/" + call.Account + "/" + hex.EncodeToString(sum[:keyHashBytes])
+}
+
+func encode(r record) (json.RawMessage, error) { return json.Marshal(r) }
+
+func decode(row table.Row) (record, error) {
+	var r record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return record{}, fmt.Errorf("claim %s: %w", row.Key, err)
+	}
+	return r, nil
+}
+
+// answered returns the record after the call's answer is known.
+func answered(ticket *Ticket, answer Answer) record {
+	r := record{Stage: stageAnswered, Fingerprint: ticket.Call.Fingerprint, Nonce: ticket.Nonce, Taken: ticket.Taken, Answer: &answer}
+	if len(answer.Body) > MaxAnswerBytes {
+		r.Stage, r.Answer = stageNotKept, nil
+	}
+	return r
+}
+
+// judge decides what a stored record means for a call that does not hold it.
+func judge(r record, call Call) (Outcome, *refusal.Error) {
+	if r.Fingerprint != call.Fingerprint {
+		return Outcome{}, refusal.New(refusal.KindBadRequest, http.StatusUnprocessableEntity, "the idempotency key was used for another call; use a new key for each call")
+	}
+	switch r.Stage {
+	case stageAnswered:
+		return Outcome{Replay: r.Answer}, nil
+	case stageNotKept:
+		return Outcome{}, refusal.Unknown(refusal.KindAlreadyClaimed, http.StatusConflict, "the call ran, but its answer was too large to keep; look up its result at the service")
+	default:
+		return Outcome{}, refusal.Unknown(refusal.KindAlreadyClaimed, http.StatusConflict, "another try of the call holds its idempotency key and has no recorded answer; send it again later or look up its result at the service").After(claimedRetryAfter)
+	}
+}
--- a/internal/request/share/release.go
+++ b/internal/request/share/release.go
@@ -71,13 +71,21 @@
 		m.takeLocked(account, pending.expect+1, pending.next, pending.begun, now)
 		return true
 	}
-	var conflict *table.ConflictError
-	if errors.As(err, &conflict) || errors.Is(err, table.ErrUnavailable) {
+	if notApplied(err) {
 		l.cancelRelease(pending, now)
 	}
 	return false
 }
 
+// notApplied tells whether a transaction surely had no effect.
+func notApplied(err error) bool {
+	var conflict *table.ConflictError
+	if errors.As(err, &conflict) {
+		return true
+	}
+	return errors.Is(err, table.ErrUnavailable) && !errors.Is(err, table.ErrUnknown)
+}
+
 func (m *Manager) reply(account string, moved Holding) peer.ReleaseReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
