--- a/internal/request/share/duty.go
+++ b/internal/request/share/duty.go
@@ -34,17 +34,16 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			m.tick(time.Now())
+			m.tick()
 		}
 	}
 }
 
 // tick decides the next move of every account and queues it.
-func (m *Manager) tick(now time.Time) {
+func (m *Manager) tick() {
 	live := m.options.Live()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.refresh(now)
+	now, unlock := m.enter()
+	defer unlock()
 	if !m.admitting() {
 		return
 	}
@@ -170,9 +169,8 @@
 }
 
 func (m *Manager) mayRead() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.refresh(time.Now())
+	_, unlock := m.enter()
+	defer unlock()
 	return m.admitting()
 }
 
--- a/internal/request/share/manager.go
+++ b/internal/request/share/manager.go
@@ -73,6 +73,9 @@
 	// full is decided again at the next tick.
 	jobQueue = 16
 	workers  = 4
+	// listGap is the longest time between two readings of the host list that
+	// count as continuous. The list must not name a host for less than that.
+	listGap = 10 * time.Second
 	// fleetReads is the number of periodic reads a second of all nodes.
 	fleetReads = 100
 )
@@ -114,7 +117,7 @@
 		jobs:    make(chan job, jobQueue),
 		ledgers: map[string]*ledger{},
 		askers:  map[string]*asker{},
-		dead:    newDeathWatch(o.Void+o.Margin, o.Margin/2),
+		dead:    newDeathWatch(o.Void+o.Margin, listGap),
 	}
 }
 
@@ -126,11 +129,11 @@
 	once    sync.Once
 }
 
-// Admit implements Limiter.
-func (m *Manager) Admit(account string, costTokens int64, now time.Time) (Admission, *refusal.Error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.refresh(now)
+// Admit implements Limiter. The time of the decision is taken inside, so that
+// a process that was paused before it decides by the time after the pause.
+func (m *Manager) Admit(account string, costTokens int64, _ time.Time) (Admission, *refusal.Error) {
+	now, unlock := m.enter()
+	defer unlock()
 	l := m.ledgers[account]
 	if l == nil {
 		return nil, refusal.New(refusal.KindCapExceeded, http.StatusTooManyRequests, "account "+account+" has no cap here yet; send the request again").After(minRetryAfter)
@@ -139,11 +142,15 @@
 	if v.admitted {
 		return &admission{manager: m, account: account, cost: float64(costTokens)}, nil
 	}
+	return nil, refuse(account, v)
+}
+
+func refuse(account string, v verdict) *refusal.Error {
 	what := "tokens a second"
 	if v.slot {
 		what = "requests in flight"
 	}
-	return nil, refusal.New(refusal.KindCapExceeded, http.StatusTooManyRequests, "account "+account+" has reached its cap of "+what+"; send the request again later or ask the operator for a higher cap").After(v.wait)
+	return refusal.New(refusal.KindCapExceeded, http.StatusTooManyRequests, "account "+account+" has reached its cap of "+what+"; send the request again later or ask the operator for a higher cap").After(v.wait)
 }
 
 // Settle implements Admission.
@@ -152,18 +159,20 @@
 }
 
 func (m *Manager) settle(account string, cost, used float64) {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.refresh(now)
+	now, unlock := m.enter()
+	defer unlock()
 	m.ledgers[account].settle(cost, used, now)
 }
 
-// refresh brings caps and presence up to date. It is called under the lock,
-// before every decision.
-func (m *Manager) refresh(now time.Time) {
+// enter takes the lock, brings caps and presence up to date and returns the
+// time of the decision. The evidence is read before that time is taken.
+func (m *Manager) enter() (now time.Time, unlock func()) {
+	proof := evidence{session: m.options.Session(), listed: m.listedAt()}
+	m.mu.Lock()
+	now = time.Now()
 	m.refreshCaps(now)
-	m.refreshPresence(now)
+	m.refreshPresence(proof, now)
+	return now, m.mu.Unlock
 }
 
 // refreshCaps takes the caps of the snapshot in force. The ledger of a
@@ -190,8 +199,7 @@
 }
 
 // refreshPresence gives up every share once the node's presence is void.
-func (m *Manager) refreshPresence(now time.Time) {
-	proof := evidence{session: m.options.Session(), listed: m.listedAt()}
+func (m *Manager) refreshPresence(proof evidence, now time.Time) {
 	before := m.presence.valid
 	lapsed := m.presence.observe(proof, now, m.options.Void)
 	if lapsed {
--- a/internal/request/share/release.go
+++ b/internal/request/share/release.go
@@ -44,10 +44,8 @@
 
 // lower decides what to give and takes it out of force.
 func (m *Manager) lower(r peer.ReleaseRequest) (*pendingRelease, bool) {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.refresh(now)
+	now, unlock := m.enter()
+	defer unlock()
 	l := m.ledgers[r.Account]
 	if l == nil || !m.admitting() || l.pending != nil || l.stale || r.Holder == "" || r.Holder == m.holder {
 		return nil, false
@@ -62,9 +60,8 @@
 // settleRelease takes the outcome of a release's transaction and reports
 // whether it was applied. An unknown outcome leaves the share lowered.
 func (m *Manager) settleRelease(account string, pending *pendingRelease, err error) bool {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	now, unlock := m.enter()
+	defer unlock()
 	l := m.ledgers[account]
 	if err == nil {
 		l.applyRelease(pending, now)
@@ -133,14 +130,12 @@
 // takeCommitted takes a committed row that was read or written by a call sent
 // at sent, unless the presence has lapsed since.
 func (m *Manager) takeCommitted(account string, version table.Version, row Row, sent time.Time) {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	now, unlock := m.enter()
+	defer unlock()
 	m.takeLocked(account, version, row, sent, now)
 }
 
 func (m *Manager) takeLocked(account string, version table.Version, row Row, sent, now time.Time) {
-	m.refresh(now)
 	l := m.ledgers[account]
 	if l != nil && m.admitting() && !sent.Before(m.readable) {
 		l.observe(version, row, now)
