--- a/internal/request/share/oracle_test.go
+++ b/internal/request/share/oracle_test.go
@@ -17,13 +17,12 @@
 	limit    int
 	inFlight int
 
-	overshoot     int64 // nanotokens, the most below an empty bucket
-	overInFlight  int
-	tokens        int64
-	windowStart   time.Time
-	windowTokens  int64
-	perSecond     []int64
-	refusedTokens int64
+	overshoot    int64 // nanotokens, the most below an empty bucket
+	overInFlight int
+	tokens       int64
+	windowStart  time.Time
+	windowTokens int64
+	perSecond    []int64
 }
 
 func newOracle(c Cap, now time.Time) *oracle {
@@ -76,6 +75,7 @@
 func (o *oracle) use(from, to int) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.advance(time.Now())
 	var sum int64
 	for _, tokens := range o.perSecond[from:to] {
 		sum += tokens
