Hold the cap under drawn faults and follow the skew faster

Cause: single faults did not reach every mechanism. Change: slots are reclaimed only after RequestLimit more; asks below 0.5% of the cap and 1/16 of the holding are not made; a peer that refused is asked again after 300 ms instead of 1 s; some idle slots are kept and asked for.

--- a/internal/request/share/asker.go
+++ b/internal/request/share/asker.go
@@ -11,7 +11,7 @@
 const (
 	// refusedPause is how long a peer that had nothing to spare is not asked
 	// again.
-	refusedPause = time.Second
+	refusedPause = 300 * time.Millisecond
 	// idlePause follows when every peer has been asked in vain.
 	idlePause = 500 * time.Millisecond
 	// baselinePause is the time between moves towards an even share, which no
--- a/internal/request/share/deathwatch.go
+++ b/internal/request/share/deathwatch.go
@@ -80,14 +80,15 @@
 	a.last = sent
 }
 
-// dead returns the version of the node's session row to assert, once its
-// shares may be reclaimed.
-func (d *deathWatch) dead(node string) (table.Version, bool) {
+// dead returns the version of the node's session row to assert, once the node
+// has been absent for the wait and the extra time.
+func (d *deathWatch) dead(node string, extra time.Duration) (table.Version, bool) {
 	a := d.nodes[node]
 	if a == nil || a.seen.IsZero() {
 		return 0, false
 	}
-	if a.listed.Sub(a.unlisted) < d.wait || a.last.Sub(a.seen) < d.wait {
+	wait := d.wait + extra
+	if a.listed.Sub(a.unlisted) < wait || a.last.Sub(a.seen) < wait {
 		return 0, false
 	}
 	return a.version, true
--- a/internal/request/share/demand.go
+++ b/internal/request/share/demand.go
@@ -75,6 +75,8 @@
 		sum.peak = max(sum.peak, slot.peak)
 		sum.refused += slot.refused
 	}
-	sum.tokensPerSecond /= min(demandWindow, max(now.Sub(d.epoch), demandInterval)).Seconds()
+	elapsed := now.Sub(d.epoch)
+	window := demandWindow - demandInterval + elapsed%demandInterval
+	sum.tokensPerSecond /= min(window, max(elapsed, demandInterval)).Seconds()
 	return sum
 }
--- a/internal/request/share/fleet_test.go
+++ b/internal/request/share/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -20,14 +21,15 @@
 )
 
 const (
-	testAccount = "big"
-	testVoid    = 20 * time.Second
-	testMargin  = 5 * time.Second
-	hostLag     = 2 * time.Second
-	hostPoll    = 2 * time.Second
-	peerDelay   = 1500 * time.Microsecond
-	storeDelay  = 5 * time.Millisecond
-	loadStep    = 10 * time.Millisecond
+	testAccount  = "big"
+	testVoid     = 20 * time.Second
+	testMargin   = 5 * time.Second
+	requestLimit = 6 * time.Second
+	hostLag      = 2 * time.Second
+	hostPoll     = 2 * time.Second
+	peerDelay    = 1500 * time.Microsecond
+	storeDelay   = 5 * time.Millisecond
+	loadStep     = 10 * time.Millisecond
 )
 
 var errCut = errors.New("link is cut")
@@ -135,6 +137,7 @@
 		return table.ErrUnavailable
 	}
 	err := n.fleet.platform.Table.Commit(ctx, txn)
+	time.Sleep(n.fleet.answerDelay())
 	n.pass()
 	if err == nil && n.fleet.loses() {
 		return fmt.Errorf("answer lost: %w", table.ErrUnknown)
@@ -205,6 +208,9 @@
 	mu      sync.Mutex
 	nodes   map[string]*node
 	commits int
+	// slowAnswers is the longest delay of a commit's answer after its effect.
+	slowAnswers time.Duration
+	rnd         *rand.Rand
 	// loseEvery loses every n-th answer after its effect; 0 loses none.
 	loseEvery int
 	credit    map[string]float64
@@ -222,6 +228,7 @@
 		credit:   map[string]float64{},
 		cost:     40,
 		service:  200 * time.Millisecond,
+		rnd:      rand.New(rand.NewPCG(1, 1)),
 	}
 	f.view.set(c, 1)
 	return f
@@ -234,6 +241,15 @@
 	return f.loseEvery > 0 && f.commits%f.loseEvery == 0
 }
 
+func (f *fleet) answerDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.slowAnswers == 0 {
+		return 0
+	}
+	return time.Duration(f.rnd.Int64N(int64(f.slowAnswers)))
+}
+
 func (f *fleet) node(name string) *node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -258,7 +274,7 @@
 	n.manager = NewManager(Options{
 		Node: name, Address: address, Store: n, View: f.view, Peers: n,
 		Live: func() []string { n.pass(); return f.names() }, Session: n.session, Hosts: n.hostView,
-		Void: testVoid, Margin: testMargin,
+		Void: testVoid, Margin: testMargin, RequestLimit: requestLimit,
 	})
 	f.list(name, address)
 	f.mu.Lock()
@@ -319,8 +335,8 @@
 		}
 		f.oracle.admit(f.cost, time.Now())
 		time.AfterFunc(f.service, func() {
-			admitted.Settle(f.cost)
 			f.oracle.settle()
+			admitted.Settle(f.cost)
 		})
 	}
 }
--- a/internal/request/share/invariant_test.go
+++ b/internal/request/share/invariant_test.go
@@ -1,16 +1,21 @@
 package share
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"currantladder.example/currantladder/internal/standin/platform"
 )
 
 // Bounds of the promise.
 const (
 	minUse        = 0.95
 	recoverWithin = 5 // seconds
+	// overload is a demand that no node's share can meet, in tokens a second.
+	overload = 60_000
 )
 
 var testCap = Cap{TokensPerSecond: 10_000, BurstTokens: 20_000, InFlight: 200}
@@ -77,3 +82,183 @@
 		})
 	})
 }
+
+// scenario is one fault, with the demand that goes on during it.
+type scenario struct {
+	name string
+	run  func(f *fleet, nodes []*node)
+}
+
+var scenarios = []scenario{
+	{"node death", nodeDeath},
+	{"pause beyond the void time", longPause},
+	{"pause while still listed", pauseListed},
+	{"cut from table service and host list", cutOff},
+	{"partition between peers", partition},
+	{"lost answers", lostAnswers},
+	{"store outage", storeOutage},
+	{"restart beside a paused process", restart},
+	{"planned stop", plannedStop},
+	{"cap lowered and raised", capChange},
+	{"host list drops a live node", falseDrop},
+}
+
+func TestInvariantCapHeldUnderFaults(t *testing.T) {
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, nodes := startFleet(t, 5, testCap)
+				f.load(skew(nodes, 0, overload), 10*time.Second)
+				s.run(f, nodes)
+				f.checkHeld()
+				f.stop()
+			})
+		})
+	}
+}
+
+// reclaimTime bounds the time until a dead node's share serves others.
+const reclaimTime = hostLag + hostPoll + testVoid + testMargin + 10*time.Second
+
+func nodeDeath(f *fleet, nodes []*node) {
+	f.kill("n0")
+	f.load(skew(nodes[1:], 0, overload), reclaimTime)
+	from := f.oracle.seconds()
+	f.load(skew(nodes[1:], 0, overload), 10*time.Second)
+	f.checkUse("after the reclaim", from, from+10)
+}
+
+func longPause(f *fleet, nodes []*node) {
+	nodes[0].pause()
+	f.unlist("n0")
+	f.load(skew(nodes, 1, overload), 2*reclaimTime)
+	nodes[0].unpause()
+	f.load(skew(nodes, 0, overload), 5*time.Second)
+	f.list("n0", nodes[0].address)
+	f.load(skew(nodes, 0, overload), 20*time.Second)
+	from := f.oracle.seconds()
+	f.load(skew(nodes, 0, overload), 10*time.Second)
+	f.checkUse("after the return", from, from+10)
+}
+
+func pauseListed(f *fleet, nodes []*node) {
+	nodes[0].pause()
+	f.load(skew(nodes, 1, overload), 2*reclaimTime)
+	nodes[0].unpause()
+	f.load(skew(nodes, 0, overload), 30*time.Second)
+}
+
+func cutOff(f *fleet, nodes []*node) {
+	nodes[0].set(func() { nodes[0].noStore, nodes[0].noHosts = true, true })
+	f.unlist("n0")
+	f.load(skew(nodes, 0, overload), testVoid+time.Second)
+	from := f.oracle.tokens
+	f.load(map[*node]float64{nodes[0]: overload}, time.Second)
+	if f.oracle.tokens != from {
+		f.t.Errorf("cut off node admitted %d tokens after the void time", f.oracle.tokens-from)
+	}
+	f.load(skew(nodes, 0, overload), 2*reclaimTime)
+	nodes[0].set(func() { nodes[0].noStore = false })
+	f.load(skew(nodes, 0, overload), 20*time.Second)
+	nodes[0].set(func() { nodes[0].noHosts = false })
+	f.list("n0", nodes[0].address)
+	f.load(skew(nodes, 0, overload), 20*time.Second)
+}
+
+func partition(f *fleet, nodes []*node) {
+	for _, from := range nodes[:2] {
+		for _, to := range nodes[2:] {
+			from.set(func() { from.cutPeers[to.name] = true })
+			to.set(func() { to.cutPeers[from.name] = true })
+		}
+	}
+	f.load(skew(nodes, 4, overload), 30*time.Second)
+	nodes[2].set(func() { nodes[2].noStore = true })
+	f.load(skew(nodes, 2, overload), 30*time.Second)
+	for _, n := range nodes {
+		n.set(func() { n.noStore = false; clear(n.cutPeers) })
+	}
+	f.load(skew(nodes, 2, overload), 10*time.Second)
+	from := f.oracle.seconds()
+	f.load(skew(nodes, 2, overload), 10*time.Second)
+	f.checkUse("after the partition", from, from+10)
+}
+
+func lostAnswers(f *fleet, nodes []*node) {
+	f.loseEvery = 3
+	for hot := range 5 {
+		f.load(skew(nodes, hot, overload), 20*time.Second)
+	}
+	f.loseEvery = 0
+	f.load(skew(nodes, 1, overload), 10*time.Second)
+	from := f.oracle.seconds()
+	f.load(skew(nodes, 1, overload), 10*time.Second)
+	f.checkUse("after lost answers", from, from+10)
+}
+
+func storeOutage(f *fleet, nodes []*node) {
+	f.platform.SetFaults(platform.Faults{Outage: true})
+	from := f.oracle.seconds()
+	f.load(skew(nodes, 0, overload), 5*time.Minute)
+	f.checkUse("steady skew in an outage of 5 minutes", from, f.oracle.seconds())
+	f.load(skew(nodes, 3, overload), time.Minute)
+	f.platform.SetFaults(platform.Faults{})
+	f.load(skew(nodes, 3, overload), 10*time.Second)
+	from = f.oracle.seconds()
+	f.load(skew(nodes, 3, overload), 10*time.Second)
+	f.t.Logf("per second %v", f.oracle.perSecond[from-15:])
+	f.checkUse("after the outage", from, from+10)
+}
+
+func restart(f *fleet, nodes []*node) {
+	old := nodes[0]
+	old.pause()
+	nodes[0] = f.start("n0", "10.0.1.0:1")
+	demand := skew(nodes, 0, overload)
+	demand[old] = overload
+	f.load(demand, 5*time.Second)
+	old.unpause()
+	f.load(demand, testVoid)
+	old.set(func() { old.noStore = true })
+	f.load(demand, 2*reclaimTime)
+	from := f.oracle.seconds()
+	f.load(demand, 10*time.Second)
+	f.checkUse("after the take-over", from, from+10)
+	old.cancel()
+}
+
+func plannedStop(f *fleet, nodes []*node) {
+	nodes[0].manager.Leave(context.Background())
+	f.kill("n0")
+	from := f.oracle.seconds()
+	f.load(skew(nodes[1:], 0, overload), 15*time.Second)
+	f.checkUse("after a planned stop", from+recoverWithin, from+15)
+}
+
+func capChange(f *fleet, nodes []*node) {
+	for i, factor := range []float64{0.2, 1.5, 0.7, 1} {
+		c := Cap{testCap.TokensPerSecond * factor, testCap.BurstTokens * factor, int(float64(testCap.InFlight) * factor)}
+		f.view.set(c, int64(i+2))
+		f.load(nil, time.Second)
+		f.oracle.setCap(c, time.Now())
+		f.load(skew(nodes, i, overload), 10*time.Second)
+		from := f.oracle.seconds()
+		f.load(skew(nodes, i, overload), 5*time.Second)
+		f.checkUse(fmt.Sprintf("cap times %.1f", factor), from, from+5)
+	}
+}
+
+// falseDrop lets the host list lose a node that goes on renewing its session,
+// and then one that is cut from the table service only.
+func falseDrop(f *fleet, nodes []*node) {
+	f.unlist("n0")
+	f.load(skew(nodes, 1, overload), 2*reclaimTime)
+	f.list("n0", nodes[0].address)
+	nodes[1].set(func() { nodes[1].noStore = true })
+	f.load(skew(nodes, 0, overload), 2*reclaimTime)
+	nodes[1].set(func() { nodes[1].noStore = false })
+	f.load(skew(nodes, 0, overload), 10*time.Second)
+	from := f.oracle.seconds()
+	f.load(skew(nodes, 0, overload), 10*time.Second)
+	f.checkUse("after the return", from, from+10)
+}
--- a/internal/request/share/manager.go
+++ b/internal/request/share/manager.go
@@ -51,7 +51,11 @@
 	// Margin is added to Void before the shares of another node are
 	// reclaimed. It covers the lag of the host list and the drift of clocks.
 	Margin time.Duration
-	Log    *eventlog.Logger
+	// RequestLimit is the longest time that an admitted request may run. The
+	// in-flight slots of an absent process are reclaimed only after it, since
+	// its requests may go on at endpoints.
+	RequestLimit time.Duration
+	Log          *eventlog.Logger
 }
 
 // Periods and bounds of the duty.
--- a/internal/request/share/moves.go
+++ b/internal/request/share/moves.go
@@ -8,17 +8,24 @@
 
 // How much is asked for and kept.
 const (
-	// needAbove is the use of the own rate above which more is asked for.
-	needAbove = 0.85
-	// askHeadroom is the rate asked for, as a multiple of demand.
-	askHeadroom = 1.25
-	// keepHeadroom is the rate that a loser keeps, as a multiple of demand.
-	keepHeadroom = 1.1
+	// needAbove is the use of the own rate above which more is asked for,
+	// once the bucket is less than half full.
+	needAbove = 0.95
+	// headroom is the rate that a node asks for and keeps, as a multiple of
+	// its demand.
+	headroom = 1.03
+	// slotStep is the number of slots that a node without slots asks for.
+	slotStep = 4
+	// idleDivisor gives the idle slots that a node keeps and asks for, as a
+	// part of those that were busy.
+	idleDivisor = 4
 	// burstRequests is the bucket depth that a node wants, in requests of the
 	// largest recent size.
 	burstRequests = 2
-	// minMoveShare is the smallest rate worth a transaction.
-	minMoveShare = Whole / 1000
+	// minMoveShare is a part of a cap that is always worth a transaction.
+	minMoveShare = Whole / 200
+	// minMoveDivisor gives what is worth one as a part of what is held.
+	minMoveDivisor = 16
 )
 
 // need returns what the node lacks for its recent demand.
@@ -26,24 +33,39 @@
 	l.refill(now)
 	recent := l.demand.recent(now)
 	var lack Holding
-	if recent.tokensPerSecond > needAbove*l.rate() {
-		lack.Rate = max(0, l.rateUnits(recent.tokensPerSecond*askHeadroom)-l.inForce().Rate)
+	if l.level <= l.depth()/2 && recent.tokensPerSecond > needAbove*l.rate() {
+		lack.Rate = max(0, l.rateUnits(recent.tokensPerSecond*headroom)-l.inForce().Rate)
 	}
 	if recent.largest > 0 {
 		lack.Burst = max(0, l.burstUnits(recent.largest*burstRequests)-l.inForce().Burst)
 	}
-	if recent.refused > 0 || (recent.peak > 0 && recent.peak >= l.slots()) {
-		lack.InFlight = max(0, slotUnits(l.slots()+max(1, recent.refused), l.cap.InFlight)-l.inForce().InFlight)
-	}
-	if lack.Rate < minMoveShare {
+	lack.InFlight = max(0, slotUnits(l.slots()+l.slotsLacking(recent), l.cap.InFlight)-l.inForce().InFlight)
+	if !worthMoving(lack.Rate, l.inForce().Rate) {
 		lack.Rate = 0
 	}
-	if lack.Burst < minMoveShare {
+	if !worthMoving(lack.Burst, l.inForce().Burst) {
 		lack.Burst = 0
 	}
 	return lack
 }
 
+// worthMoving reports whether a part is worth a transaction to a node that
+// already holds some.
+func worthMoving(part, held Units) bool {
+	return part >= minMoveShare || part > held/minMoveDivisor
+}
+
+// slotsLacking returns how many slots to ask for.
+func (l *ledger) slotsLacking(r recent) int {
+	if r.refused > 0 {
+		return min(r.refused, l.slots()+slotStep)
+	}
+	if r.peak > 0 && r.peak >= l.slots() {
+		return max(1, r.peak/idleDivisor)
+	}
+	return 0
+}
+
 // baseline returns what the node lacks for an even share between nodes, once
 // it holds less than half of it.
 func (l *ledger) baseline(nodes int) Holding {
@@ -77,10 +99,11 @@
 	recent := l.demand.recent(now)
 	held := l.inForce()
 	keep := Holding{
-		Rate:  l.rateUnits(recent.tokensPerSecond * keepHeadroom),
+		Rate:  l.rateUnits(recent.tokensPerSecond * headroom),
 		Burst: l.burstUnits(recent.largest * burstRequests),
 	}
 	busy := max(l.running, recent.peak)
+	busy += busy / idleDivisor
 	if recent.refused > 0 {
 		busy = max(busy, l.slots())
 	}
@@ -94,7 +117,7 @@
 	spare := l.spare(now)
 	held := l.inForce()
 	give := Holding{Rate: min(l.rateUnits(r.TokensPerSecond), spare.Rate)}
-	if give.Rate < minMoveShare {
+	if !worthMoving(give.Rate, l.rateUnits(r.TokensPerSecond)) {
 		give.Rate = 0
 	}
 	if held.Rate > 0 {
--- a/internal/request/share/reclaim.go
+++ b/internal/request/share/reclaim.go
@@ -73,6 +73,17 @@
 type deadNode struct {
 	name    string
 	version table.Version
+	// drained is true once its requests have ended too.
+	drained bool
+}
+
+// kept returns what a dead part keeps: its in-flight slots until its requests
+// have surely ended.
+func kept(p Part, drained bool) Holding {
+	if drained {
+		return Holding{}
+	}
+	return Holding{InFlight: p.InFlight}
 }
 
 func (m *Manager) deadNodes() []deadNode {
@@ -80,8 +91,10 @@
 	defer m.mu.Unlock()
 	var dead []deadNode
 	for _, node := range m.dead.unlisted() {
-		if version, ok := m.dead.dead(node); ok {
-			dead = append(dead, deadNode{node, version})
+		version, ok := m.dead.dead(node, 0)
+		_, drained := m.dead.dead(node, m.options.RequestLimit)
+		if ok {
+			dead = append(dead, deadNode{node, version, drained})
 		}
 	}
 	return dead
@@ -94,20 +107,16 @@
 	next    Row
 }
 
-// partsOf returns the rows after the matching parts are freed.
-func (m *Manager) partsOf(match func(Part) bool) []staleParts {
+// staleRows returns the rows that change when every part is reduced to what
+// keep returns.
+func (m *Manager) staleRows(keep func(Part) Holding) []staleParts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var rows []staleParts
 	for account, l := range m.ledgers {
-		var holders []string
-		for _, p := range l.row.Parts {
-			if match(p) {
-				holders = append(holders, p.Holder)
-			}
-		}
-		if len(holders) > 0 && l.pending == nil && !l.stale {
-			rows = append(rows, staleParts{account, l.version, l.row.without(holders)})
+		next := l.row.reclaimed(keep)
+		if next.free() != l.row.free() && l.pending == nil && !l.stale {
+			rows = append(rows, staleParts{account, l.version, next})
 		}
 	}
 	return rows
@@ -116,7 +125,12 @@
 // reclaimNode frees a dead node's parts. Every transaction asserts that the
 // node's session row has not changed; the last one deletes it.
 func (m *Manager) reclaimNode(ctx context.Context, dead deadNode) {
-	rows := m.partsOf(func(p Part) bool { return p.Node == dead.name })
+	rows := m.staleRows(func(p Part) Holding {
+		if p.Node != dead.name {
+			return p.Holding
+		}
+		return kept(p, dead.drained)
+	})
 	if len(rows) == 0 {
 		return
 	}
@@ -132,7 +146,7 @@
 func (m *Manager) reclaimChunk(ctx context.Context, rows []staleParts, dead deadNode, last bool) bool {
 	txn := table.Txn{Nonce: rand.Text()}
 	key := lease.SessionKey(dead.name)
-	if last && dead.version > 0 {
+	if last && dead.drained && dead.version > 0 {
 		txn.Writes = append(txn.Writes, table.Write{Key: key, Expect: dead.version, Delete: true})
 	} else {
 		txn.Checks = append(txn.Checks, table.Check{Key: key, Version: dead.version})
@@ -175,12 +189,18 @@
 	wait := m.options.Void + m.options.Margin
 	m.mu.Lock()
 	since := later(m.presence.since, m.foreign)
-	ready := m.admitting() && m.options.Address != "" && now.Sub(since) >= wait
+	absent := now.Sub(since)
+	ready := m.admitting() && m.options.Address != "" && absent >= wait
 	m.mu.Unlock()
 	if !ready {
 		return
 	}
-	rows := m.partsOf(func(p Part) bool { return p.Node == m.options.Node && p.Holder != m.holder })
+	rows := m.staleRows(func(p Part) Holding {
+		if p.Node != m.options.Node || p.Holder == m.holder {
+			return p.Holding
+		}
+		return kept(p, absent >= wait+m.options.RequestLimit)
+	})
 	for chunk := range slices.Chunk(rows, reclaimRows) {
 		m.commitStale(ctx, table.Txn{Nonce: rand.Text()}, chunk)
 	}
@@ -222,5 +242,5 @@
 	if err != nil || parsed.of(m.holder).isZero() {
 		return err
 	}
-	return m.commitRow(ctx, account, row.Version, parsed.without([]string{m.holder}))
+	return m.commitRow(ctx, account, row.Version, parsed.with(m.options.Node, m.holder, Holding{}))
 }
--- a/internal/request/share/units.go
+++ b/internal/request/share/units.go
@@ -159,9 +159,15 @@
 	return next
 }
 
-// without returns the row without the parts of the given holders.
-func (r Row) without(holders []string) Row {
-	next := Row{Account: r.Account, Parts: slices.Clone(r.Parts)}
-	next.Parts = slices.DeleteFunc(next.Parts, func(p Part) bool { return slices.Contains(holders, p.Holder) })
+// reclaimed returns the row with every part reduced to what keep returns.
+// Empty parts are dropped.
+func (r Row) reclaimed(keep func(Part) Holding) Row {
+	next := Row{Account: r.Account}
+	for _, p := range r.Parts {
+		p.Holding = p.min(keep(p))
+		if !p.isZero() {
+			next.Parts = append(next.Parts, p)
+		}
+	}
 	return next
 }
