Plan homes and gates of a node

Cause: a node needs to know which groups it is home for and which are open. Ruled out: computing homes for each request; the plan is rebuilt on change and read through an atomic pointer. Change: roster of the host list, node gate, route plan, targets with draining.

--- /dev/null
+++ b/internal/process/node/plan.go
@@ -0,0 +1,248 @@
+package node
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"currantladder.example/currantladder/internal/connection/health"
+	"currantladder.example/currantladder/internal/connection/hostlist"
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/request/dispatch"
+	"currantladder.example/currantladder/internal/request/queue"
+	"currantladder.example/currantladder/internal/request/route"
+	"currantladder.example/currantladder/internal/version/object"
+	"currantladder.example/currantladder/internal/version/snapshot"
+)
+
+// groupsPerHome is the number of replica groups whose queue one home node
+// holds. More groups in one queue shorten the wait for a free slot.
+const groupsPerHome = 7
+
+// planInput is everything that the choice of homes depends on.
+type planInput struct {
+	snapshot *snapshot.Snapshot
+	hosts    map[string]hostlist.Host
+	// nodes are the live nodes of this node's region.
+	nodes []peer.Digest
+	// roster names the nodes of other regions.
+	roster []route.Node
+	// regions are the summaries of other regions.
+	regions []peer.RegionSummary
+	self    peer.Digest
+}
+
+// routePlan is the immutable result: homes of each model, by region.
+type routePlan struct {
+	models map[string]modelPlan
+	// owned names the groups that this node is home for, by model.
+	owned map[string][]string
+}
+
+// modelPlan lists the homes of one model, this node's region first, then
+// other regions by free slots.
+type modelPlan struct{ regions [][]route.HomeLoad }
+
+// buildPlan assigns every placed group to its home node.
+func buildPlan(in planInput) *routePlan {
+	plan := &routePlan{models: make(map[string]modelPlan), owned: make(map[string][]string)}
+	for model, byRegion := range groupsByModel(in) {
+		plan.models[model] = buildModelPlan(in, model, byRegion)
+		local := byRegion[in.self.Region]
+		for _, home := range route.Homes(model, in.self.Region, local, homeCandidates(in.nodes), groupsPerHome) {
+			if home.Node == in.self.Node {
+				plan.owned[model] = home.Groups
+			}
+		}
+	}
+	return plan
+}
+
+// groupsByModel returns model -> region -> names of placed groups.
+func groupsByModel(in planInput) map[string]map[string][]string {
+	models := make(map[string]map[string][]string)
+	for _, group := range in.snapshot.Groups() {
+		if group.Placement == nil || len(group.Placement.Members) == 0 {
+			continue
+		}
+		region := in.hosts[group.Placement.Members[0]].Region
+		if models[group.Spec.Model] == nil {
+			models[group.Spec.Model] = make(map[string][]string)
+		}
+		models[group.Spec.Model][region] = append(models[group.Spec.Model][region], group.Name)
+	}
+	return models
+}
+
+func homeCandidates(nodes []peer.Digest) []route.Node {
+	var candidates []route.Node
+	for _, digest := range nodes {
+		if digest.Ready && !digest.Leaving {
+			candidates = append(candidates, route.Node{Name: digest.Node, Region: digest.Region})
+		}
+	}
+	return candidates
+}
+
+func buildModelPlan(in planInput, model string, byRegion map[string][]string) modelPlan {
+	var plan modelPlan
+	local := route.Homes(model, in.self.Region, byRegion[in.self.Region], homeCandidates(in.nodes), groupsPerHome)
+	if len(local) > 0 {
+		plan.regions = append(plan.regions, localLoads(local, in.nodes, model))
+	}
+	for _, region := range remoteRegions(in, model) {
+		remote := route.Homes(model, region, byRegion[region], nodesOf(in.roster, region), groupsPerHome)
+		if len(remote) > 0 {
+			plan.regions = append(plan.regions, remoteLoads(remote))
+		}
+	}
+	return plan
+}
+
+// remoteRegions returns the other regions with slots of the model, the one
+// with the lowest load first.
+func remoteRegions(in planInput, model string) []string {
+	type candidate struct {
+		region string
+		load   float64
+	}
+	var candidates []candidate
+	for _, summary := range in.regions {
+		for _, line := range summary.Load {
+			if line.Model == model && line.Slots > 0 {
+				candidates = append(candidates, candidate{summary.Region, float64(line.Running+line.Queued) / float64(line.Slots)})
+			}
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.load < b.load {
+			return -1
+		}
+		return 1
+	})
+	var regions []string
+	for _, c := range candidates {
+		regions = append(regions, c.region)
+	}
+	return regions
+}
+
+func nodesOf(roster []route.Node, region string) []route.Node {
+	var nodes []route.Node
+	for _, node := range roster {
+		if node.Region == region {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// localLoads joins homes with the load that their digests report. A home
+// that has not reported yet counts as one with a free slot for each group.
+func localLoads(homes []route.Home, nodes []peer.Digest, model string) []route.HomeLoad {
+	loads := remoteLoads(homes)
+	for i := range loads {
+		for _, digest := range nodes {
+			if digest.Node != loads[i].Node {
+				continue
+			}
+			for _, line := range digest.Load {
+				if line.Model == model && line.Slots > 0 {
+					loads[i] = route.HomeLoad{Node: digest.Node, Slots: line.Slots, Running: line.Running, Queued: line.Queued}
+				}
+			}
+		}
+	}
+	return loads
+}
+
+func remoteLoads(homes []route.Home) []route.HomeLoad {
+	loads := make([]route.HomeLoad, 0, len(homes))
+	for _, home := range homes {
+		loads = append(loads, route.HomeLoad{Node: home.Node, Slots: len(home.Groups)})
+	}
+	return loads
+}
+
+// router implements relay.Router over the current plan.
+type router struct{ plan atomic.Pointer[routePlan] }
+
+// ChooseHome implements relay.Router.
+func (r *router) ChooseHome(model string, prefix []uint64, avoid map[string]bool) (string, bool) {
+	plan := r.plan.Load()
+	if plan == nil {
+		return "", false
+	}
+	for _, homes := range plan.models[model].regions {
+		usable := slices.DeleteFunc(slices.Clone(homes), func(h route.HomeLoad) bool { return avoid[h.Node] })
+		draw := uint64(time.Now().UnixNano())
+		if i := route.Choose(usable, prefix, xxhash.Sum64(draws(draw))); i >= 0 {
+			return usable[i].Node, true
+		}
+	}
+	return "", false
+}
+
+func draws(n uint64) []byte {
+	const wordBytes = 8
+	var b [wordBytes]byte
+	for i := range b {
+		b[i] = byte(n >> (wordBytes * i))
+	}
+	return b[:]
+}
+
+// targetsOf returns the dispatch targets of the groups that this node is home
+// for, with each group's gate.
+func targetsOf(plan *routePlan, snap *snapshot.Snapshot, hosts map[string]hostlist.Host, observe func(string) health.Observation, bound time.Duration, now time.Time) map[string][]dispatch.Target {
+	targets := make(map[string][]dispatch.Target, len(plan.owned))
+	for model, groups := range plan.owned {
+		for _, name := range groups {
+			placement := snap.Placements[name]
+			if placement == nil {
+				continue
+			}
+			targets[model] = append(targets[model], targetOf(placement, snap, hosts, observe, bound, now))
+		}
+	}
+	return targets
+}
+
+func targetOf(placement *object.Placement, snap *snapshot.Snapshot, hosts map[string]hostlist.Host, observe func(string) health.Observation, bound time.Duration, now time.Time) dispatch.Target {
+	target := dispatch.Target{Group: placement.Group, Generation: placement.Generation, Address: hosts[placement.Members[0]].Address}
+	if placement.Phase != object.PhaseServing {
+		target.Why = "phase " + string(placement.Phase) + ": " + placement.Message
+		return target
+	}
+	open, why := health.Open(placement, observe, bound, now)
+	if !open {
+		target.Why = why
+		return target
+	}
+	target.Slots = observe(placement.Members[0]).State.Slots
+	for _, member := range placement.Members {
+		if hosts[member].State != hostlist.StateLive || snap.Host(member).Drain {
+			target.Draining = true
+			target.Why = "member " + member + " is leaving"
+		}
+	}
+	return target
+}
+
+// queueRanks converts declared ranks to scheduling parameters.
+func queueRanks(ranks []*snapshot.Rank) []queue.Rank {
+	converted := make([]queue.Rank, 0, len(ranks))
+	for _, rank := range ranks {
+		converted = append(converted, queue.Rank{
+			Name:             rank.Name,
+			Priority:         rank.Priority,
+			FirstTokenTarget: rank.FirstTokenTarget(),
+			FloorShare:       rank.FloorShare,
+			QueueBound:       rank.QueueBound,
+			Preemptible:      rank.Preemptible,
+		})
+	}
+	return converted
+}
--- /dev/null
+++ b/internal/process/roster/roster.go
@@ -0,0 +1,93 @@
+// Package roster keeps the platform's list of hosts at a node. The last list
+// stays in force while the platform does not answer.
+package roster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/hostlist"
+)
+
+// Lister reads the platform's list.
+type Lister interface {
+	List(ctx context.Context) (hostlist.List, error)
+}
+
+// Roster follows the host list. It is safe for concurrent use.
+type Roster struct {
+	lister Lister
+	period time.Duration
+
+	mu       sync.Mutex
+	hosts    map[string]hostlist.Host
+	lastRead time.Time
+	changed  chan struct{}
+}
+
+// New returns a roster that reads the list once a period.
+func New(lister Lister, period time.Duration) *Roster {
+	return &Roster{lister: lister, period: period, hosts: map[string]hostlist.Host{}, changed: make(chan struct{})}
+}
+
+// Run reads the list until ctx ends.
+func (r *Roster) Run(ctx context.Context) {
+	ticker := time.NewTicker(r.period)
+	defer ticker.Stop()
+	for {
+		r.read(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Roster) read(ctx context.Context) {
+	const minTimeout = time.Second
+	ctx, cancel := context.WithTimeout(ctx, max(r.period, minTimeout))
+	defer cancel()
+	list, err := r.lister.List(ctx)
+	if err != nil {
+		return
+	}
+	hosts := make(map[string]hostlist.Host, len(list.Hosts))
+	for _, host := range list.Hosts {
+		hosts[host.Name] = host
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastRead = time.Now()
+	r.hosts = hosts
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Hosts returns the last list by host name. The map must not be changed.
+func (r *Roster) Hosts() map[string]hostlist.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts
+}
+
+// Host returns one host of the last list.
+func (r *Roster) Host(name string) (hostlist.Host, bool) {
+	host, ok := r.Hosts()[name]
+	return host, ok
+}
+
+// LastRead returns when the list was last read; zero for never.
+func (r *Roster) LastRead() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastRead
+}
+
+// Changed returns a channel that is closed at the next reading.
+func (r *Roster) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
--- a/internal/request/dispatch/home.go
+++ b/internal/request/dispatch/home.go
@@ -39,10 +39,21 @@
 	Address string
 	// Slots is the number of concurrent streams; 0 while the gate is closed.
 	Slots int
-	// Why tells why the gate is closed.
+	// Draining is true while a member is leaving: what runs may end, and
+	// nothing new starts.
+	Draining bool
+	// Why tells why the group takes no new work.
 	Why string
 }
 
+// usable returns the slots for new work.
+func (t Target) usable() int {
+	if t.Draining {
+		return 0
+	}
+	return t.Slots
+}
+
 // Sink receives the frames of one answer, in order. It may block.
 type Sink func(peer.Frame) error
 
@@ -126,7 +137,7 @@
 func slotsOf(targets []Target) []queue.Group {
 	groups := make([]queue.Group, 0, len(targets))
 	for _, target := range targets {
-		groups = append(groups, queue.Group{Name: target.Group, Slots: target.Slots})
+		groups = append(groups, queue.Group{Name: target.Group, Slots: target.usable()})
 	}
 	return groups
 }
@@ -210,7 +221,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, target := range h.targets[r.Model] {
-		if target.Slots > 0 {
+		if target.usable() > 0 {
 			return h.pools[r.Model], nil
 		}
 	}
@@ -315,7 +326,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	target := h.targets[r.Model][group]
-	if target.Slots == 0 {
+	if target.usable() == 0 {
 		return target, false
 	}
 	if h.inFlight[group] == nil {
