--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/standin/jsonhttp"
+)
+
+// Handler returns the HTTP interface of the engine: its protocol, and the
+// controls POST /faults, /crash and /restart, which also work while it is
+// paused or crashed.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generate", e.guard(e.handleGenerate))
+	mux.HandleFunc("DELETE /v1/generate/{id}", e.guard(e.handleCancel))
+	mux.HandleFunc("GET /v1/state", e.guard(e.handleState))
+	mux.HandleFunc("GET /v1/load", e.guard(e.handleLoad))
+	mux.HandleFunc("GET /v1/cache/events", e.guard(e.handleCacheEvents))
+	mux.HandleFunc("GET /v1/kv/{id}", e.guard(e.handleExport))
+	mux.HandleFunc("POST /v1/kv", e.guard(e.handleImport))
+	mux.HandleFunc("POST /v1/orders", e.guard(e.handleOrder))
+	mux.HandleFunc("GET /faults", e.handleFaults)
+	mux.HandleFunc("POST /faults", e.handleSetFaults)
+	mux.HandleFunc("POST /crash", control(e.Crash))
+	mux.HandleFunc("POST /restart", control(e.Restart))
+	return mux
+}
+
+// guard applies pause, late answers and a crash to a call.
+func (e *Engine) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := e.callContext(r.Context())
+		defer cancel()
+		if e.gate.Pass(ctx) != nil || !e.Alive() {
+			jsonhttp.Abort()
+		}
+		next(w, r)
+	}
+}
+
+// callContext returns a context that also ends with the engine process.
+func (e *Engine) callContext(parent context.Context) (context.Context, context.CancelFunc) {
+	e.mu.Lock()
+	boot := e.boot
+	e.mu.Unlock()
+	ctx, cancel := context.WithCancel(parent)
+	stop := context.AfterFunc(boot, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+func control(action func()) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		action()
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (e *Engine) handleFaults(w http.ResponseWriter, _ *http.Request) {
+	jsonhttp.Write(w, http.StatusOK, e.Faults())
+}
+
+func (e *Engine) handleSetFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if jsonhttp.Read(w, r, &f) {
+		e.SetFaults(f)
+		jsonhttp.Write(w, http.StatusOK, f)
+	}
+}
+
+func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.streams {
+		if s.request.RequestID == r.PathValue("id") {
+			s.abort()
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) handleState(w http.ResponseWriter, _ *http.Request) {
+	jsonhttp.Write(w, http.StatusOK, e.State())
+}
+
+func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	load := e.reports.read(time.Now())
+	e.mu.Unlock()
+	jsonhttp.Write(w, http.StatusOK, load)
+}
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil && r.URL.Query().Get("from") != "" {
+		jsonhttp.Fail(w, http.StatusBadRequest, "from: "+err.Error())
+		return
+	}
+	e.mu.Lock()
+	page := e.cache.events.page(from, time.Now())
+	e.mu.Unlock()
+	jsonhttp.Write(w, http.StatusOK, page)
+}
+
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	export, ok := e.kv.get(r.PathValue("id"))
+	e.mu.Unlock()
+	if !ok {
+		jsonhttp.Fail(w, http.StatusNotFound, "no cache of stream "+r.PathValue("id"))
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, export)
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
+	var export endpoint.KVExport
+	if !jsonhttp.Read(w, r, &export) {
+		return
+	}
+	e.mu.Lock()
+	e.cache.store(export.Blocks, time.Now())
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -72,6 +72,9 @@
 	LoseNext int `json:"loseNext,omitempty"`
 	// LoseEvery loses the answer of every n-th commit after it took effect.
 	LoseEvery int `json:"loseEvery,omitempty"`
+	// LateCommits applies commits over HTTP that were held or delayed even
+	// when their caller has gone meanwhile.
+	LateCommits bool `json:"lateCommits,omitempty"`
 	// HostsOutage refuses reads of the host list with 503.
 	HostsOutage bool `json:"hostsOutage,omitempty"`
 	// WeightsOutage refuses reads of weights with 503.
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -212,7 +212,11 @@
 	if !jsonhttp.Read(w, r, &txn) {
 		return
 	}
-	result, err := t.TryCommit(r.Context(), txn)
+	ctx := r.Context()
+	if t.faults.get().LateCommits {
+		ctx = context.WithoutCancel(ctx)
+	}
+	result, err := t.TryCommit(ctx, txn)
 	if err != nil {
 		writeError(w, err)
 		return
