--- a/cmd/currantladder/main.go
+++ b/cmd/currantladder/main.go
@@ -2,11 +2,54 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes of the program.
+const (
+	exitFailure = 1
+	exitUsage   = 2
 )
 
+// errUsage reports a command line that names no command, or an invalid one.
+var errUsage = errors.New("usage")
+
 func main() {
-	fmt.Fprintln(os.Stderr, "currantladder: no command given")
-	os.Exit(2)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := runMain(ctx, os.Args[1:])
+	stop()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "currantladder:", err)
+	if errors.Is(err, errUsage) {
+		os.Exit(exitUsage)
+	}
+	os.Exit(exitFailure)
+}
+
+// runMain parses the arguments and runs the command that they name. It blocks
+// until the command has ended.
+func runMain(ctx context.Context, args []string) error {
+	commands := []command{newStandinCommand()}
+	parser := flaggy.NewParser("currantladder")
+	parser.Description = "Serves models that span several hosts."
+	for _, c := range commands {
+		parser.AttachSubcommand(c.sub, 1)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	selected := used(commands)
+	if selected == nil {
+		return fmt.Errorf("%w: no command given; see currantladder --help", errUsage)
+	}
+	return selected.run(ctx)
 }
