--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -12,7 +12,7 @@
 	NodeRejoined = Event{1006, logrus.InfoLevel, "node reaches the table service or a peer again"}
 )
 
-// Events of configuration, 1100 to 1199.
+// Events of configuration, 1100 to 1149.
 var (
 	ConfigApplied  = Event{1101, logrus.InfoLevel, "configuration revision applied"}
 	ConfigAccepted = Event{1102, logrus.InfoLevel, "configuration change accepted"}
@@ -27,8 +27,14 @@
 	ConfigCompacted = Event{1107, logrus.InfoLevel, "old configuration log entries deleted"}
 )
 
+// Events of the resource API, 1150 to 1199.
+var (
+	OperatorRefused = Event{1150, logrus.WarnLevel, "operator request without a valid token refused"}
+)
+
 // Catalogue lists every event in number order.
 var Catalogue = []Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, NodeIsolated, NodeRejoined,
 	ConfigApplied, ConfigAccepted, ConfigLagging, ConfigCaughtUp, ConfigLoaded, ConfigHeadLower, ConfigCompacted,
+	OperatorRefused,
 }
--- a/internal/version/configlog/acceptor.go
+++ b/internal/version/configlog/acceptor.go
@@ -171,11 +171,11 @@
 // Records returns up to limit accepted revisions after the given one, oldest
 // first. Revisions that were compacted are missing.
 func (a *Acceptor) Records(ctx context.Context, after int64, limit int) ([]object.Record, error) {
-	rows, err := a.store.List(ctx, table.Range{Prefix: table.PrefixLog, From: table.LogKey(after + 1), To: table.LogKey(after + 1 + int64(limit))})
+	rows, err := a.store.List(ctx, table.Range{Prefix: table.PrefixLog, From: table.LogKey(after + 1), Limit: limit})
 	if err != nil {
 		return nil, fmt.Errorf("read the configuration log after revision %d: %w", after, err)
 	}
-	return decodeRecords(rows)
+	return decodeRecords(rows[:min(len(rows), limit)])
 }
 
 // newNonce returns a nonce that no other transaction has.
--- a/internal/version/configlog/fake_test.go
+++ b/internal/version/configlog/fake_test.go
@@ -74,6 +74,9 @@
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	if r.Limit > 0 {
+		rows = rows[:min(len(rows), r.Limit)]
+	}
 	return rows, nil
 }
 
