--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -12,7 +12,7 @@
 	NodeRejoined = Event{1006, logrus.InfoLevel, "node reaches the table service or a peer again"}
 )
 
-// Events of configuration, 1100 to 1199.
+// Events of configuration, 1100 to 1149.
 var (
 	ConfigApplied  = Event{1101, logrus.InfoLevel, "configuration revision applied"}
 	ConfigAccepted = Event{1102, logrus.InfoLevel, "configuration change accepted"}
@@ -53,13 +53,41 @@
 	ClaimsSwept       = Event{1704, logrus.InfoLevel, "old claims were removed"}
 	ClaimNotKept      = Event{1705, logrus.WarnLevel, "answer of a claimed call was too large to record"}
 	CrashSuspectAdded = Event{1706, logrus.WarnLevel, "request fingerprint reached the crash limit and is refused"}
+// Events of the resource API, 1150 to 1199.
+var (
+	OperatorRefused = Event{1150, logrus.WarnLevel, "operator request without a valid token refused"}
 )
 
 // Catalogue lists every event in number order.
 var Catalogue = []Event{
-	NodeStarted, NodeReady, NodeStopping, NodeStopped, NodeIsolated, NodeRejoined,
-	ConfigApplied, ConfigAccepted, ConfigLagging, ConfigCaughtUp, ConfigLoaded, ConfigHeadLower, ConfigCompacted,
-	LeaseStarted, LeaseRenewalFailed, LeaseLost, LeaseReleased, OwnershipAcquired, OwnershipLost,
-	GroupStep, GroupStepFailed, OrderFailed, OrderStale,
-	SharesReclaimed, SharesVoid, SharesReturned, ClaimsSwept, ClaimNotKept, CrashSuspectAdded,
+	NodeStarted,
+	NodeReady,
+	NodeStopping,
+	NodeStopped,
+	NodeIsolated,
+	NodeRejoined,
+	ConfigApplied,
+	ConfigAccepted,
+	ConfigLagging,
+	ConfigCaughtUp,
+	ConfigLoaded,
+	ConfigHeadLower,
+	ConfigCompacted,
+	OperatorRefused,
+	LeaseStarted,
+	LeaseRenewalFailed,
+	LeaseLost,
+	LeaseReleased,
+	OwnershipAcquired,
+	OwnershipLost,
+	GroupStep,
+	GroupStepFailed,
+	OrderFailed,
+	OrderStale,
+	SharesReclaimed,
+	SharesVoid,
+	SharesReturned,
+	ClaimsSwept,
+	ClaimNotKept,
+	CrashSuspectAdded,
 }
