Wire the parts of an entry node

Cause: the parts have no process around them. Ruled out: a container of services by name; explicit construction order reads better and is checked by the compiler. Change: node package with listeners, duties, graceful stop and adapters.

--- a/internal/process/callerapi/server.go
+++ b/internal/process/callerapi/server.go
@@ -83,6 +83,8 @@
 type ServiceEndpoints interface {
 	// Pick returns a live endpoint that is not in avoid.
 	Pick(service string, avoid map[string]bool) (host, address string, ok bool)
+	// Failed reports that a call of the host failed.
+	Failed(host string)
 }
 
 // Gate admits work while the node may take it.
--- a/internal/process/callerapi/services.go
+++ b/internal/process/callerapi/services.go
@@ -166,6 +166,9 @@
 		return answer, "", fmt.Errorf("service %s has no live endpoint", call.name)
 	}
 	answer, err = s.deps.Client.Call(ctx, address, call.request)
+	if err != nil {
+		s.deps.Services.Failed(host)
+	}
 	return answer, host, err
 }
 
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -53,6 +53,8 @@
 	ClaimsSwept       = Event{1704, logrus.InfoLevel, "old claims were removed"}
 	ClaimNotKept      = Event{1705, logrus.WarnLevel, "answer of a claimed call was too large to record"}
 	CrashSuspectAdded = Event{1706, logrus.WarnLevel, "request fingerprint reached the crash limit and is refused"}
+)
+
 // Events of the resource API, 1150 to 1199.
 var (
 	OperatorRefused = Event{1150, logrus.WarnLevel, "operator request without a valid token refused"}
--- /dev/null
+++ b/internal/process/node/duties.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/hostlist"
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/request/route"
+)
+
+// replanPeriod is the longest time between two plans; health observations age
+// without any event.
+const replanPeriod = 200 * time.Millisecond
+
+// sessionReadPeriod is the mean time between two reads of the session rows.
+const sessionReadPeriod = 5 * time.Second
+
+// planDuty rebuilds the route plan and the gates whenever something changes.
+func (n *Node) planDuty(ctx context.Context) {
+	ticker := time.NewTicker(replanPeriod)
+	defer ticker.Stop()
+	observed := n.health.Subscribe()
+	defer observed.Close()
+	wasReady := false
+	for {
+		n.replan()
+		wasReady = n.logReadiness(wasReady)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-observed.C:
+			observed.Take()
+		case <-n.members.Changed():
+		case <-n.follower.Changed():
+		}
+	}
+}
+
+func (n *Node) logReadiness(wasReady bool) bool {
+	ready, _ := n.gate.Ready()
+	if ready && !wasReady {
+		n.log.Log(eventlog.NodeReady, eventlog.Fields{"revision": n.follower.Current().Revision})
+	}
+	return ready
+}
+
+// replan computes homes, probes the hosts of owned groups and sets the gates.
+func (n *Node) replan() {
+	snap := n.follower.Current()
+	hosts := n.roster.Hosts()
+	plan := buildPlan(planInput{
+		snapshot: snap,
+		hosts:    hosts,
+		nodes:    n.members.Live(),
+		roster:   n.sessionNodes(),
+		regions:  n.members.Regions(),
+		self:     n.digest(),
+	})
+	n.router.plan.Store(plan)
+	n.health.SetHosts(n.probedHosts(plan, hosts))
+	targets := targetsOf(plan, snap, hosts, n.health.Observation, n.settings.Timing.HealthBound, time.Now())
+	n.home.Configure(queueRanks(snap.Ranks()), targets)
+	for _, digest := range n.members.Live() {
+		n.follower.Learn(digest.AppliedRevision)
+		if digest.Node != n.settings.Node.Name {
+			n.suspects.Merge(digest.Node, digest.Suspects, time.Now())
+		}
+	}
+}
+
+// probedHosts returns the members of the groups that this node is home for.
+func (n *Node) probedHosts(plan *routePlan, hosts map[string]hostlist.Host) []hostlist.Host {
+	snap := n.follower.Current()
+	var probed []hostlist.Host
+	for _, groups := range plan.owned {
+		for _, group := range groups {
+			for _, member := range snap.Placements[group].Members {
+				if host, listed := hosts[member]; listed {
+					probed = append(probed, host)
+				}
+			}
+		}
+	}
+	return probed
+}
+
+// sessionDuty reads the session rows, which name the peers of all regions.
+func (n *Node) sessionDuty(ctx context.Context) {
+	ticker := time.NewTicker(sessionReadPeriod)
+	defer ticker.Stop()
+	for {
+		n.readSessions(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) readSessions(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Platform.CallTimeout)
+	defer cancel()
+	rows, err := n.keeper.Sessions(ctx)
+	addresses := make(map[string]string, len(rows))
+	for _, row := range rows {
+		addresses[row.Node] = row.PeerAddress
+	}
+	if err != nil {
+		for _, seed := range n.settings.Peers.Seeds {
+			addresses[seed] = seed
+		}
+		n.members.SetRoster(addresses)
+		return
+	}
+	n.mu.Lock()
+	n.sessions = rows
+	n.mu.Unlock()
+	n.members.SetRoster(addresses)
+}
+
+// sessionNodes returns the nodes that the session rows name.
+func (n *Node) sessionNodes() []route.Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	nodes := make([]route.Node, 0, len(n.sessions))
+	for _, row := range n.sessions {
+		nodes = append(nodes, route.Node{Name: row.Node, Region: row.Region})
+	}
+	return nodes
+}
--- /dev/null
+++ b/internal/process/node/peers.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/process/membership"
+	"currantladder.example/currantladder/internal/version/object"
+	"currantladder.example/currantladder/internal/version/snapshot"
+)
+
+// peerHandlers implements peer.Handlers.
+type peerHandlers struct{ node *Node }
+
+// Probe implements peer.Handlers.
+func (h peerHandlers) Probe(probe peer.Probe) peer.Probe { return h.node.members.Handle(probe) }
+
+// Generate implements peer.Handlers.
+func (h peerHandlers) Generate(ctx context.Context, r peer.HomeRequest, sink func(peer.Frame) error) error {
+	h.node.recorder.Record(r.RequestID, "ArrivedAtHome", "queued for model "+r.Model+" in rank "+r.Rank)
+	leave := h.node.enterHome()
+	defer leave()
+	return h.node.home.Serve(ctx, r, sink)
+}
+
+// Log implements peer.Handlers.
+func (h peerHandlers) Log(after int64) ([]object.Record, error) {
+	records, ok := h.node.follower.Records(after)
+	if !ok {
+		return nil, peer.ErrCompacted
+	}
+	return records, nil
+}
+
+// Snapshot implements peer.Handlers.
+func (h peerHandlers) Snapshot() peer.SnapshotBody {
+	current := h.node.follower.Current()
+	body := peer.SnapshotBody{Revision: current.Revision}
+	for _, o := range current.Objects {
+		body.Objects = append(body.Objects, o)
+	}
+	for _, p := range current.Placements {
+		body.Placements = append(body.Placements, p)
+	}
+	return body
+}
+
+// Release implements peer.Handlers.
+func (h peerHandlers) Release(ctx context.Context, r peer.ReleaseRequest) peer.ReleaseReply {
+	return h.node.shares.Release(ctx, r)
+}
+
+// Explain implements peer.Handlers.
+func (h peerHandlers) Explain(requestID string) []peer.Step { return h.node.recorder.Steps(requestID) }
+
+// homes implements relay.Homes: this node's home directly, others by HTTP.
+type homes struct{ node *Node }
+
+// Run implements relay.Homes.
+func (h homes) Run(ctx context.Context, node string, r peer.HomeRequest, sink func(peer.Frame) error) error {
+	if node == h.node.settings.Node.Name {
+		return h.node.home.Serve(ctx, r, sink)
+	}
+	address := h.node.members.Address(node)
+	if address == "" {
+		return &peer.LinkError{Address: node, Err: errors.New("the node's address is not known")}
+	}
+	return h.node.peers.Generate(ctx, address, r, sink)
+}
+
+// peerSource implements configlog.PeerSource over the live peers.
+type peerSource struct {
+	members *membership.Prober
+	client  *peer.Client
+	seeds   []string
+	self    string
+}
+
+func (s peerSource) addresses() []string {
+	var addresses []string
+	for _, digest := range s.members.Live() {
+		if digest.Node != s.self {
+			addresses = append(addresses, digest.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return s.seeds
+	}
+	return addresses
+}
+
+// Log implements configlog.PeerSource.
+func (s peerSource) Log(ctx context.Context, after int64) ([]object.Record, error) {
+	err := errors.New("no peer is known")
+	for _, address := range s.addresses() {
+		var records []object.Record
+		records, err = s.client.Log(ctx, address, after)
+		if err == nil {
+			return records, nil
+		}
+	}
+	return nil, fmt.Errorf("configuration log could not be read from a peer: %w", err)
+}
+
+// Snapshot implements configlog.PeerSource: the highest one of all peers.
+func (s peerSource) Snapshot(ctx context.Context) (*snapshot.Snapshot, error) {
+	var best *snapshot.Snapshot
+	err := errors.New("no peer is known")
+	for _, address := range s.addresses() {
+		var body peer.SnapshotBody
+		body, err = s.client.Snapshot(ctx, address)
+		if err != nil {
+			continue
+		}
+		if best == nil || body.Revision > best.Revision {
+			best = snapshot.New(body.Revision, body.Objects, body.Placements)
+		}
+	}
+	if best == nil {
+		return nil, fmt.Errorf("configuration could not be read from a peer: %w", err)
+	}
+	return best, nil
+}
+
+// shareClient implements share.PeerClient by node name.
+type shareClient struct {
+	members *membership.Prober
+	client  *peer.Client
+}
+
+// Release implements share.PeerClient.
+func (c shareClient) Release(ctx context.Context, node string, r peer.ReleaseRequest) (peer.ReleaseReply, error) {
+	address := c.members.Address(node)
+	if address == "" {
+		return peer.ReleaseReply{}, &peer.LinkError{Address: node, Err: errors.New("the node's address is not known")}
+	}
+	return c.client.Release(ctx, address, r)
+}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -22,6 +22,8 @@
 
 	mu       sync.Mutex
 	hosts    map[string]hostlist.Host
+	list     hostlist.List
+	sent     time.Time
 	lastRead time.Time
 	changed  chan struct{}
 }
@@ -49,6 +51,7 @@
 	const minTimeout = time.Second
 	ctx, cancel := context.WithTimeout(ctx, max(r.period, minTimeout))
 	defer cancel()
+	sent := time.Now()
 	list, err := r.lister.List(ctx)
 	if err != nil {
 		return
@@ -60,6 +63,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastRead = time.Now()
+	r.list = list
+	r.sent = sent
 	r.hosts = hosts
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -78,6 +83,14 @@
 	return host, ok
 }
 
+// List returns the last list and the moment before it was asked for, zero
+// before the first.
+func (r *Roster) List() (list hostlist.List, sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list, r.sent
+}
+
 // LastRead returns when the list was last read; zero for never.
 func (r *Roster) LastRead() time.Time {
 	r.mu.Lock()
