--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -2,9 +2,18 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/connection/table"
 )
 
@@ -26,3 +35,134 @@
 		}
 	})
 }
+
+func TestRateLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const seconds, attemptsPerSecond = 10, 5000
+		p := New(Options{})
+		ctx := context.Background()
+		var writes, reads int
+		for i := range seconds * attemptsPerSecond {
+			txn := table.Txn{Nonce: fmt.Sprint(i), Writes: []table.Write{{Key: fmt.Sprint(i)}}}
+			if p.Table.Commit(ctx, txn) == nil {
+				writes++
+			}
+			if _, err := p.Table.Get(ctx, "a"); err == nil {
+				reads++
+			}
+			time.Sleep(time.Second / attemptsPerSecond)
+		}
+		checkRate(t, "writes", writes, seconds, DefaultWritesPerSecond)
+		checkRate(t, "reads", reads, seconds, DefaultReadsPerSecond)
+	})
+}
+
+// checkRate checks that a saturated limit passed its rate over the time, plus
+// at most one second's worth of burst.
+func checkRate(t *testing.T, what string, passed, seconds, perSecond int) {
+	t.Helper()
+	if passed < seconds*perSecond || passed > (seconds+1)*perSecond {
+		t.Errorf("%s: %d passed in %d s, want %d a second", what, passed, seconds, perSecond)
+	}
+}
+
+func TestLimitIsRefusedWith429(t *testing.T) {
+	p := New(Options{ReadsPerSecond: 1})
+	statuses := make([]int, 2)
+	for i := range statuses {
+		recorder := httptest.NewRecorder()
+		p.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/table/row?key=a", nil))
+		statuses[i] = recorder.Code
+	}
+	if diff := cmp.Diff([]int{200, 429}, statuses); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestHostListLagsAndDropsSilentHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(Options{HostLag: 2 * time.Second})
+		p.ChangeHost(HostChange{Host: &hostlist.Host{Name: "stays", State: hostlist.StateLive}})
+		p.ChangeHost(HostChange{Host: &hostlist.Host{Name: "silent", State: hostlist.StateLive}, TTLMillis: 3000})
+		time.Sleep(3 * time.Second)
+		p.ChangeHost(HostChange{Host: &hostlist.Host{Name: "stays", State: hostlist.StateLeaving}})
+		for _, c := range []struct {
+			wait time.Duration
+			want string
+		}{
+			{0, "silent=live stays=live"},
+			{1900 * time.Millisecond, "silent=live stays=live"},
+			{200 * time.Millisecond, "stays=leaving"},
+		} {
+			time.Sleep(c.wait)
+			var got []string
+			for _, h := range p.Hosts().Hosts {
+				got = append(got, h.Name+"="+string(h.State))
+			}
+			if joined := strings.Join(got, " "); joined != c.want {
+				t.Errorf("list shows %q, want %q", joined, c.want)
+			}
+		}
+	})
+}
+
+func TestWeightReadersShareTheRate(t *testing.T) {
+	for readers, want := range map[int]time.Duration{1: time.Second, 4: 4 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			p := New(Options{WeightBytes: 1 << 20, WeightBytesPerSecond: 1 << 20})
+			start := time.Now()
+			var wg sync.WaitGroup
+			for range readers {
+				wg.Go(func() {
+					p.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/weights/m/1", nil))
+				})
+			}
+			wg.Wait()
+			if got := time.Since(start).Round(weightStep); got < want-weightStep || got > want+weightStep {
+				t.Errorf("%d readers took %v, want %v", readers, got, want)
+			}
+		})
+	}
+}
+
+// TestDeletedRowsKeepCounting checks that a late transaction cannot match a
+// row that was deleted and created again.
+func TestDeletedRowsKeepCounting(t *testing.T) {
+	ctx := context.Background()
+	p := New(Options{})
+	for i, w := range []table.Write{{Key: "a"}, {Key: "a", Expect: 1, Delete: true}, {Key: "a"}} {
+		if err := p.Table.Commit(ctx, table.Txn{Nonce: fmt.Sprint(i), Writes: []table.Write{w}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var conflict *table.ConflictError
+	err := p.Table.Commit(ctx, table.Txn{Nonce: "late", Writes: []table.Write{{Key: "a", Expect: 1}}})
+	if !errors.As(err, &conflict) {
+		t.Errorf("got %v, want a conflict", err)
+	}
+}
+
+func TestListReadsAllPages(t *testing.T) {
+	ctx := context.Background()
+	p := New(Options{PageLimit: 3})
+	for i := range 10 {
+		key := fmt.Sprintf("p/%d", i)
+		if err := p.Table.Commit(ctx, table.Txn{Nonce: key, Writes: []table.Write{{Key: key}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range []struct {
+		r    table.Range
+		want int
+	}{
+		{table.Range{Prefix: "p/"}, 10},
+		{table.Range{Prefix: "p/", From: "p/2", To: "p/7"}, 5},
+		{table.Range{Prefix: "p/", Limit: 4}, 4},
+		{table.Range{Prefix: "q/"}, 0},
+	} {
+		rows, err := p.Table.List(ctx, c.r)
+		if err != nil || len(rows) != c.want {
+			t.Errorf("%+v: got %d rows, %v; want %d", c.r, len(rows), err, c.want)
+		}
+	}
+}
