Plan the replica groups of a failure domain as a pure function

Cause: repair by replacing at once wastes a load on every pause, waiting alone never ends after a crash. The plan loads a spare under the next generation beside the wait; whichever is ready first decides.

--- a/internal/connection/health/probe.go
+++ b/internal/connection/health/probe.go
@@ -33,6 +33,9 @@
 		if err := json.Unmarshal(body, &state); err != nil {
 			return endpoint.State{}, fmt.Errorf("host %s: decode state: %w", host.Name, err)
 		}
+		if state.Host != host.Name {
+			return endpoint.State{}, fmt.Errorf("host %s: %s answers as host %q; correct the host list", host.Name, host.Address, state.Host)
+		}
 		return state, nil
 	}
 }
--- a/internal/process/lease/ownership.go
+++ b/internal/process/lease/ownership.go
@@ -176,4 +176,3 @@
 		}
 	}
 }
-
--- /dev/null
+++ b/internal/version/placement/form.go
@@ -0,0 +1,236 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// form claims hosts for a group without members.
+func (p *planner) form(g *Group, all []Group) {
+	domain := p.fittingDomain(g.Spec.Members, "")
+	switch {
+	case domain == "":
+		p.formFromOthers(g, all)
+	case !p.mayLoad(g.Name):
+		p.waitForStore(g)
+	default:
+		hosts := p.takeSpares(domain, g.Spec.Members)
+		message := fmt.Sprintf("%d free hosts of fabric domain %s form the group; loading takes about %s", len(hosts), domain, p.in.Policy.LoadTime)
+		p.formOn(g, hosts, Step{Kind: KindForm, Reason: "Formed", Message: message})
+	}
+}
+
+// formFromOthers looks for hosts that other groups hold.
+func (p *planner) formFromOthers(g *Group, all []Group) {
+	short := fmt.Sprintf("no fabric domain of %s has %d free hosts", p.in.FailureDomain, g.Spec.Members)
+	if !p.mayLoad(g.Name) {
+		p.waitForStore(g)
+		return
+	}
+	if donor := p.brokenDonor(g, "", g.Spec.Members, 0, all); donor != nil {
+		p.joinForm(g, donor)
+		return
+	}
+	if donor := p.lowerWorthDonor(g, "", g.Spec.Members, all); donor != nil {
+		p.giveUp(g, donor)
+		return
+	}
+	p.wait(g, p.in.Now.Add(p.in.Policy.LoadTime), "NoHosts", short+" and no other group may be given up for it; add hosts or lower the number of members")
+}
+
+func (p *planner) waitForStore(g *Group) {
+	message := fmt.Sprintf("the weight store already serves %d loads, its limit", len(p.loading))
+	p.wait(g, p.in.Now.Add(p.in.Policy.LoadTime), "WeightStoreBusy", message)
+}
+
+// formOn completes the step with a new placement on the given hosts.
+func (p *planner) formOn(g *Group, hosts []*Host, step Step) {
+	step.Group = g.Name
+	placement := &object.Placement{
+		Group:         g.Name,
+		Generation:    p.nextGeneration(g),
+		FailureDomain: p.in.FailureDomain,
+		FabricDomain:  hosts[0].FabricDomain,
+		Model:         g.Spec.Model,
+		ModelVersion:  g.Spec.ModelVersion,
+		Phase:         object.PhaseLoading,
+		Epoch:         p.in.Epoch,
+		Reason:        step.Reason,
+		Message:       step.Message,
+		Changed:       p.in.Now,
+	}
+	for i, h := range hosts {
+		placement.Members = append(placement.Members, h.Name)
+		step.Claims = append(step.Claims, HostClaim{h.Name, Claim{g.Name, placement.Generation, i}})
+	}
+	step.Placements = append([]*object.Placement{placement}, step.Placements...)
+	p.loading[g.Name] = true
+	p.add(step)
+}
+
+// nextGeneration is higher than any that a host may still hold of a former
+// group of this name.
+func (p *planner) nextGeneration(g *Group) int64 {
+	generation := int64(0)
+	if g.Placement != nil {
+		generation = g.Placement.Generation
+	}
+	for i := range p.in.Hosts {
+		h := &p.in.Hosts[i]
+		if h.State.Group == g.Name {
+			generation = max(generation, h.State.Generation)
+		}
+		if h.Claim.Group == g.Name {
+			generation = max(generation, h.Claim.Generation)
+		}
+	}
+	return generation + 1
+}
+
+// fittingDomain returns the fabric domain with the fewest free hosts among
+// those that have at least n, leaving out one domain; "" where none has.
+func (p *planner) fittingDomain(n int, except string) string {
+	best := ""
+	for domain, spares := range p.spares {
+		if domain == except || len(spares) < n || p.dark[domain] {
+			continue
+		}
+		better := best == "" || len(spares) < len(p.spares[best])
+		tie := best != "" && len(spares) == len(p.spares[best]) && domain < best
+		if better || tie {
+			best = domain
+		}
+	}
+	return best
+}
+
+func (p *planner) takeSpares(domain string, n int) []*Host {
+	hosts := slices.Clone(p.spares[domain][:n])
+	p.spares[domain] = p.spares[domain][n:]
+	return hosts
+}
+
+// brokenDonor returns a broken group that g may take hosts from: it lies in
+// the fabric domain (any, where domain is ""), waiting for its members no
+// longer pays, and its usable members with the free hosts make g whole.
+func (p *planner) brokenDonor(g *Group, domain string, need, lost int, all []Group) *Group {
+	for i := range slices.Backward(all) {
+		donor := &all[i]
+		if donor.Name == g.Name || p.settled[donor.Name] || !placed(donor) || donor.Spec == nil || serving(donor) {
+			continue
+		}
+		if domain != "" && donor.Placement.FabricDomain != domain || donor.Placement.FailureDomain != p.in.FailureDomain {
+			continue
+		}
+		missing := p.lost(donor)
+		if len(missing) == 0 || p.in.Now.Before(p.giveUpAt(missing)) || p.canRepair(donor, len(missing)) {
+			continue
+		}
+		if !outranks(g, donor, lost, len(missing)) {
+			continue
+		}
+		if len(p.usableMembers(donor))+len(p.spares[donor.Placement.FabricDomain]) >= need {
+			return donor
+		}
+	}
+	return nil
+}
+
+// outranks reports whether g may take the hosts of a broken donor that
+// nothing else can make whole. A group without members may always; of two
+// broken groups the one of higher worth, then of fewer lost members, stays.
+func outranks(g, donor *Group, lost, donorLost int) bool {
+	switch {
+	case !placed(g):
+		return true
+	case worth(g) != worth(donor):
+		return worth(g) > worth(donor)
+	case lost != donorLost:
+		return lost < donorLost
+	default:
+		return g.Name < donor.Name
+	}
+}
+
+// canRepair reports whether free hosts are enough to repair the group.
+func (p *planner) canRepair(g *Group, lost int) bool {
+	return len(p.spares[g.Placement.FabricDomain]) >= lost || p.fittingDomain(len(g.Placement.Members), g.Placement.FabricDomain) != ""
+}
+
+// lowerWorthDonor returns the group of the lowest worth below g's whose hosts,
+// with the free ones, make g whole.
+func (p *planner) lowerWorthDonor(g *Group, domain string, need int, all []Group) *Group {
+	for i := range slices.Backward(all) {
+		donor := &all[i]
+		if !placed(donor) || p.settled[donor.Name] || worth(donor) >= worth(g) {
+			continue
+		}
+		if domain != "" && donor.Placement.FabricDomain != domain || donor.Placement.FailureDomain != p.in.FailureDomain {
+			continue
+		}
+		if len(p.usableMembers(donor))+len(p.spares[donor.Placement.FabricDomain]) >= need {
+			return donor
+		}
+	}
+	return nil
+}
+
+func (p *planner) usableMembers(g *Group) []*Host {
+	var hosts []*Host
+	for _, h := range p.claimed[g.Name] {
+		if h.usable() {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// giveUp closes a group of lower worth in favour of g.
+func (p *planner) giveUp(g *Group, donor *Group) {
+	p.wanted[donor.Name] = g.Name
+	message := fmt.Sprintf("group %s (worth %d) is given up for group %s (worth %d), which has no other way to become whole", donor.Name, worth(donor), g.Name, worth(g))
+	p.wait(g, p.in.Now.Add(p.in.Policy.Drain), "GivingUpOther", message)
+	if donor.Placement.Reason != reasonGivenUp {
+		p.settled[donor.Name] = true
+		p.add(p.change(donor, KindGiveUp, object.PhaseBroken, reasonGivenUp, message))
+	}
+}
+
+// dissolve adds to the step that the donor loses all its hosts and returns
+// those that are usable, followed by free hosts of its fabric domain.
+func (p *planner) dissolve(g, donor *Group, need int, step *Step) []*Host {
+	domain := donor.Placement.FabricDomain
+	usable := p.usableMembers(donor)
+	taken := usable[:min(need, len(usable))]
+	for _, h := range p.claimed[donor.Name] {
+		if !slices.Contains(taken, h) {
+			step.Releases = append(step.Releases, h.Name)
+		}
+	}
+	if more := need - len(taken); more > 0 {
+		taken = append(slices.Clone(taken), p.takeSpares(domain, more)...)
+	}
+	step.Placements = append(step.Placements, p.empty(donor, "Joined", fmt.Sprintf("its hosts went to group %s, because neither was whole", g.Name)))
+	p.settled[donor.Name] = true
+	return taken
+}
+
+// joinForm forms g on the hosts of a broken group.
+func (p *planner) joinForm(g, donor *Group) {
+	step := Step{Kind: KindJoin, Reason: "Joined"}
+	hosts := p.dissolve(g, donor, g.Spec.Members, &step)
+	step.Message = fmt.Sprintf("group %s cannot be repaired and its remaining hosts in fabric domain %s (%s) make group %s whole; loading takes about %s",
+		donor.Name, donor.Placement.FabricDomain, hostNames(hosts), g.Name, p.in.Policy.LoadTime)
+	p.formOn(g, hosts, step)
+}
+
+func hostNames(hosts []*Host) string {
+	names := make([]string, len(hosts))
+	for i, h := range hosts {
+		names[i] = h.Name
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/version/placement/repair.go
@@ -0,0 +1,324 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// vacancy is a position whose member is missing.
+type vacancy struct {
+	position int
+	fault    fault
+}
+
+// maintain plans a group that has members of the declared model.
+func (p *planner) maintain(g *Group, all []Group) {
+	lost := p.lost(g)
+	staged := p.staged(g)
+	if len(lost) > 0 {
+		p.repair(g, lost, staged, all)
+		return
+	}
+	unready := p.unready(g)
+	if len(unready) > 0 {
+		p.load(g, unready, staged)
+		return
+	}
+	if slow := p.slow(g); len(slow) > 0 && serving(g) {
+		p.replaceSlow(g, slow, staged)
+		return
+	}
+	p.open(g, staged)
+}
+
+// open lets the group serve and frees replacements that it no longer needs.
+func (p *planner) open(g *Group, staged map[int]*Host) {
+	releases := stagedNames(staged)
+	if serving(g) {
+		p.updateAdapters(g)
+		if len(releases) > 0 {
+			p.add(Step{Kind: KindRelease, Group: g.Name, Releases: releases, Reason: "NotNeeded",
+				Message: "every member is ready; the replacement is not needed"})
+		}
+		return
+	}
+	step := p.change(g, KindOpen, object.PhaseServing, "AllReady", fmt.Sprintf("all %d members are ready at generation %d", len(g.Placement.Members), g.Placement.Generation))
+	step.Releases = releases
+	p.add(step)
+}
+
+// updateAdapters orders members to hold the declared adapters. The group
+// serves on.
+func (p *planner) updateAdapters(g *Group) {
+	t := p.targetOf(g.Placement)
+	var orders []HostOrder
+	for _, name := range g.Placement.Members {
+		if h := p.hosts[name]; !sameSet(h.State.Adapters, g.Spec.Adapters) {
+			orders = append(orders, HostOrder{name, p.loadOrder(g, t)})
+		}
+	}
+	if len(orders) > 0 {
+		p.add(Step{Kind: KindLoad, Group: g.Name, Orders: orders, Reason: "Adapters",
+			Message: fmt.Sprintf("%d members load the declared adapters", len(orders))})
+	}
+}
+
+func sameSet(a, b []string) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
+// load orders members that answer, but do not hold the placement, to load.
+func (p *planner) load(g *Group, unready []vacancy, staged map[int]*Host) {
+	if serving(g) {
+		p.add(p.change(g, KindMarkBroken, object.PhaseBroken, unready[0].fault.reason, unready[0].fault.message))
+		return
+	}
+	var orders []HostOrder
+	needStore := false
+	t := p.targetOf(g.Placement)
+	for _, v := range unready {
+		h := p.hosts[g.Placement.Members[v.position]]
+		if h.holds(t) || !h.reachable() {
+			continue
+		}
+		needStore = needStore || !h.hasWeights(t)
+		orders = append(orders, HostOrder{h.Name, p.loadOrder(g, t)})
+	}
+	if needStore && !p.mayLoad(g.Name) {
+		p.waitForStore(g)
+		return
+	}
+	if len(orders) > 0 {
+		if needStore {
+			p.loading[g.Name] = true
+		}
+		p.add(Step{Kind: KindLoad, Group: g.Name, Orders: orders, Reason: "Loading",
+			Message: fmt.Sprintf("%d members load generation %d", len(orders), g.Placement.Generation)})
+	}
+	p.loadStaged(g, staged)
+	p.wait(g, p.stuckAt(g), "Loading", fmt.Sprintf("waiting for %d members to load; the first is %s", len(unready), g.Placement.Members[unready[0].position]))
+}
+
+func (p *planner) loadOrder(g *Group, t target) endpoint.Order {
+	order := endpoint.Order{
+		Epoch:        p.in.Epoch,
+		Action:       endpoint.ActionLoad,
+		Group:        t.group,
+		Generation:   t.generation,
+		Model:        t.model,
+		ModelVersion: t.modelVersion,
+		Members:      t.addresses,
+	}
+	if g.Spec != nil {
+		order.Adapters = g.Spec.Adapters
+	}
+	return order
+}
+
+// lost returns positions that need a replacement or the member's return.
+func (p *planner) lost(g *Group) []vacancy {
+	return p.vacancies(g, func(f fault) bool {
+		stuck := f.symptom == symptomUnready && !p.in.Now.Before(p.stuckAt(g))
+		return stuck || f.missing() && f.symptom != symptomUnready
+	})
+}
+
+// unready returns positions whose member answers but is not ready.
+func (p *planner) unready(g *Group) []vacancy {
+	return p.vacancies(g, func(f fault) bool { return f.symptom == symptomUnready })
+}
+
+func (p *planner) slow(g *Group) []vacancy {
+	return p.vacancies(g, func(f fault) bool { return f.symptom == symptomSlow })
+}
+
+func (p *planner) vacancies(g *Group, match func(fault) bool) []vacancy {
+	var found []vacancy
+	for i, name := range g.Placement.Members {
+		if f := p.fault(p.hosts[name], name, g.Placement); match(f) {
+			found = append(found, vacancy{i, f})
+		}
+	}
+	return found
+}
+
+// stuckAt is when a member that still loads counts as lost. Members of a
+// group that serves have just restarted and get the whole time.
+func (p *planner) stuckAt(g *Group) time.Time {
+	if serving(g) {
+		return p.in.Now.Add(p.in.Policy.LoadTime)
+	}
+	return g.Placement.Changed.Add(time.Duration(p.in.Policy.StuckLoads) * p.in.Policy.LoadTime)
+}
+
+// staged returns usable hosts that load as replacements, by position.
+func (p *planner) staged(g *Group) map[int]*Host {
+	staged := map[int]*Host{}
+	for _, h := range p.claimed[g.Name] {
+		if h.Claim.Generation == g.Placement.Generation+1 {
+			staged[h.Claim.Position] = h
+		}
+	}
+	return staged
+}
+
+func stagedNames(staged map[int]*Host) []string {
+	var names []string
+	for _, h := range staged {
+		names = append(names, h.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// stagedTarget is what replacements must hold.
+func (p *planner) stagedTarget(g *Group, staged map[int]*Host) target {
+	return target{g.Name, g.Placement.Generation + 1, g.Spec.Model, g.Spec.ModelVersion, p.addresses(nextMembers(g, staged))}
+}
+
+// nextMembers returns the members once the replacements took their positions.
+func nextMembers(g *Group, staged map[int]*Host) []string {
+	members := slices.Clone(g.Placement.Members)
+	for position, h := range staged {
+		members[position] = h.Name
+	}
+	return members
+}
+
+// loadStaged orders replacements to load that do not do so yet.
+func (p *planner) loadStaged(g *Group, staged map[int]*Host) {
+	t := p.stagedTarget(g, staged)
+	var orders []HostOrder
+	for position := range g.Placement.Members {
+		if h := staged[position]; h != nil && h.reachable() && !h.holds(t) {
+			orders = append(orders, HostOrder{h.Name, p.loadOrder(g, t)})
+		}
+	}
+	if len(orders) > 0 {
+		p.add(Step{Kind: KindLoad, Group: g.Name, Orders: orders, Reason: "Preparing",
+			Message: fmt.Sprintf("%d replacements load generation %d", len(orders), t.generation)})
+	}
+}
+
+// repair plans a group with lost members.
+func (p *planner) repair(g *Group, lost []vacancy, staged map[int]*Host, all []Group) {
+	if serving(g) && p.inGrace(lost) {
+		p.wait(g, lost[0].fault.since.Add(p.in.Policy.Grace), lost[0].fault.reason, lost[0].fault.message)
+		return
+	}
+	positions, moving := p.neededPositions(g, lost, staged)
+	open := positionsWithout(positions, staged)
+	switch {
+	case len(open) > 0 || p.stuckStaged(g, staged):
+		p.prepare(g, lost, staged, all)
+	case !p.allReady(g, staged):
+		if serving(g) {
+			p.markBroken(g, lost)
+		}
+		p.loadStaged(g, staged)
+		p.wait(g, p.stuckAt(g), lost[0].fault.reason, p.describe(lost)+"; "+strings.Join(stagedNames(staged), ", ")+" load as replacement")
+	case p.draining(g, lost):
+		p.wait(g, g.Placement.Changed.Add(p.in.Policy.Drain), lost[0].fault.reason, "the replacement is ready; waiting for streams of the leaving member to end")
+	default:
+		p.replace(g, staged, moving, p.describe(lost)+" and its replacement is ready first")
+	}
+}
+
+func (p *planner) inGrace(lost []vacancy) bool {
+	for _, v := range lost {
+		if !v.fault.returns() || p.in.Now.Sub(v.fault.since) >= p.in.Policy.Grace {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *planner) markBroken(g *Group, lost []vacancy) {
+	p.add(p.change(g, KindMarkBroken, object.PhaseBroken, lost[0].fault.reason, p.describe(lost)))
+}
+
+// draining reports whether streams of a planned replacement may still end.
+func (p *planner) draining(g *Group, lost []vacancy) bool {
+	for _, v := range lost {
+		if v.fault.symptom != symptomLeaving {
+			return false
+		}
+	}
+	return p.in.Now.Before(g.Placement.Changed.Add(p.in.Policy.Drain))
+}
+
+// neededPositions returns the positions that need a replacement: the lost
+// ones, or all where the replacements lie in another fabric domain.
+func (p *planner) neededPositions(g *Group, lost []vacancy, staged map[int]*Host) (positions []int, moving bool) {
+	if p.moving(g, staged) {
+		for i := range g.Placement.Members {
+			positions = append(positions, i)
+		}
+		return positions, true
+	}
+	for _, v := range lost {
+		positions = append(positions, v.position)
+	}
+	return positions, false
+}
+
+func (p *planner) moving(g *Group, staged map[int]*Host) bool {
+	for _, h := range staged {
+		if h.FabricDomain != g.Placement.FabricDomain {
+			return true
+		}
+	}
+	return false
+}
+
+func positionsWithout(positions []int, staged map[int]*Host) []int {
+	var open []int
+	for _, position := range positions {
+		if h := staged[position]; h == nil || !h.usable() {
+			open = append(open, position)
+		}
+	}
+	return open
+}
+
+func (p *planner) allReady(g *Group, staged map[int]*Host) bool {
+	t := p.stagedTarget(g, staged)
+	for _, h := range staged {
+		if !h.ready(t) {
+			return false
+		}
+	}
+	return true
+}
+
+// stuckStaged reports whether replacements failed to load in time.
+func (p *planner) stuckStaged(g *Group, staged map[int]*Host) bool {
+	return !serving(g) && len(staged) > 0 && !p.allReady(g, staged) && !p.in.Now.Before(p.stuckAt(g))
+}
+
+// replace puts the loaded replacements in place.
+func (p *planner) replace(g *Group, staged map[int]*Host, moving bool, message string) {
+	members := nextMembers(g, staged)
+	step := p.change(g, KindReplace, object.PhaseLoading, "Replaced", message)
+	next := step.Placements[0]
+	next.Generation++
+	next.Members = members
+	next.Model = g.Spec.Model
+	next.ModelVersion = g.Spec.ModelVersion
+	next.FabricDomain = p.hosts[members[0]].FabricDomain
+	for i, name := range members {
+		step.Claims = append(step.Claims, HostClaim{name, Claim{g.Name, next.Generation, i}})
+	}
+	for _, h := range p.claimed[g.Name] {
+		// Hosts of a group that moves as a whole finish their streams.
+		if !slices.Contains(members, h.Name) && !moving {
+			step.Releases = append(step.Releases, h.Name)
+		}
+	}
+	p.add(step)
+}
--- /dev/null
+++ b/internal/version/placement/rollout.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"fmt"
+
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// rollout changes the model or version of a group. Where a whole set of hosts
+// is free, it loads there while the group serves on; otherwise the group is
+// closed, drained and loaded in place. Groups of one model change one after
+// another.
+func (p *planner) rollout(g *Group, all []Group) {
+	change := fmt.Sprintf("model %s version %s is declared instead of %s version %s", g.Spec.Model, g.Spec.ModelVersion, g.Placement.Model, g.Placement.ModelVersion)
+	staged := p.staged(g)
+	if !serving(g) {
+		p.rolloutClosed(g, staged, change)
+		return
+	}
+	switch {
+	case len(staged) == len(g.Placement.Members) && len(positionsWithout(positionsUpTo(len(staged)), staged)) == 0:
+		p.rolloutPrepared(g, staged, change)
+	case p.otherClosed(g, all):
+		p.wait(g, p.in.Now.Add(p.in.Policy.LoadTime), reasonVersionChange, change+"; another group of the model is closed, so this one serves on")
+	case !p.mayLoad(g.Name):
+		p.waitForStore(g)
+	default:
+		p.rolloutStart(g, staged, change)
+	}
+}
+
+func (p *planner) rolloutPrepared(g *Group, staged map[int]*Host, change string) {
+	if p.allReady(g, staged) {
+		p.replace(g, staged, true, change+" and is loaded on other hosts")
+		return
+	}
+	p.loadStaged(g, staged)
+}
+
+func (p *planner) rolloutStart(g *Group, staged map[int]*Host, change string) {
+	domain := p.fittingDomain(len(g.Placement.Members), "")
+	if domain == "" {
+		step := p.change(g, KindMarkBroken, object.PhaseBroken, reasonVersionChange, change+"; its streams end before it loads")
+		step.Releases = stagedNames(staged)
+		p.add(step)
+		return
+	}
+	hosts := p.takeSpares(domain, len(g.Placement.Members))
+	step := p.change(g, KindPrepare, g.Placement.Phase, reasonVersionChange, change+"; "+hostNames(hosts)+" load it while the group serves on")
+	step.Releases = stagedNames(staged)
+	for i, h := range hosts {
+		step.Claims = append(step.Claims, HostClaim{h.Name, Claim{g.Name, g.Placement.Generation + 1, i}})
+	}
+	p.loading[g.Name] = true
+	p.add(step)
+}
+
+// rolloutClosed starts a new generation on the same members.
+func (p *planner) rolloutClosed(g *Group, staged map[int]*Host, change string) {
+	until := g.Placement.Changed.Add(p.in.Policy.Drain)
+	if g.Placement.Reason == reasonVersionChange && p.in.Now.Before(until) {
+		p.wait(g, until, reasonVersionChange, change+"; waiting for streams to end")
+		return
+	}
+	if !p.mayLoad(g.Name) {
+		p.waitForStore(g)
+		return
+	}
+	step := p.change(g, KindReplace, object.PhaseLoading, reasonVersionChange, change)
+	next := step.Placements[0]
+	next.Generation = p.nextGeneration(g)
+	next.Model = g.Spec.Model
+	next.ModelVersion = g.Spec.ModelVersion
+	for i, name := range next.Members {
+		step.Claims = append(step.Claims, HostClaim{name, Claim{g.Name, next.Generation, i}})
+	}
+	step.Releases = stagedNames(staged)
+	p.loading[g.Name] = true
+	p.add(step)
+}
+
+// otherClosed reports whether another group of the model does not serve.
+func (p *planner) otherClosed(g *Group, all []Group) bool {
+	for i := range all {
+		other := &all[i]
+		if other.Name != g.Name && other.Spec != nil && other.Spec.Model == g.Spec.Model && placed(other) && !serving(other) {
+			return true
+		}
+	}
+	return false
+}
