--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -17,6 +17,14 @@
 	ConfigApplied  = Event{1101, logrus.InfoLevel, "configuration revision applied"}
 	ConfigAccepted = Event{1102, logrus.InfoLevel, "configuration change accepted"}
 	ConfigLagging  = Event{1103, logrus.WarnLevel, "configuration head could not be read"}
+	// ConfigCaughtUp follows ConfigLagging when the store answers again.
+	ConfigCaughtUp = Event{1104, logrus.InfoLevel, "configuration head is read again"}
+	// ConfigLoaded replaces single records: at start, and when the node was
+	// further behind than the log reaches back.
+	ConfigLoaded = Event{1105, logrus.InfoLevel, "configuration loaded as a whole"}
+	// ConfigHeadLower means that the store lost accepted revisions.
+	ConfigHeadLower = Event{1106, logrus.ErrorLevel, "configuration head is lower than the revision in force and is ignored"}
+	ConfigCompacted = Event{1107, logrus.InfoLevel, "old configuration log entries deleted"}
 )
 
 // Events of leases, 1200 to 1249.
@@ -37,10 +45,21 @@
 	OrderStale      = Event{1254, logrus.WarnLevel, "endpoint refused an order with an old fencing token"}
 )
 
+// Events of caps and claims, 1700 to 1799.
+var (
+	SharesReclaimed   = Event{1701, logrus.WarnLevel, "cap shares of a dead node were reclaimed"}
+	SharesVoid        = Event{1702, logrus.WarnLevel, "node gave up its cap shares: neither the table service nor the host list knows it as live"}
+	SharesReturned    = Event{1703, logrus.InfoLevel, "node may use its cap shares again"}
+	ClaimsSwept       = Event{1704, logrus.InfoLevel, "old claims were removed"}
+	ClaimNotKept      = Event{1705, logrus.WarnLevel, "answer of a claimed call was too large to record"}
+	CrashSuspectAdded = Event{1706, logrus.WarnLevel, "request fingerprint reached the crash limit and is refused"}
+)
+
 // Catalogue lists every event in number order.
 var Catalogue = []Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, NodeIsolated, NodeRejoined,
-	ConfigApplied, ConfigAccepted, ConfigLagging,
+	ConfigApplied, ConfigAccepted, ConfigLagging, ConfigCaughtUp, ConfigLoaded, ConfigHeadLower, ConfigCompacted,
 	LeaseStarted, LeaseRenewalFailed, LeaseLost, LeaseReleased, OwnershipAcquired, OwnershipLost,
 	GroupStep, GroupStepFailed, OrderFailed, OrderStale,
+	SharesReclaimed, SharesVoid, SharesReturned, ClaimsSwept, ClaimNotKept, CrashSuspectAdded,
 }
