--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,294 @@
+// Package demo runs a whole small fleet in one process: platform, engines, a
+// plain service and entry nodes, with load, failures and a check of every
+// promise.
+package demo
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/hostlist"
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/process/node"
+	"currantladder.example/currantladder/internal/process/settings"
+	"currantladder.example/currantladder/internal/standin/engine"
+	"currantladder.example/currantladder/internal/standin/platform"
+	"currantladder.example/currantladder/internal/standin/service"
+)
+
+// Sizes and names of the demonstration fleet.
+const (
+	engineCount   = 10
+	groupCount    = 2
+	groupMembers  = 4
+	nodeCount     = 3
+	engineSlots   = 8
+	tokenInterval = 4 * time.Millisecond
+	loadDelay     = 500 * time.Millisecond
+	hostLag       = 300 * time.Millisecond
+
+	region        = "north"
+	failureDomain = "north-1"
+	fabricDomain  = "north-1-a"
+	modelName     = "advice-70b"
+	modelVersion  = "1"
+	serviceName   = "booking"
+	serviceHost   = "desk-1"
+	operatorName  = "demo"
+	operatorToken = "demo-operator-token"
+	peerKey       = "demo-peer-key-of-this-process"
+	headerTimeout = 5 * time.Second
+)
+
+// arrival is one generate request as an engine received it.
+type arrival struct {
+	requestID string
+	group     string
+	at        time.Time
+}
+
+// engineHost is one engine with its server and the arrivals seen there.
+type engineHost struct {
+	name   string
+	engine *engine.Engine
+	server *http.Server
+
+	mu       sync.Mutex
+	arrivals []arrival
+	// down is when the engine was crashed; zero while it runs.
+	down time.Time
+}
+
+// fleet is everything that the demonstration runs.
+type fleet struct {
+	platform    *platform.Platform
+	platformURL string
+	engines     []*engineHost
+	service     *service.Service
+	nodes       []*fleetNode
+	servers     []*http.Server
+	ctx         context.Context
+	cancel      context.CancelFunc
+	duties      sync.WaitGroup
+}
+
+// fleetNode is one running entry node.
+type fleetNode struct {
+	name string
+	node *node.Node
+	stop context.CancelFunc
+	done chan struct{}
+	// killed and stopped tell how the node ended.
+	killed  bool
+	stopped bool
+}
+
+// newFleet starts the stand-ins and the nodes.
+func newFleet() (*fleet, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{ctx: ctx, cancel: cancel}
+	if err := f.startPlatform(); err != nil {
+		return f, err
+	}
+	for i := range engineCount {
+		if err := f.startEngine(fmt.Sprintf("engine-%02d", i+1)); err != nil {
+			return f, err
+		}
+	}
+	if err := f.startService(); err != nil {
+		return f, err
+	}
+	for i := range nodeCount {
+		if err := f.startNode(fmt.Sprintf("node-%d", i+1)); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// serveHTTP serves a handler on a free loopback port and returns its address.
+func (f *fleet) serveHTTP(handler http.Handler) (*http.Server, string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", fmt.Errorf("listen on loopback: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	f.servers = append(f.servers, server)
+	f.duties.Go(func() { _ = server.Serve(listener) })
+	return server, listener.Addr().String(), nil
+}
+
+func (f *fleet) startPlatform() error {
+	f.platform = platform.New(platform.Options{HostLag: hostLag})
+	_, address, err := f.serveHTTP(f.platform.Handler())
+	f.platformURL = "http://" + address
+	return err
+}
+
+func (f *fleet) startEngine(name string) error {
+	host := &engineHost{name: name, engine: engine.New(engine.Options{
+		Host:            name,
+		PlatformURL:     f.platformURL,
+		Slots:           engineSlots,
+		TokenInterval:   tokenInterval,
+		PrefillPerToken: 50 * time.Microsecond,
+		LoadDelay:       loadDelay,
+		ChecksFencing:   true,
+	})}
+	server, address, err := f.serveHTTP(host.record(host.engine.Handler()))
+	if err != nil {
+		return err
+	}
+	host.server = server
+	host.engine.SetAddress(address)
+	f.engines = append(f.engines, host)
+	f.list(hostlist.Host{Name: name, Address: address, Role: hostlist.RoleEngine})
+	return nil
+}
+
+// list adds a host to the platform's list.
+func (f *fleet) list(host hostlist.Host) {
+	host.Region = region
+	host.FailureDomain = failureDomain
+	host.State = hostlist.StateLive
+	if host.Role == hostlist.RoleEngine {
+		host.FabricDomain = fabricDomain
+	}
+	f.platform.ChangeHost(platform.HostChange{Host: &host})
+}
+
+// record notes each generate request before the engine sees it.
+func (h *engineHost) record(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == "/v1/generate" {
+			body, _ := io.ReadAll(r.Body)
+			var request endpoint.GenerateRequest
+			_ = json.Unmarshal(body, &request)
+			h.mu.Lock()
+			h.arrivals = append(h.arrivals, arrival{request.RequestID, request.Group, time.Now()})
+			h.mu.Unlock()
+			r.Body = io.NopCloser(bytes.NewReader(body))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// crash makes the engine refuse everything and drops it from the host list.
+func (f *fleet) crash(host *engineHost) {
+	host.mu.Lock()
+	host.down = time.Now()
+	host.mu.Unlock()
+	host.engine.Crash()
+	f.platform.ChangeHost(platform.HostChange{Drop: host.name})
+}
+
+// isDown reports whether the engine was crashed at least grace ago.
+func (h *engineHost) isDown(now time.Time, grace time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.down.IsZero() && now.Sub(h.down) > grace
+}
+
+func (f *fleet) startService() error {
+	f.service = service.New(service.Options{Host: serviceHost})
+	_, address, err := f.serveHTTP(f.service.Handler())
+	if err != nil {
+		return err
+	}
+	f.list(hostlist.Host{Name: serviceHost, Address: address, Role: hostlist.RoleService})
+	return nil
+}
+
+func (f *fleet) startNode(name string) error {
+	started, err := node.New(nodeSettings(name, f.platformURL), eventlog.Discard())
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(f.ctx)
+	running := &fleetNode{name: name, node: started, stop: stop, done: make(chan struct{})}
+	f.nodes = append(f.nodes, running)
+	go func() {
+		defer close(running.done)
+		_ = started.Run(ctx)
+	}()
+	f.list(hostlist.Host{Name: name, Address: started.Addresses().Peers, Role: hostlist.RoleNode})
+	return nil
+}
+
+func nodeSettings(name, platformURL string) *settings.Settings {
+	listener := settings.Listener{
+		Address:        "127.0.0.1:0",
+		MaxBodyBytes:   1 << 20,
+		MaxHeaderBytes: 16 << 10,
+		HeaderTimeout:  headerTimeout,
+		IdleTimeout:    time.Minute,
+		MaxStreams:     4096,
+	}
+	return &settings.Settings{
+		Node:      settings.Node{Name: name, Region: region, FailureDomain: failureDomain},
+		Callers:   listener,
+		Peers:     settings.Peers{Listener: listener, Key: peerKey},
+		Operators: settings.Operators{Listener: listener, Users: map[string]string{operatorName: hashOf(operatorToken)}},
+		Platform:  settings.Platform{URL: platformURL, CallTimeout: 2 * time.Second},
+		Timing: settings.Timing{
+			LeaseTTL:     4 * time.Second,
+			LeaseRenew:   time.Second,
+			HeadPoll:     300 * time.Millisecond,
+			PeerProbe:    200 * time.Millisecond,
+			PeerTimeout:  1500 * time.Millisecond,
+			HostListPoll: 300 * time.Millisecond,
+			HealthProbe:  100 * time.Millisecond,
+			HealthBound:  400 * time.Millisecond,
+			OrderTimeout: 2 * time.Second,
+			Isolation:    5 * time.Second,
+			ShareVoid:    6 * time.Second,
+			DrainTimeout: 20 * time.Second,
+		},
+	}
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// live returns the nodes that neither were killed nor are stopping.
+func (f *fleet) live() []*fleetNode {
+	var live []*fleetNode
+	for _, n := range f.nodes {
+		if !n.killed && !n.stopped {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+// close ends everything and waits for it.
+func (f *fleet) close() {
+	f.cancel()
+	for _, n := range f.nodes {
+		if !n.killed {
+			<-n.done
+		}
+	}
+	for _, e := range f.engines {
+		e.engine.Close()
+	}
+	if f.service != nil {
+		f.service.Close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.duties.Wait()
+}
