Schedule by rank, floor and account instead of first come

Cause: first come, first served lets a flood of digests hold up urgent work. Ranks are now served in strict order above floors, accounts by deficit round robin with sparse accounts first; requests that would wait too long are refused at Offer, and preemptible runs give way to urgent requests.

--- /dev/null
+++ b/internal/request/queue/floor.go
@@ -0,0 +1,97 @@
+package queue
+
+import (
+	"cmp"
+	"time"
+)
+
+// maxCatchUp bounds, as a multiple of its floor, the part of the running work
+// that a rank gets to make up for a window in which it fell short.
+const maxCatchUp = 1.5
+
+func compareRanks(a, b *rankState) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Name, b.Name))
+}
+
+// nextRank returns the rank that gets the next free slot, and why: one that
+// falls short of its floor, else the most urgent. It is nil without work.
+func (s *Scheduler) nextRank(now time.Time) (*rankState, Reason) {
+	var first, short *rankState
+	var shortest float64
+	throughput := s.throughput()
+	for _, r := range s.ranks {
+		if r.dispatchable() == 0 {
+			continue
+		}
+		if first == nil {
+			first = r
+		}
+		level, below := s.floorLevel(r, throughput, now)
+		if below && (short == nil || level < shortest) {
+			short, shortest = r, level
+		}
+	}
+	if short != nil && short != first {
+		return short, ReasonFloor
+	}
+	return first, ReasonRankOrder
+}
+
+// floorLevel returns the running share of a rank as a multiple of its floor,
+// and whether the rank is due a slot: its running share would fall below the
+// floor, or its share of the window has.
+func (s *Scheduler) floorLevel(r *rankState, throughput float64, now time.Time) (float64, bool) {
+	if r.FloorShare <= 0 {
+		return 0, false
+	}
+	speed := s.speed(r)
+	level := float64(r.running.Len()-r.preempting) * speed / (r.FloorShare * (throughput + speed))
+	if level < 1 {
+		return level, true
+	}
+	return level, level < maxCatchUp && s.windowShare(r, now) < r.FloorShare
+}
+
+// windowShare returns the rank's share of the tokens since its backlog
+// began, at most over the window; 1 before any token.
+func (s *Scheduler) windowShare(r *rankState, now time.Time) float64 {
+	total := s.total.since(r.backlogSince, now)
+	if total == 0 {
+		return 1
+	}
+	return float64(r.window.since(r.backlogSince, now)) / float64(total)
+}
+
+// throughput is the expected rate of all running requests, in tokens a
+// second.
+func (s *Scheduler) throughput() float64 {
+	sum := 0.0
+	for _, r := range s.ranks {
+		sum += float64(r.running.Len()-r.preempting) * s.speed(r)
+	}
+	return sum
+}
+
+// speed returns the expected rate of one running request of a rank, in
+// tokens a second.
+func (s *Scheduler) speed(r *rankState) float64 {
+	if r.speed.value > 0 {
+		return r.speed.value
+	}
+	for _, other := range s.ranks {
+		if other.speed.value > 0 {
+			return other.speed.value
+		}
+	}
+	return 1
+}
+
+// runningShare returns the part of the throughput that a rank has after
+// losing some running requests.
+func (s *Scheduler) runningShare(r *rankState, lost int) float64 {
+	throughput := s.throughput()
+	if throughput == 0 {
+		return 0
+	}
+	return float64(r.running.Len()-r.preempting-lost) * s.speed(r) / throughput
+}
--- a/internal/request/queue/scheduler.go
+++ b/internal/request/queue/scheduler.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"container/list"
 	"net/http"
 	"slices"
 	"time"
@@ -8,139 +9,256 @@
 	"currantladder.example/currantladder/internal/request/refusal"
 )
 
-// Scheduler orders requests over the groups of one home node. It is not safe
-// for concurrent use.
-type Scheduler struct {
-	ranks   []Rank
-	groups  map[string]*groupState
-	waiting []Request
-	running map[string]string // request ID -> group
-}
+// maxCostTokens bounds the estimate of one request.
+const maxCostTokens = 1 << 32
 
-type groupState struct {
-	slots int
-	used  int
+// Scheduler orders requests over the groups of one home node. Ranks are
+// served in strict order above their floors, and accounts inside a rank by
+// deficit round robin. It is not safe for concurrent use.
+type Scheduler struct {
+	ranks      []*rankState // by priority, the most urgent first
+	byName     map[string]*rankState
+	groups     groupSet
+	queued     map[string]*item
+	running    map[string]*item
+	deadlines  deadlineHeap
+	affinity   *affinity
+	parked     []*item
+	evicted    []Expiry
+	preempting []*item // cancelled runs whose slots are still taken
+	victims    preemptionCounts
+	total      window
+	now        time.Time // of the last event
 }
 
 // New returns a scheduler without ranks or groups.
 func New() *Scheduler {
-	return &Scheduler{groups: map[string]*groupState{}, running: map[string]string{}}
+	return &Scheduler{
+		byName:   map[string]*rankState{},
+		groups:   groupSet{byName: map[string]*groupState{}},
+		queued:   map[string]*item{},
+		running:  map[string]*item{},
+		affinity: newAffinity(),
+		victims:  newPreemptionCounts(),
+	}
 }
 
 // SetRanks replaces the ranks. Queued requests of a removed rank keep waiting
 // behind all others.
 func (s *Scheduler) SetRanks(ranks []Rank, _ time.Time) {
-	s.ranks = slices.Clone(ranks)
-	slices.SortFunc(s.ranks, func(a, b Rank) int { return a.Priority - b.Priority })
-}
-
-// SetGroups replaces the set of groups and their slots. Requests that run in
-// a removed group stay accounted until Finish.
-func (s *Scheduler) SetGroups(groups []Group, _ time.Time) {
-	for _, g := range s.groups {
-		g.slots = 0
+	for _, r := range s.ranks {
+		r.retire()
 	}
-	for _, g := range groups {
-		if s.groups[g.Name] == nil {
-			s.groups[g.Name] = &groupState{}
+	for _, declared := range ranks {
+		r := s.byName[declared.Name]
+		if r == nil {
+			r = newRankState()
+			s.byName[declared.Name] = r
+			s.ranks = append(s.ranks, r)
 		}
-		s.groups[g.Name].slots = g.Slots
+		r.Rank = declared
+		r.declared = true
 	}
+	s.dropRetired()
+	slices.SortFunc(s.ranks, compareRanks)
 }
 
-// Offer queues a request, or refuses it at once: nil means queued.
-func (s *Scheduler) Offer(r Request, _ time.Time) *refusal.Error {
-	if s.rank(r.Rank) == nil {
+// dropRetired forgets undeclared ranks without requests.
+func (s *Scheduler) dropRetired() {
+	s.ranks = slices.DeleteFunc(s.ranks, func(r *rankState) bool {
+		if r.declared || !r.idle() {
+			return false
+		}
+		delete(s.byName, r.Name)
+		return true
+	})
+}
+
+// SetGroups replaces the set of groups and their slots. Requests that run in
+// a removed group stay accounted until Finish.
+func (s *Scheduler) SetGroups(groups []Group, _ time.Time) { s.groups.set(groups) }
+
+// Offer queues a request, or refuses it at once: nil means queued. A resumed
+// request is refused only where its rank is unknown or its ID is in use.
+func (s *Scheduler) Offer(r Request, now time.Time) *refusal.Error {
+	s.now = now
+	rank := s.byName[r.Rank]
+	if rank == nil || (!rank.declared && !r.Resumed) {
 		return refusal.New(refusal.KindUnknownRank, http.StatusBadRequest, "rank "+r.Rank+" is not declared; use a declared rank")
 	}
-	s.waiting = append(s.waiting, r)
+	if s.queued[r.ID] != nil || s.running[r.ID] != nil {
+		return refusal.Unknown(refusal.KindBadRequest, http.StatusConflict, "request "+r.ID+" is already queued or running; use a new request ID")
+	}
+	r.CostTokens = min(max(r.CostTokens, 1), maxCostTokens)
+	if !r.Resumed {
+		if refused := s.admit(rank, &r, now); refused != nil {
+			return refused
+		}
+	}
+	it := &item{Request: r, rank: rank, arrived: now}
+	s.queued[r.ID] = it
+	s.deadlines.add(it)
+	rank.enqueue(it, now)
 	return nil
 }
 
 // Next returns the decisions that follow from the present state. The caller
 // carries them out; assignments count as running from now on.
 func (s *Scheduler) Next(now time.Time) Decisions {
+	s.now = now
 	var d Decisions
-	slices.SortStableFunc(s.waiting, func(a, b Request) int { return s.priority(a.Rank) - s.priority(b.Rank) })
-	var rest []Request
-	for _, r := range s.waiting {
-		if !r.Deadline.IsZero() && now.After(r.Deadline) {
-			d.Expire = append(d.Expire, Expiry{r.ID, refusal.New(refusal.KindDeadline, http.StatusGatewayTimeout, "the deadline passed while the request was queued; allow more time or send it later")})
-			continue
+	d.Expire, s.evicted = s.evicted, nil
+	d.Expire = append(d.Expire, s.expire(now)...)
+	s.unpark()
+	for s.groups.hasFree() {
+		rank, reason := s.nextRank(now)
+		if rank == nil {
+			break
 		}
-		group := s.freeGroup(r.Avoid)
-		if group == "" {
-			rest = append(rest, r)
+		it := rank.head()
+		group, hit := s.place(it)
+		if group == nil {
+			rank.park(it)
+			s.parked = append(s.parked, it)
 			continue
 		}
-		s.groups[group].used++
-		s.running[r.ID] = group
-		d.Assign = append(d.Assign, Assignment{RequestID: r.ID, Group: group})
+		s.start(it, group, hit, reason, now)
+		d.Assign = append(d.Assign, Assignment{RequestID: it.ID, Group: group.name, PrefixHit: hit})
 	}
-	s.waiting = rest
+	d.Preempt = s.preempt(now)
 	return d
 }
 
 // Progress accounts tokens that a running request has used since its last
 // Progress call.
-func (s *Scheduler) Progress(id string, tokens int64, now time.Time) {}
+func (s *Scheduler) Progress(id string, tokens int64, now time.Time) {
+	s.now = now
+	it := s.running[id]
+	if it == nil || tokens <= 0 {
+		return
+	}
+	s.total.add(tokens, it.accounted, now)
+	it.rank.use(it, tokens, now)
+}
 
 // Finish frees the slot of a running request. tokens is the total that it
 // used in this run, against which the estimate is settled.
-func (s *Scheduler) Finish(id string, tokens int64, _ time.Time) {
-	group, ok := s.running[id]
-	if !ok {
+func (s *Scheduler) Finish(id string, tokens int64, now time.Time) {
+	s.now = now
+	it := s.running[id]
+	if it == nil {
 		return
 	}
+	s.Progress(id, tokens-it.used, now)
 	delete(s.running, id)
-	s.groups[group].used--
+	s.groups.giveBack(it.group)
+	it.rank.finish(it, now)
+	if it.preempting {
+		s.preempting = slices.DeleteFunc(s.preempting, func(other *item) bool { return other == it })
+	} else {
+		s.victims.forget(id)
+	}
+	if !it.rank.declared {
+		s.dropRetired()
+	}
 }
 
 // Cancel removes a queued request whose caller has gone; it reports whether
 // the request was still queued.
 func (s *Scheduler) Cancel(id string, _ time.Time) bool {
-	before := len(s.waiting)
-	s.waiting = slices.DeleteFunc(s.waiting, func(r Request) bool { return r.ID == id })
-	return len(s.waiting) < before
+	it := s.queued[id]
+	if it == nil {
+		return false
+	}
+	s.remove(it)
+	s.victims.forget(id)
+	return true
 }
 
 // NextWake returns when Next must be called even without an event, for
-// deadlines and windows; zero means never.
+// deadlines and preemption; zero means never.
 func (s *Scheduler) NextWake(now time.Time) time.Time {
 	var wake time.Time
-	for _, r := range s.waiting {
-		if !r.Deadline.IsZero() && (wake.IsZero() || r.Deadline.Before(wake)) {
-			wake = r.Deadline
-		}
+	if len(s.evicted) > 0 {
+		return now
+	}
+	if len(s.deadlines) > 0 {
+		wake = s.deadlines[0].Deadline
+	}
+	if at := s.preemptionWake(now); !at.IsZero() && (wake.IsZero() || at.Before(wake)) {
+		wake = at
 	}
 	return wake
 }
 
 // Queued returns the number of queued requests.
-func (s *Scheduler) Queued() int { return len(s.waiting) }
+func (s *Scheduler) Queued() int { return len(s.queued) }
 
-func (s *Scheduler) rank(name string) *Rank {
-	for i := range s.ranks {
-		if s.ranks[i].Name == name {
-			return &s.ranks[i]
-		}
+// start binds a queued item to a group.
+func (s *Scheduler) start(it *item, group *groupState, hit int, reason Reason, now time.Time) {
+	delete(s.queued, it.ID)
+	s.deadlines.drop(it)
+	it.rank.start(it, now)
+	it.group = group
+	it.hit = hit
+	it.reason = reason
+	s.groups.take(group)
+	s.running[it.ID] = it
+	s.affinity.record(it.Prefix, group.name)
+}
+
+// remove takes an item out of the queue.
+func (s *Scheduler) remove(it *item) {
+	delete(s.queued, it.ID)
+	s.deadlines.drop(it)
+	if it.parked {
+		s.parked = slices.DeleteFunc(s.parked, func(other *item) bool { return other == it })
 	}
-	return nil
+	it.rank.dequeue(it)
+	it.rank.release(it.account)
 }
 
-func (s *Scheduler) priority(name string) int {
-	if rank := s.rank(name); rank != nil {
-		return rank.Priority
+// expire removes the queued requests whose deadline has passed.
+func (s *Scheduler) expire(now time.Time) []Expiry {
+	var expired []Expiry
+	for len(s.deadlines) > 0 && !now.Before(s.deadlines[0].Deadline) {
+		it := s.deadlines[0]
+		s.remove(it)
+		s.victims.forget(it.ID)
+		expired = append(expired, Expiry{RequestID: it.ID, Refusal: deadlineRefusal(it, now)})
 	}
-	return int(^uint(0) >> 1)
+	return expired
 }
 
-func (s *Scheduler) freeGroup(avoid []string) string {
-	best, bestFree := "", 0
-	for name, g := range s.groups {
-		if free := g.slots - g.used; free > bestFree && !slices.Contains(avoid, name) {
-			best, bestFree = name, free
+// unpark puts parked items that may use a free group back in their queues.
+func (s *Scheduler) unpark() {
+	if len(s.parked) == 0 || !s.groups.hasFree() {
+		return
+	}
+	var still []*item
+	for _, it := range slices.Backward(s.parked) {
+		if s.groups.order.mostFree(it.Avoid) == nil {
+			still = append(still, it)
+			continue
 		}
+		it.rank.unpark(it)
 	}
-	return best
+	slices.Reverse(still)
+	s.parked = still
 }
+
+// place returns the free group that an item runs in, with the number of
+// prefix blocks expected there, or nil.
+func (s *Scheduler) place(it *item) (*groupState, int) {
+	name, hit := s.affinity.best(it.Prefix, func(group string) bool {
+		g := s.groups.byName[group]
+		return g != nil && g.free() > 0 && !slices.Contains(it.Avoid, group)
+	})
+	if name != "" {
+		return s.groups.byName[name], hit
+	}
+	return s.groups.order.mostFree(it.Avoid), 0
+}
+
+// oldest returns the queued item of a list of arrivals that came first.
+func oldest(arrivals *list.List) *item { return arrivals.Front().Value.(*item) }
--- a/internal/request/queue/types.go
+++ b/internal/request/queue/types.go
@@ -72,6 +72,6 @@
 
 // Explanation tells why the scheduler decided as it did.
 type Explanation struct {
-	Reason  string
+	Reason  Reason
 	Message string
 }
