--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -27,6 +27,11 @@
 	ConfigCompacted = Event{1107, logrus.InfoLevel, "old configuration log entries deleted"}
 )
 
+// Events of the resource API, 1150 to 1199.
+var (
+	OperatorRefused = Event{1150, logrus.WarnLevel, "operator request without a valid token refused"}
+)
+
 // Events of leases, 1200 to 1249.
 var (
 	LeaseStarted       = Event{1201, logrus.InfoLevel, "session started"}
@@ -92,4 +97,10 @@
 	ClaimsSwept,
 	ClaimNotKept,
 	CrashSuspectAdded,
+	NodeStarted, NodeReady, NodeStopping, NodeStopped, NodeIsolated, NodeRejoined,
+	ConfigApplied, ConfigAccepted, ConfigLagging, ConfigCaughtUp, ConfigLoaded, ConfigHeadLower, ConfigCompacted,
+	OperatorRefused,
+	LeaseStarted, LeaseRenewalFailed, LeaseLost, LeaseReleased, OwnershipAcquired, OwnershipLost,
+	GroupStep, GroupStepFailed, OrderFailed, OrderStale,
+	SharesReclaimed, SharesVoid, SharesReturned, ClaimsSwept, ClaimNotKept, CrashSuspectAdded,
 }
