Run load, failures and promise checks in the demonstration

Cause: the demo must show the promises, and say which were not exercised. Ruled out: counting a promise without observations as kept.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -75,11 +75,13 @@
 	platformURL string
 	engines     []*engineHost
 	service     *service.Service
-	nodes       []*fleetNode
 	servers     []*http.Server
 	ctx         context.Context
 	cancel      context.CancelFunc
 	duties      sync.WaitGroup
+
+	mu    sync.Mutex
+	nodes []*fleetNode
 }
 
 // fleetNode is one running entry node.
@@ -216,7 +218,9 @@
 	}
 	ctx, stop := context.WithCancel(f.ctx)
 	running := &fleetNode{name: name, node: started, stop: stop, done: make(chan struct{})}
+	f.mu.Lock()
 	f.nodes = append(f.nodes, running)
+	f.mu.Unlock()
 	go func() {
 		defer close(running.done)
 		_ = started.Run(ctx)
@@ -264,6 +268,8 @@
 
 // live returns the nodes that neither were killed nor are stopping.
 func (f *fleet) live() []*fleetNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var live []*fleetNode
 	for _, n := range f.nodes {
 		if !n.killed && !n.stopped {
@@ -273,6 +279,26 @@
 	return live
 }
 
+// kill ends a node as a crash would.
+func (f *fleet) kill(n *fleetNode) {
+	f.mu.Lock()
+	n.killed = true
+	f.mu.Unlock()
+	n.node.Kill()
+	f.platform.ChangeHost(platform.HostChange{Drop: n.name})
+}
+
+// stopNode stops a node gracefully and waits for its end. The balancer takes
+// it out as soon as its readiness fails.
+func (f *fleet) stopNode(n *fleetNode) {
+	f.mu.Lock()
+	n.stopped = true
+	f.mu.Unlock()
+	n.stop()
+	<-n.done
+	f.platform.ChangeHost(platform.HostChange{Drop: n.name})
+}
+
 // close ends everything and waits for it.
 func (f *fleet) close() {
 	f.cancel()
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -60,11 +60,6 @@
 	CrashSuspectAdded = Event{1706, logrus.WarnLevel, "request fingerprint reached the crash limit and is refused"}
 )
 
-// Events of the resource API, 1150 to 1199.
-var (
-	OperatorRefused = Event{1150, logrus.WarnLevel, "operator request without a valid token refused"}
-)
-
 // Catalogue lists every event in number order.
 var Catalogue = []Event{
 	NodeStarted,
--- /dev/null
+++ b/internal/process/node/inspect.go
@@ -0,0 +1,32 @@
+package node
+
+import "time"
+
+// OpenGroup is a replica group that this node serves as its home now.
+type OpenGroup struct {
+	Group      string
+	Generation int64
+	Members    []string
+}
+
+// OpenGroups returns the groups whose gate is open at this node.
+func (n *Node) OpenGroups() []OpenGroup {
+	plan := n.router.plan.Load()
+	if plan == nil {
+		return nil
+	}
+	snap := n.follower.Current()
+	var open []OpenGroup
+	targets := targetsOf(plan, snap, n.roster.Hosts(), n.health.Observation, n.settings.Timing.HealthBound, time.Now())
+	for _, list := range targets {
+		for _, target := range list {
+			if target.Slots > 0 && !target.Draining {
+				open = append(open, OpenGroup{Group: target.Group, Generation: target.Generation, Members: snap.Placements[target.Group].Members})
+			}
+		}
+	}
+	return open
+}
+
+// AppliedRevision returns the configuration revision in force at this node.
+func (n *Node) AppliedRevision() int64 { return n.follower.Current().Revision }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -69,7 +69,6 @@
 	mu       sync.Mutex
 	leaving  bool
 	sessions []lease.SessionRow
-	isolated bool
 
 	// duties ends the background duties; work ends running requests.
 	dutiesCtx context.Context
