--- /dev/null
+++ b/internal/connection/endpoint/orders.go
@@ -0,0 +1,93 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// maxStateBytes bounds a state that is read back.
+const maxStateBytes = 1 << 20
+
+// StaleOrderError reports that a host refused an order with an old fencing
+// token.
+type StaleOrderError struct {
+	Address string
+	Epoch   int64
+	Highest int64
+}
+
+// Error implements error.
+func (e *StaleOrderError) Error() string {
+	return fmt.Sprintf("endpoint %s has accepted epoch %d and refuses an order of epoch %d; another controller owns the group", e.Address, e.Highest, e.Epoch)
+}
+
+// OrderClient sends orders to engines and reads their state. It is safe for
+// concurrent use; every call ends with its context.
+type OrderClient struct{ http *http.Client }
+
+// NewOrderClient returns a client that sends through the given HTTP client.
+func NewOrderClient(client *http.Client) *OrderClient { return &OrderClient{http: client} }
+
+// State reads the state of the engine at the address.
+func (c *OrderClient) State(ctx context.Context, address string) (State, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/state", nil)
+	if err != nil {
+		return State{}, fmt.Errorf("state of endpoint %s: %w", address, err)
+	}
+	return c.do(request, address, 0)
+}
+
+// Send gives the order to the engine at the address and returns the state
+// after it. A *StaleOrderError reports that the order had no effect; after any
+// other error it may have had one.
+func (c *OrderClient) Send(ctx context.Context, address string, order Order) (State, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return State{}, fmt.Errorf("order to endpoint %s: %w", address, err)
+	}
+	// The reader type hides the body from net/http, so that an order is never
+	// sent a second time on a broken connection.
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/orders", struct{ io.Reader }{bytes.NewReader(body)})
+	if err != nil {
+		return State{}, fmt.Errorf("order to endpoint %s: %w", address, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.ContentLength = int64(len(body))
+	return c.do(request, address, order.Epoch)
+}
+
+func (c *OrderClient) do(request *http.Request, address string, epoch int64) (State, error) {
+	answer, err := c.http.Do(request)
+	if err != nil {
+		return State{}, fmt.Errorf("endpoint %s: %w", address, err)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxStateBytes))
+	if err != nil {
+		return State{}, fmt.Errorf("endpoint %s: %w", address, err)
+	}
+	switch answer.StatusCode {
+	case http.StatusOK:
+		return decodeState(address, body)
+	case http.StatusConflict:
+		var stale StaleOrder
+		if err := json.Unmarshal(body, &stale); err != nil {
+			return State{}, fmt.Errorf("endpoint %s: decode refusal: %w", address, err)
+		}
+		return State{}, &StaleOrderError{Address: address, Epoch: epoch, Highest: stale.HighestEpoch}
+	default:
+		return State{}, fmt.Errorf("endpoint %s: status %d", address, answer.StatusCode)
+	}
+}
+
+func decodeState(address string, body []byte) (State, error) {
+	var state State
+	if err := json.Unmarshal(body, &state); err != nil {
+		return State{}, fmt.Errorf("endpoint %s: decode state: %w", address, err)
+	}
+	return state, nil
+}
--- a/internal/process/lease/write.go
+++ b/internal/process/lease/write.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -20,11 +21,18 @@
 	}
 	if err == nil {
 		k.contact()
+	}
+	if err == nil && expect > 0 {
 		return expect + 1, nil
 	}
+	// The version after an insertion is the service's to choose, because it
+	// may go on counting from a deleted row.
 	row, readErr := k.store.Get(ctx, key)
-	if readErr != nil || row.Nonce != nonce {
-		return 0, err
+	if readErr != nil {
+		return 0, errors.Join(err, readErr)
+	}
+	if row.Nonce != nonce {
+		return 0, cmp.Or(err, error(&table.ConflictError{Keys: []string{key}}))
 	}
 	return row.Version, nil
 }
--- a/internal/version/placement/fault.go
+++ b/internal/version/placement/fault.go
@@ -111,8 +111,6 @@
 		return fault{symptomLeaving, now, "MemberLeaving", fmt.Sprintf("member %s is leaving", name)}
 	case h.Drain:
 		return fault{symptomLeaving, now, "MemberDrained", fmt.Sprintf("an operator drains member %s", name)}
-	case !h.Observed:
-		return fault{symptomUnready, now, "MemberUnseen", fmt.Sprintf("member %s was not probed yet", name)}
 	case !h.ready(p.targetOf(placement)):
 		return fault{symptomUnready, placement.Changed, "MemberNotReady", fmt.Sprintf("member %s is %s and does not hold generation %d", name, h.State.State, placement.Generation)}
 	case !h.SlowSince.IsZero() && now.Sub(h.SlowSince) >= p.in.Policy.StragglerAfter:
--- a/internal/version/placement/plan.go
+++ b/internal/version/placement/plan.go
@@ -188,7 +188,7 @@
 	}
 	var releases []string
 	for _, h := range p.claimed[g.Name] {
-		if h.Claim.Generation == generation+1 && g.Placement != nil {
+		if placed(g) && h.Claim.Generation == generation+1 {
 			continue
 		}
 		if g.Placement != nil && slices.Contains(g.Placement.Members, h.Name) {
@@ -242,6 +242,7 @@
 // empty returns the group's placement without members.
 func (p *planner) empty(g *Group, reason, message string) *object.Placement {
 	next := *g.Placement
+	next.Generation = p.nextGeneration(g)
 	next.Members = nil
 	next.FabricDomain = ""
 	next.Phase = object.PhaseForming
--- a/internal/version/placement/repair.go
+++ b/internal/version/placement/repair.go
@@ -18,6 +18,10 @@
 
 // maintain plans a group that has members of the declared model.
 func (p *planner) maintain(g *Group, all []Group) {
+	if name := p.unseen(g); name != "" {
+		p.wait(g, p.in.Now.Add(p.in.Policy.Grace), "MemberUnseen", "member "+name+" was not probed yet")
+		return
+	}
 	lost := p.lost(g)
 	staged := p.staged(g)
 	if len(lost) > 0 {
@@ -36,6 +40,17 @@
 	p.open(g, staged)
 }
 
+// unseen returns a listed member of which nothing is known yet, or "". A
+// controller that has just started must not judge before it has looked.
+func (p *planner) unseen(g *Group) string {
+	for _, name := range g.Placement.Members {
+		if h := p.hosts[name]; h != nil && h.Listed && !h.Observed && h.Failed.IsZero() {
+			return name
+		}
+	}
+	return ""
+}
+
 // open lets the group serve and frees replacements that it no longer needs.
 func (p *planner) open(g *Group, staged map[int]*Host) {
 	releases := stagedNames(staged)
