--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -147,6 +147,27 @@
 	return e.state
 }
 
+// Load returns what GET /v1/load answers.
+func (e *Engine) Load() endpoint.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reports.read(time.Now())
+}
+
+// CacheEvents returns what GET /v1/cache/events answers.
+func (e *Engine) CacheEvents(from int64) endpoint.CacheEvents {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.events.page(from, time.Now())
+}
+
+// Export returns the cache of a recent stream, if there is one.
+func (e *Engine) Export(requestID string) (endpoint.KVExport, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.kv.get(requestID)
+}
+
 // Alive reports whether the engine is neither crashed nor closed.
 func (e *Engine) Alive() bool {
 	e.mu.Lock()
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -90,10 +90,7 @@
 }
 
 func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	load := e.reports.read(time.Now())
-	e.mu.Unlock()
-	jsonhttp.Write(w, http.StatusOK, load)
+	jsonhttp.Write(w, http.StatusOK, e.Load())
 }
 
 func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
@@ -102,16 +99,11 @@
 		jsonhttp.Fail(w, http.StatusBadRequest, "from: "+err.Error())
 		return
 	}
-	e.mu.Lock()
-	page := e.cache.events.page(from, time.Now())
-	e.mu.Unlock()
-	jsonhttp.Write(w, http.StatusOK, page)
+	jsonhttp.Write(w, http.StatusOK, e.CacheEvents(from))
 }
 
 func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	export, ok := e.kv.get(r.PathValue("id"))
-	e.mu.Unlock()
+	export, ok := e.Export(r.PathValue("id"))
 	if !ok {
 		jsonhttp.Fail(w, http.StatusNotFound, "no cache of stream "+r.PathValue("id"))
 		return
