--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -12,7 +12,7 @@
 	NodeRejoined = Event{1006, logrus.InfoLevel, "node reaches the table service or a peer again"}
 )
 
-// Events of configuration, 1100 to 1199.
+// Events of configuration, 1100 to 1149.
 var (
 	ConfigApplied  = Event{1101, logrus.InfoLevel, "configuration revision applied"}
 	ConfigAccepted = Event{1102, logrus.InfoLevel, "configuration change accepted"}
@@ -27,6 +27,11 @@
 	ConfigCompacted = Event{1107, logrus.InfoLevel, "old configuration log entries deleted"}
 )
 
+// Events of the resource API, 1150 to 1199.
+var (
+	OperatorRefused = Event{1150, logrus.WarnLevel, "operator request without a valid token refused"}
+)
+
 // Events of leases, 1200 to 1249.
 var (
 	LeaseStarted       = Event{1201, logrus.InfoLevel, "session started"}
@@ -45,10 +50,57 @@
 	OrderStale      = Event{1254, logrus.WarnLevel, "endpoint refused an order with an old fencing token"}
 )
 
+// Events of caps and claims, 1700 to 1799.
+var (
+	SharesReclaimed   = Event{1701, logrus.WarnLevel, "cap shares of a dead node were reclaimed"}
+	SharesVoid        = Event{1702, logrus.WarnLevel, "node gave up its cap shares: neither the table service nor the host list knows it as live"}
+	SharesReturned    = Event{1703, logrus.InfoLevel, "node may use its cap shares again"}
+	ClaimsSwept       = Event{1704, logrus.InfoLevel, "old claims were removed"}
+	ClaimNotKept      = Event{1705, logrus.WarnLevel, "answer of a claimed call was too large to record"}
+	CrashSuspectAdded = Event{1706, logrus.WarnLevel, "request fingerprint reached the crash limit and is refused"}
+)
+
+// Events of the resource API, 1150 to 1199.
+var (
+	OperatorRefused = Event{1150, logrus.WarnLevel, "operator request without a valid token refused"}
+)
+
 // Catalogue lists every event in number order.
 var Catalogue = []Event{
+	NodeStarted,
+	NodeReady,
+	NodeStopping,
+	NodeStopped,
+	NodeIsolated,
+	NodeRejoined,
+	ConfigApplied,
+	ConfigAccepted,
+	ConfigLagging,
+	ConfigCaughtUp,
+	ConfigLoaded,
+	ConfigHeadLower,
+	ConfigCompacted,
+	OperatorRefused,
+	LeaseStarted,
+	LeaseRenewalFailed,
+	LeaseLost,
+	LeaseReleased,
+	OwnershipAcquired,
+	OwnershipLost,
+	GroupStep,
+	GroupStepFailed,
+	OrderFailed,
+	OrderStale,
+	SharesReclaimed,
+	SharesVoid,
+	SharesReturned,
+	ClaimsSwept,
+	ClaimNotKept,
+	CrashSuspectAdded,
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, NodeIsolated, NodeRejoined,
 	ConfigApplied, ConfigAccepted, ConfigLagging, ConfigCaughtUp, ConfigLoaded, ConfigHeadLower, ConfigCompacted,
+	OperatorRefused,
 	LeaseStarted, LeaseRenewalFailed, LeaseLost, LeaseReleased, OwnershipAcquired, OwnershipLost,
 	GroupStep, GroupStepFailed, OrderFailed, OrderStale,
+	SharesReclaimed, SharesVoid, SharesReturned, ClaimsSwept, ClaimNotKept, CrashSuspectAdded,
 }
