Wire group controllers, metrics registry and load settings

Cause: groups did not form; every node's metrics used one global registry. Ruled out: the default registerer, which panics with a second node in the process. Change: groupcontrol manager in the node, load_time and concurrent_loads in [platform], one metrics registry a node.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -243,7 +243,7 @@
 		Callers:   listener,
 		Peers:     settings.Peers{Listener: listener, Key: peerKey},
 		Operators: settings.Operators{Listener: listener, Users: map[string]string{operatorName: hashOf(operatorToken)}},
-		Platform:  settings.Platform{URL: platformURL, CallTimeout: 2 * time.Second},
+		Platform:  settings.Platform{URL: platformURL, CallTimeout: 2 * time.Second, LoadTime: loadDelay, ConcurrentLoads: groupCount},
 		Timing: settings.Timing{
 			LeaseTTL:     4 * time.Second,
 			LeaseRenew:   time.Second,
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -28,12 +29,14 @@
 
 // New returns metrics whose names start with "currantladder".
 func New(node string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "currantladder",
-		Tags:           map[string]string{"node": node},
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:          "currantladder",
+		Tags:            map[string]string{"node": node},
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportPeriod)
 	return &Metrics{scope: scope, closer: closer, reporter: reporter}
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -32,6 +32,8 @@
 	"currantladder.example/currantladder/internal/request/share"
 	"currantladder.example/currantladder/internal/request/suspect"
 	"currantladder.example/currantladder/internal/version/configlog"
+	"currantladder.example/currantladder/internal/version/groupcontrol"
+	"currantladder.example/currantladder/internal/version/placement"
 )
 
 // Node is one entry node.
@@ -51,6 +53,7 @@
 	acceptor *configlog.Acceptor
 	follower *configlog.Follower
 	sweeper  *configlog.Sweeper
+	groups   *groupcontrol.Manager
 	shares   *share.Manager
 	claims   *claim.Store
 	budget   *retryBudget
@@ -153,8 +156,28 @@
 	n.acceptor = configlog.NewAcceptor(n.store, n.log)
 	n.follower = configlog.NewFollower(n.store, source, s.Timing.HeadPoll, n.log)
 	n.sweeper = configlog.NewSweeper(n.store, keptRevisions, sweepPeriod, n.log)
+	probeClient := &http.Client{}
+	n.groups = groupcontrol.NewManager(groupcontrol.Options{
+		Node:         s.Node.Name,
+		Store:        n.store,
+		Log:          n.acceptor,
+		View:         n.follower,
+		Leases:       n.keeper,
+		Hosts:        n.roster,
+		Orders:       endpoint.NewOrderClient(probeClient),
+		Probe:        health.HTTPProbe(probeClient),
+		Health:       health.Options{Period: s.Timing.HealthProbe, Timeout: s.Timing.HealthProbe},
+		Policy:       placement.DefaultPolicy(s.Platform.LoadTime, s.Platform.ConcurrentLoads),
+		Period:       controlPeriod,
+		OrderTimeout: s.Timing.OrderTimeout,
+		Events:       n.log,
+		Scope:        n.metrics.Scope().SubScope("groups"),
+	})
 }
 
+// controlPeriod is the time between two looks of a controller at every group.
+const controlPeriod = time.Second
+
 // Bounds of the configuration log.
 const (
 	// keptRevisions is the number of log entries that are kept.
@@ -342,7 +365,7 @@
 func (n *Node) startDuties() {
 	for _, duty := range []func(context.Context){
 		n.keeper.Run, n.roster.Run, n.health.Run, n.members.Run, n.follower.Run, n.sweeper.Run,
-		n.shares.Run, n.claims.Run, n.planDuty, n.sessionDuty,
+		n.groups.Run, n.shares.Run, n.claims.Run, n.planDuty, n.sessionDuty,
 	} {
 		n.duties.Go(func() { duty(n.dutiesCtx) })
 	}
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -105,10 +105,15 @@
 	}
 }
 
+// maxConcurrentLoads bounds the setting concurrent_loads, in groups.
+const maxConcurrentLoads = 1000
+
 func platformKeys() []key {
 	return []key{
 		{section: sectionPlatform, name: "url", required: true, unit: "URL", meaning: "base URL of the table service, host list and object store", parse: parseURL(func(s *Settings) *string { return &s.Platform.URL })},
 		{section: sectionPlatform, name: "call_timeout", fallback: "2s", unit: "duration", meaning: "bound of one call to the platform", parse: parseDuration(func(s *Settings) *time.Duration { return &s.Platform.CallTimeout }, minPeriod, maxPeriod)},
+		{section: sectionPlatform, name: "load_time", fallback: "1m", unit: "duration", meaning: "expected time to load the weights of one replica group", parse: parseDuration(func(s *Settings) *time.Duration { return &s.Platform.LoadTime }, minPeriod, maxPeriod)},
+		{section: sectionPlatform, name: "concurrent_loads", fallback: "4", unit: "groups", meaning: "replica groups of one failure domain that may load weights at the same time", parse: parseInteger(func(s *Settings) *int { return &s.Platform.ConcurrentLoads }, 1, maxConcurrentLoads)},
 	}
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -64,6 +64,11 @@
 	URL string
 	// CallTimeout bounds one call.
 	CallTimeout time.Duration
+	// LoadTime is the expected time to load the weights of one group.
+	LoadTime time.Duration
+	// ConcurrentLoads is the number of groups of one failure domain that may
+	// load weights at the same time.
+	ConcurrentLoads int
 }
 
 // Timing holds periods and timeouts.
