Keep an account while one of its requests is parked

Cause: a request that avoids every free group is parked; its account, then without a queue, was dropped at the next turn of the ring, and unparking fixed the heap at a stale index (panic in the demo after a member died). Ruled out: dropping parked requests; they wait for a group that may come. Change: accounts count parked requests and stay until there are none. Conclusion: mended.

--- a/internal/request/queue/account.go
+++ b/internal/request/queue/account.go
@@ -25,7 +25,10 @@
 	ringElement *list.Element
 	inNew       bool
 	running     int
-	sizeIndex   int
+	// parked counts requests that were set aside because they avoid every
+	// free group.
+	parked    int
+	sizeIndex int
 }
 
 func (a *account) queued() int { return a.resumed.Len() + a.fresh.Len() }
--- a/internal/request/queue/rank.go
+++ b/internal/request/queue/rank.go
@@ -83,7 +83,7 @@
 
 // release forgets an account without work or turn.
 func (r *rankState) release(a *account) {
-	if a.queued() > 0 || a.running > 0 || a.ringElement != nil {
+	if a.queued() > 0 || a.parked > 0 || a.running > 0 || a.ringElement != nil {
 		return
 	}
 	if r.accounts[a.name] == a {
@@ -126,6 +126,7 @@
 	r.queuedTokens -= it.CostTokens
 	if it.parked {
 		it.parked = false
+		it.account.parked--
 		r.parked--
 		return
 	}
@@ -145,12 +146,14 @@
 func (r *rankState) park(it *item) {
 	r.unlink(it)
 	it.parked = true
+	it.account.parked++
 	r.parked++
 }
 
 // unpark puts an item back in front of its account's queue.
 func (r *rankState) unpark(it *item) {
 	it.parked = false
+	it.account.parked--
 	r.parked--
 	a := it.account
 	it.accountElement = a.list(it).PushFront(it)
