Send queued requests back when a home has no open group

Requests that avoid a failed group also waited for ever when it was the only one left. Ruled out: the drain timeout (20 s) being too short; nothing ran meanwhile. Change: a pool without open slots refuses its queue with ran: no, and entries look for a new home; the scheduler sees group@generation, so a repaired group is no longer avoided; groups with a leaving member drain for 3 s.

--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -3,10 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"currantladder.example/currantladder/internal/version/object"
 )
 
 // Range and precision of the latency histograms.
@@ -98,6 +102,7 @@
 		fmt.Fprintf(w, "group %s: not serving for %v of %v\n", name, s.downtime[name].Round(time.Millisecond), elapsed.Round(time.Millisecond))
 	}
 	reportCaps(w, results, elapsed)
+	reportRefusals(w, results)
 	fmt.Fprintln(w)
 	reportPromises(w, p)
 }
@@ -114,6 +119,28 @@
 	}
 }
 
+// reportRefusals counts refusals by kind and account class.
+func reportRefusals(w io.Writer, results []result) {
+	counts := make(map[string]int)
+	for _, r := range results {
+		if r.outcome != served {
+			counts[fmt.Sprintf("%s %s by %s", r.outcome, r.kind, classOf(r.account))]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(w, "%s: %d\n", name, counts[name])
+	}
+}
+
+func classOf(name string) object.AccountClass {
+	for _, a := range accounts() {
+		if a.name == name {
+			return a.class
+		}
+	}
+	return ""
+}
+
 func reportPromises(w io.Writer, p *promises) {
 	kept := 0
 	for _, one := range p.all() {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -157,6 +157,8 @@
 	n.follower = configlog.NewFollower(n.store, source, s.Timing.HeadPoll, n.log)
 	n.sweeper = configlog.NewSweeper(n.store, keptRevisions, sweepPeriod, n.log)
 	probeClient := &http.Client{}
+	policy := placement.DefaultPolicy(s.Platform.LoadTime, s.Platform.ConcurrentLoads)
+	policy.Drain = groupDrain
 	n.groups = groupcontrol.NewManager(groupcontrol.Options{
 		Node:         s.Node.Name,
 		Store:        n.store,
@@ -167,7 +169,7 @@
 		Orders:       endpoint.NewOrderClient(probeClient),
 		Probe:        health.HTTPProbe(probeClient),
 		Health:       health.Options{Period: s.Timing.HealthProbe, Timeout: s.Timing.HealthProbe},
-		Policy:       placement.DefaultPolicy(s.Platform.LoadTime, s.Platform.ConcurrentLoads),
+		Policy:       policy,
 		Period:       controlPeriod,
 		OrderTimeout: s.Timing.OrderTimeout,
 		Events:       n.log,
@@ -175,6 +177,10 @@
 	})
 }
 
+// groupDrain is how long a group with a leaving member may finish its streams;
+// those that are left resume elsewhere.
+const groupDrain = 3 * time.Second
+
 // controlPeriod is the time between two looks of a controller at every group.
 const controlPeriod = time.Second
 
--- a/internal/request/dispatch/home.go
+++ b/internal/request/dispatch/home.go
@@ -46,6 +46,10 @@
 	Why string
 }
 
+// key names the group and its generation to the scheduler, so that a request
+// which avoids a failed group may run on its next generation.
+func (t Target) key() string { return fmt.Sprintf("%s@%d", t.Group, t.Generation) }
+
 // usable returns the slots for new work.
 func (t Target) usable() int {
 	if t.Draining {
@@ -70,16 +74,16 @@
 
 	mu       sync.Mutex
 	pools    map[string]*pool
-	targets  map[string]map[string]Target // model -> group -> target
-	inFlight map[string]map[string]*run   // group -> request ID -> run
+	targets  map[string]map[string]Target // model -> key -> target
+	inFlight map[string]map[string]*run   // key -> request ID -> run
 	priority map[string]int
 	duties   sync.WaitGroup
 }
 
 // run is one request in flight at a group.
 type run struct {
+	group       string
 	fingerprint uint64
-	generation  int64
 	cancel      context.CancelCauseFunc
 	// reported is true once a crash report has counted the run.
 	reported bool
@@ -127,35 +131,34 @@
 }
 
 func indexTargets(targets []Target) map[string]Target {
-	byGroup := make(map[string]Target, len(targets))
+	byKey := make(map[string]Target, len(targets))
 	for _, target := range targets {
-		byGroup[target.Group] = target
+		byKey[target.key()] = target
 	}
-	return byGroup
+	return byKey
 }
 
 func slotsOf(targets []Target) []queue.Group {
 	groups := make([]queue.Group, 0, len(targets))
 	for _, target := range targets {
-		groups = append(groups, queue.Group{Name: target.Group, Slots: target.usable()})
+		groups = append(groups, queue.Group{Name: target.key(), Slots: target.usable()})
 	}
 	return groups
 }
 
+// cancelClosedLocked cancels the runs of groups whose gate closed or whose
+// generation changed. Groups that moved to another home run to their end.
 func (h *Home) cancelClosedLocked() {
-	open := make(map[string]int64)
-	known := make(map[string]bool)
+	current := make(map[string]Target)
 	for _, targets := range h.targets {
-		for group, target := range targets {
-			known[group] = true
-			if target.Slots > 0 {
-				open[group] = target.Generation
-			}
+		for _, target := range targets {
+			current[target.Group] = target
 		}
 	}
-	for group, runs := range h.inFlight {
+	for key, runs := range h.inFlight {
 		for _, r := range runs {
-			if known[group] && open[group] != r.generation {
+			target, known := current[r.group]
+			if known && (target.Slots == 0 || target.key() != key) {
 				r.cancel(errGateClosed)
 			}
 		}
@@ -251,20 +254,20 @@
 }
 
 // runAssigned runs the request on the group that the scheduler chose.
-func (h *Home) runAssigned(ctx context.Context, p *pool, r peer.HomeRequest, group string, signals <-chan signal, offered time.Time, sink Sink) error {
+func (h *Home) runAssigned(ctx context.Context, p *pool, r peer.HomeRequest, key string, signals <-chan signal, offered time.Time, sink Sink) error {
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	target, open := h.register(r, group, cancel)
+	target, open := h.register(r, key, cancel)
 	if !open {
 		p.finish(h.ctx, r.RequestID, 0)
-		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "replica group "+group+" closed before the request started; send it again")
-		return sink(endFrame(peer.EndRefused, group, refused, false))
+		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "replica group "+key+" closed before the request started; send it again")
+		return sink(endFrame(peer.EndRefused, key, refused, false))
 	}
 	stop := watchPreemption(runCtx, signals, cancel)
 	defer stop()
 	wait := time.Since(offered)
-	if err := sink(peer.Frame{Assigned: &peer.Assigned{Group: group, WaitMillis: wait.Milliseconds()}}); err != nil {
-		h.unregister(group, r.RequestID)
+	if err := sink(peer.Frame{Assigned: &peer.Assigned{Group: key, WaitMillis: wait.Milliseconds()}}); err != nil {
+		h.unregister(key, r.RequestID)
 		p.finish(h.ctx, r.RequestID, 0)
 		return err
 	}
@@ -272,9 +275,9 @@
 	err := h.stream(runCtx, p, r, target, assembler, sink)
 	crashed := err != nil && ctx.Err() == nil && isCrash(runCtx, err)
 	if crashed {
-		h.reportCrash(group, r.RequestID)
+		h.reportCrash(target.Group, key, r.RequestID)
 	}
-	h.unregister(group, r.RequestID)
+	h.unregister(key, r.RequestID)
 	p.finish(h.ctx, r.RequestID, int64(assembler.Next()-r.ResumeIndex))
 	var broken *sinkError
 	switch {
@@ -285,7 +288,7 @@
 	case ctx.Err() != nil:
 		return ctx.Err()
 	}
-	return sink(h.failedFrame(runCtx, group, err, crashed))
+	return sink(h.failedFrame(runCtx, key, err, crashed))
 }
 
 func (h *Home) failedFrame(runCtx context.Context, group string, err error, crashed bool) peer.Frame {
@@ -322,26 +325,26 @@
 	return func() { close(done) }
 }
 
-func (h *Home) register(r peer.HomeRequest, group string, cancel context.CancelCauseFunc) (Target, bool) {
+func (h *Home) register(r peer.HomeRequest, key string, cancel context.CancelCauseFunc) (Target, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	target := h.targets[r.Model][group]
+	target := h.targets[r.Model][key]
 	if target.usable() == 0 {
 		return target, false
 	}
-	if h.inFlight[group] == nil {
-		h.inFlight[group] = make(map[string]*run)
+	if h.inFlight[key] == nil {
+		h.inFlight[key] = make(map[string]*run)
 	}
-	h.inFlight[group][r.RequestID] = &run{fingerprint: r.Fingerprint, generation: target.Generation, cancel: cancel}
+	h.inFlight[key][r.RequestID] = &run{group: target.Group, fingerprint: r.Fingerprint, cancel: cancel}
 	return target, true
 }
 
-func (h *Home) unregister(group, requestID string) {
+func (h *Home) unregister(key, requestID string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.inFlight[group], requestID)
-	if len(h.inFlight[group]) == 0 {
-		delete(h.inFlight, group)
+	delete(h.inFlight[key], requestID)
+	if len(h.inFlight[key]) == 0 {
+		delete(h.inFlight, key)
 	}
 }
 
@@ -420,9 +423,9 @@
 
 // reportCrash reports every request in flight at the group, once for each
 // death: the streams that break after the first one are already counted.
-func (h *Home) reportCrash(group, requestID string) {
+func (h *Home) reportCrash(group, key, requestID string) {
 	h.mu.Lock()
-	runs := h.inFlight[group]
+	runs := h.inFlight[key]
 	if own := runs[requestID]; own == nil || own.reported {
 		h.mu.Unlock()
 		return
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"currantladder.example/currantladder/internal/request/queue"
@@ -21,6 +22,7 @@
 
 // signal tells a request's goroutine what the scheduler decided.
 type signal struct {
+	// group is the scheduler's name of the group, see Target.key.
 	group   string
 	preempt bool
 	refusal *refusal.Error
@@ -169,5 +171,21 @@
 		}
 		p.scheduler.SetRanks(ranks, now)
 		p.scheduler.SetGroups(groups, now)
+		if p.slots == 0 {
+			p.sendBack(now)
+		}
 	})
 }
+
+// sendBack returns every queued request to its entry node, which chooses
+// another home: this one has no group left that takes new work.
+func (p *pool) sendBack(now time.Time) {
+	for id := range p.waiters {
+		if !p.scheduler.Cancel(id, now) {
+			continue
+		}
+		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "the home node has no open group any more; send the request again later")
+		p.notify(id, signal{refusal: refused.After(openRetryAfter)})
+		delete(p.waiters, id)
+	}
+}
