Test the resource API for races, outages and typed errors

Cause: the API had no tests; a wrong method answered 404. Ruled out: a lock in the API, since several nodes accept at once; the object row's resource version decides. Change: tests in virtual time over the platform stand-in, a fuzz target for bodies, and 405 for a known path with another method.

--- a/internal/process/operatorapi/api.go
+++ b/internal/process/operatorapi/api.go
@@ -44,7 +44,7 @@
 	a := &api{deps: deps, auth: authenticator{users: deps.Users}, seen: newTransitions()}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
-	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)
+	app.Configure(iris.WithoutStartupLog, iris.WithFireMethodNotAllowed)
 	a.register(app)
 	if err := app.Build(); err != nil {
 		return nil, fmt.Errorf("build the routes of the operator API: %w", err)
--- /dev/null
+++ b/internal/process/operatorapi/api_test.go
@@ -0,0 +1,354 @@
+package operatorapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/standin/platform"
+	"currantladder.example/currantladder/internal/version/configlog"
+	"currantladder.example/currantladder/internal/version/object"
+	"currantladder.example/currantladder/internal/version/snapshot"
+)
+
+const testToken = "token-of-anna"
+
+type noPeers struct{}
+
+func (noPeers) Log(context.Context, int64) ([]object.Record, error) {
+	return nil, errors.New("no peer")
+}
+
+func (noPeers) Snapshot(context.Context) (*snapshot.Snapshot, error) {
+	return nil, errors.New("no peer")
+}
+
+// fakeFleet implements Nodes, Explainer and Burn.
+type fakeFleet struct{ nodes []Node }
+
+func (f *fakeFleet) Nodes() []Node { return f.nodes }
+
+func (f *fakeFleet) ExplainObject(_ context.Context, key object.Key) ([]peer.Step, error) {
+	return []peer.Step{{Reason: "Placed", Message: key.String()}}, nil
+}
+
+func (f *fakeFleet) ExplainRequest(context.Context, string) ([]peer.Step, error) { return nil, nil }
+
+func (f *fakeFleet) WriteBurn(_ context.Context, w io.Writer, format BurnFormat) error {
+	_, err := fmt.Fprintf(w, "burn as %s", format)
+	return err
+}
+
+// bench is one node's API over a stand-in platform. It needs no sockets.
+type bench struct {
+	t        testing.TB
+	platform *platform.Platform
+	follower *configlog.Follower
+	fleet    *fakeFleet
+	handler  http.Handler
+}
+
+// newBench starts a node's API; it ends with ctx.
+func newBench(ctx context.Context, t testing.TB) *bench {
+	p := platform.New(platform.Options{})
+	acceptor := configlog.NewAcceptor(p.Table, eventlog.Discard())
+	follower := configlog.NewFollower(p.Table, noPeers{}, time.Second, eventlog.Discard())
+	go follower.Run(ctx)
+	fleet := &fakeFleet{}
+	sum := sha256.Sum256([]byte(testToken))
+	handler, err := New(Deps{
+		Users: map[string]string{"anna": hex.EncodeToString(sum[:])}, MaxBodyBytes: 1 << 20, Log: acceptor,
+		Config: follower, Audit: acceptor, Nodes: fleet, Explain: fleet, Burn: fleet, Events: eventlog.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &bench{t: t, platform: p, follower: follower, fleet: fleet, handler: handler}
+}
+
+// do sends a request and decodes its answer into reply, or into an Error.
+func (b *bench) do(method, path, body string, reply any) *Error {
+	b.t.Helper()
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	recorder := httptest.NewRecorder()
+	b.handler.ServeHTTP(recorder, request)
+	if recorder.Code == http.StatusOK {
+		if reply == nil {
+			return nil
+		}
+		if err := json.Unmarshal(recorder.Body.Bytes(), reply); err != nil {
+			b.t.Errorf("%s %s: %v in %s", method, path, err, recorder.Body)
+		}
+		return nil
+	}
+	var failure ErrorBody
+	if err := json.Unmarshal(recorder.Body.Bytes(), &failure); err != nil || failure.Error == nil || failure.Error.Message == "" {
+		b.t.Fatalf("%s %s: answer %d without an error body: %s", method, path, recorder.Code, recorder.Body)
+	}
+	failure.Error.Status = recorder.Code
+	return failure.Error
+}
+
+func (b *bench) must(method, path, body string, reply any) {
+	b.t.Helper()
+	if failure := b.do(method, path, body, reply); failure != nil {
+		b.t.Fatalf("%s %s: %v", method, path, failure)
+	}
+}
+
+func rankJSON(name string, version int64, queueBound int) string {
+	return fmt.Sprintf(`{"kind":"Rank","metadata":{"name":%q,"resourceVersion":%d},"spec":{"firstTokenTargetMillis":670,
+		"interTokenTargetMillis":27,"queueBound":%d,"maxAttempts":%d,"objective":0.9}}`, name, version, queueBound, queueBound)
+}
+
+// inBubble runs the test in virtual time against one node.
+func inBubble(t *testing.T, test func(t *testing.T, b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := newBench(ctx, t)
+		synctest.Wait()
+		test(t, b)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestOperatorRace lets operators change one object at the same version. One
+// wins; the others learn the current version, and no spec is a mix of two.
+func TestOperatorRace(t *testing.T) {
+	const operators, rounds = 8, 20
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.must("PUT", "/api/Rank/urgent", rankJSON("urgent", 0, 1000), nil)
+		for round := range rounds {
+			var before object.Object
+			b.must("GET", "/api/Rank/urgent", "", &before)
+			version := before.Metadata.ResourceVersion
+			failures := make([]*Error, operators)
+			var racers sync.WaitGroup
+			for i := range operators {
+				racers.Go(func() {
+					failures[i] = b.do("PUT", "/api/Rank/urgent", rankJSON("urgent", version, 1+round*operators+i), nil)
+				})
+			}
+			racers.Wait()
+			var after object.Object
+			b.must("GET", "/api/Rank/urgent", "", &after)
+			winner := slices.Index(failures, nil)
+			if winner < 0 {
+				t.Fatalf("round %d: nobody won: %v", round, failures)
+			}
+			for i, failure := range failures {
+				if i == winner {
+					continue
+				}
+				if failure == nil || failure.Kind != ErrorConflict || failure.Current != after.Metadata.ResourceVersion || failure.Accepted != AcceptedNo {
+					t.Fatalf("round %d: operator %d beside winner %d got %+v, want a conflict at version %d", round, i, winner, failure, after.Metadata.ResourceVersion)
+				}
+			}
+			spec := after.Spec.(*object.RankSpec)
+			if want := 1 + round*operators + winner; spec.QueueBound != want || spec.MaxAttempts != want {
+				t.Fatalf("round %d: got %+v, want the winner's spec with %d", round, spec, want)
+			}
+		}
+	})
+}
+
+func TestApplyIsAllOrNothingAndIdempotent(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		failure := b.do("POST", "/api/apply", "["+rankJSON("urgent", 0, 5)+","+rankJSON("Bad", 0, 0)+"]", nil)
+		if failure == nil || failure.Status != http.StatusUnprocessableEntity || len(failure.Faults) != 3 {
+			t.Fatalf("got %v, want three faults", failure)
+		}
+		failure = b.do("POST", "/api/apply", `{"kind":"Rank","metadata":{},"spec":{"hue":1}} {"kind":"Rock"}`, nil)
+		if failure == nil || len(failure.Faults) != 2 {
+			t.Fatalf("got %v, want a fault for each object", failure)
+		}
+		body := rankJSON("urgent", 0, 5) + rankJSON("digest", 0, 6)
+		var dry, first, second ApplyReply
+		b.must("POST", "/api/apply?dryRun=true", body, &dry)
+		b.must("POST", "/api/apply", body, &first)
+		b.must("POST", "/api/apply", body, &second)
+		if len(dry.Changed) != 2 || first.Revision != 1 || len(first.Changed) != 2 {
+			t.Errorf("got %+v after dry run %+v, want both objects at revision 1", first, dry)
+		}
+		if second.Revision != 1 || len(second.Changed) != 0 {
+			t.Errorf("repeated: got %+v, want revision 1 without changes", second)
+		}
+		if failure := b.do("DELETE", "/api/Rank/urgent?resourceVersion=9", "", nil); failure == nil || failure.Current != 1 {
+			t.Errorf("deletion at another version: got %v, want a conflict at version 1", failure)
+		}
+		b.must("DELETE", "/api/Rank/urgent?resourceVersion=1", "", nil)
+		if failure := b.do("DELETE", "/api/Rank/urgent", "", nil); failure == nil || failure.Kind != ErrorNotFound {
+			t.Errorf("second deletion: got %v, want not found", failure)
+		}
+		var audit AuditReply
+		b.must("GET", "/api/audit?after=1", "", &audit)
+		if len(audit.Entries) != 1 || audit.Entries[0].Author != "anna" || audit.Entries[0].Deleted[0] != "Rank/urgent" {
+			t.Errorf("got audit %+v, want anna's deletion", audit)
+		}
+	})
+}
+
+func TestInForceNamesNodesThatLag(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.must("PUT", "/api/Rank/urgent", rankJSON("urgent", 0, 5), nil)
+		status := func(live bool, applied int64) object.NodeStatus {
+			return object.NodeStatus{Live: live, AppliedRevision: applied}
+		}
+		condition := func() object.Condition {
+			var o object.Object
+			b.must("GET", "/api/Rank/urgent?revision=1", "", &o)
+			return *o.Status.Condition(object.ConditionInForce)
+		}
+		if got := condition(); got.Status {
+			t.Errorf("without nodes: got %+v, want false", got)
+		}
+		b.fleet.nodes = []Node{{"utr-1", status(true, 1)}, {"utr-2", status(true, 0)}, {"amf-1", status(false, 0)}}
+		if got := condition(); got.Status || !strings.Contains(got.Message, "utr-2") || strings.Contains(got.Message, "amf-1") {
+			t.Errorf("got %+v, want false with utr-2 alone named", got)
+		}
+		b.fleet.nodes[1].Status.AppliedRevision = 2
+		if got := condition(); !got.Status {
+			t.Errorf("got %+v, want true", got)
+		}
+		var nodes ObjectList
+		b.must("GET", "/api/Node", "", &nodes)
+		if len(nodes.Items) != 3 || nodes.Items[0].Metadata.Name != "amf-1" {
+			t.Errorf("got nodes %+v, want three by name", nodes.Items)
+		}
+	})
+}
+
+// TestStoreOutage tells a change that was not accepted from one that may have
+// been, and reads on from what is in force.
+func TestStoreOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.must("PUT", "/api/Rank/urgent", rankJSON("urgent", 0, 5), nil)
+		b.platform.SetFaults(platform.Faults{Outage: true})
+		failure := b.do("PUT", "/api/Rank/urgent", rankJSON("urgent", 0, 6), nil)
+		if failure == nil || failure.Status != http.StatusServiceUnavailable || failure.Accepted != AcceptedNo {
+			t.Errorf("outage: got %v, want accepted: no", failure)
+		}
+		b.must("GET", "/api/Rank/urgent", "", nil)
+		b.platform.SetFaults(platform.Faults{LoseEvery: 1})
+		var reply ApplyReply
+		b.must("PUT", "/api/Rank/urgent", rankJSON("urgent", 0, 7), &reply)
+		if reply.Revision != 2 {
+			t.Errorf("lost answer: got revision %d, want 2", reply.Revision)
+		}
+		go func() {
+			time.Sleep(time.Millisecond)
+			b.platform.SetFaults(platform.Faults{Pause: true})
+		}()
+		b.platform.SetFaults(platform.Faults{DelayMillis: 10})
+		failure = b.do("PUT", "/api/Rank/urgent", rankJSON("urgent", 0, 8), nil)
+		if failure == nil || failure.Status != http.StatusServiceUnavailable {
+			t.Errorf("paused store: got %v, want 503", failure)
+		}
+	})
+}
+
+func TestWatch(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		var reply WatchReply
+		var watcher sync.WaitGroup
+		watcher.Go(func() { b.must("GET", "/api/watch?after=0&timeout=30s", "", &reply) })
+		synctest.Wait()
+		b.must("PUT", "/api/Rank/urgent", rankJSON("urgent", 0, 5), nil)
+		watcher.Wait()
+		if reply.Revision != 1 || len(reply.Records) != 1 || reply.Records[0].Changes[0].Object.Metadata.Name != "urgent" {
+			t.Errorf("got %+v, want the change of urgent", reply)
+		}
+		start := time.Now()
+		b.must("GET", "/api/watch?after=1&timeout=5s", "", &reply)
+		if reply.Revision != 1 || time.Since(start) != 5*time.Second {
+			t.Errorf("got revision %d after %s, want an empty answer after 5s", reply.Revision, time.Since(start))
+		}
+		for version := range int64(1100) {
+			b.must("PUT", "/api/Rank/urgent", rankJSON("urgent", 0, 10+int(version)), nil)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if failure := b.do("GET", "/api/watch?after=1", "", nil); failure == nil || failure.Status != http.StatusGone {
+			t.Errorf("compacted: got %v, want 410", failure)
+		}
+	})
+}
+
+func TestErrorsAreTyped(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		cases := []struct {
+			method, path, body string
+			want               ErrorKind
+			status             int
+		}{
+			{"GET", "/api/Rock", "", ErrorNotFound, 404},
+			{"GET", "/api/Rank/urgent", "", ErrorNotFound, 404},
+			{"GET", "/elsewhere", "", ErrorNotFound, 404},
+			{"POST", "/api/Rank/urgent", "", ErrorMethodNotAllowed, 405},
+			{"DELETE", "/api/Node/utr-1", "", ErrorMethodNotAllowed, 405},
+			{"PUT", "/api/Rank/other", rankJSON("urgent", 0, 1), ErrorBadRequest, 400},
+			{"PUT", "/api/Node/n", `{"kind":"Node","metadata":{"name":"n"}}`, ErrorInvalid, 422},
+			{"POST", "/api/apply", "{", ErrorBadRequest, 400},
+			{"POST", "/api/apply", "", ErrorBadRequest, 400},
+			{"POST", "/api/apply", strings.Repeat(" ", 2<<20), ErrorBodyTooLarge, 413},
+			{"GET", "/api/watch?after=x", "", ErrorBadRequest, 400},
+			{"GET", "/api/Rank?revision=9", "", ErrorNotReady, 503},
+			{"GET", "/api/explain/request/r1", "", ErrorNotFound, 404},
+			{"GET", "/burn?format=pdf", "", ErrorBadRequest, 400},
+		}
+		for _, c := range cases {
+			failure := b.do(c.method, c.path, c.body, nil)
+			if failure == nil || failure.Kind != c.want || failure.Status != c.status {
+				t.Errorf("%s %s: got %v, want %s with %d", c.method, c.path, failure, c.want, c.status)
+			}
+		}
+		b.must("GET", "/api/explain/ReplicaGroup/g", "", nil)
+		request := httptest.NewRequest("GET", "/api/Rank", nil)
+		request.Header.Set("Authorization", "Bearer other")
+		recorder := httptest.NewRecorder()
+		b.handler.ServeHTTP(recorder, request)
+		if recorder.Code != http.StatusUnauthorized {
+			t.Errorf("wrong token: got %d, want 401", recorder.Code)
+		}
+	})
+}
+
+func FuzzDecodeObjects(f *testing.F) {
+	f.Add(rankJSON("urgent", 1, 5))
+	f.Add("[" + rankJSON("urgent", 0, 5) + "] " + rankJSON("digest", 0, 6))
+	f.Add(`{"kind":"Rank","metadata":{"name":"a"},"spec":null}`)
+	f.Add(`null [null] "x" {"kind":"Node"}`)
+	f.Add(`{"kind":"ClientAccount","metadata":{"name":"a"},"spec":{"keyHashes":[""],"tokensPerSecond":1e400}}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		objects, failure := decodeObjects(strings.NewReader(body))
+		if failure != nil {
+			if failure.Message == "" || failure.Status < 400 || failure.Status > 499 {
+				t.Errorf("got %+v, want a fault of the caller with a remedy", failure)
+			}
+			return
+		}
+		p := platform.New(platform.Options{})
+		acceptor := configlog.NewAcceptor(p.Table, eventlog.Discard())
+		_, err := acceptor.Propose(context.Background(), configlog.Proposal{Changes: objectChanges(objects)})
+		var invalid *configlog.InvalidError
+		var version *configlog.VersionError
+		if err != nil && !errors.As(err, &invalid) && !errors.As(err, &version) {
+			t.Errorf("%q: got %v, want it accepted, invalid or a conflict", body, err)
+		}
+	})
+}
