--- /dev/null
+++ b/cmd/currantladder/delete.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"currantladder.example/currantladder/internal/process/operatorapi"
+)
+
+// newDeleteCommand returns the command that deletes one object.
+func newDeleteCommand() command {
+	sub := newOperatorSubcommand("delete", "Delete one object.")
+	c := &client{}
+	c.attach(sub)
+	var target string
+	var version int64
+	sub.AddPositionalValue(&target, "KIND/NAME", 1, true, "The object.")
+	sub.Int64(&version, "", "resource-version", "Delete only while this version is current.")
+	return command{sub: sub, run: func(ctx context.Context) error {
+		kind, name, err := splitKey(target)
+		if err != nil {
+			return err
+		}
+		query := url.Values{}
+		if version != 0 {
+			query.Set("resourceVersion", strconv.FormatInt(version, 10))
+		}
+		content, err := c.call(ctx, http.MethodDelete, objectPath(kind, name), query, nil)
+		if err != nil {
+			return err
+		}
+		var reply operatorapi.ApplyReply
+		if err := json.Unmarshal(content, &reply); err != nil {
+			return fmt.Errorf("answer of delete: %w", err)
+		}
+		fmt.Fprintf(stdout, "%s deleted at revision %d\n", target, reply.Revision)
+		return nil
+	}}
+}
--- a/internal/process/operatorapi/api_test.go
+++ b/internal/process/operatorapi/api_test.go
@@ -186,7 +186,7 @@
 		if len(dry.Changed) != 2 || first.Revision != 1 || len(first.Changed) != 2 {
 			t.Errorf("got %+v after dry run %+v, want both objects at revision 1", first, dry)
 		}
-		if second.Revision != 1 || len(second.Changed) != 0 {
+		if second.Revision != 1 || len(second.Changed) != 0 || len(second.Unchanged) != 2 {
 			t.Errorf("repeated: got %+v, want revision 1 without changes", second)
 		}
 		if failure := b.do("DELETE", "/api/Rank/urgent?resourceVersion=9", "", nil); failure == nil || failure.Current != 1 {
--- a/internal/process/operatorapi/types.go
+++ b/internal/process/operatorapi/types.go
@@ -95,8 +95,10 @@
 	// InForce. Without changes it is the current revision.
 	Revision int64 `json:"revision"`
 	DryRun   bool  `json:"dryRun,omitempty"`
-	// Changed holds the accepted objects; identical ones are left out.
+	// Changed holds the objects that were accepted with a new version.
 	Changed []*object.Object `json:"changed"`
+	// Unchanged names the objects that were already as declared.
+	Unchanged []object.Key `json:"unchanged,omitempty"`
 	// Deleted is set by a deletion.
 	Deleted []object.Key `json:"deleted,omitempty"`
 }
--- a/internal/process/operatorapi/write.go
+++ b/internal/process/operatorapi/write.go
@@ -85,7 +85,7 @@
 	if !dryRun {
 		a.awaitAccepted(ctx.Request().Context(), record)
 	}
-	writeJSON(ctx.ResponseWriter(), http.StatusOK, applyReply(record, dryRun))
+	writeJSON(ctx.ResponseWriter(), http.StatusOK, applyReply(changes, record, dryRun))
 }
 
 // awaitAccepted lets this node apply the accepted revision before the answer
@@ -102,16 +102,23 @@
 	}
 }
 
-func applyReply(record object.Record, dryRun bool) ApplyReply {
+func applyReply(proposed []object.Change, record object.Record, dryRun bool) ApplyReply {
 	reply := ApplyReply{Revision: record.Revision, DryRun: dryRun, Changed: []*object.Object{}}
+	accepted := make(map[object.Key]bool, len(record.Changes))
 	for _, change := range record.Changes {
 		if change.Object != nil {
 			reply.Changed = append(reply.Changed, change.Object)
+			accepted[change.Object.Key()] = true
 		}
 		if change.Deleted != nil {
 			reply.Deleted = append(reply.Deleted, *change.Deleted)
 		}
 	}
+	for _, change := range proposed {
+		if change.Object != nil && !accepted[change.Object.Key()] {
+			reply.Unchanged = append(reply.Unchanged, change.Object.Key())
+		}
+	}
 	return reply
 }
 
--- a/internal/process/settings/load_test.go
+++ b/internal/process/settings/load_test.go
@@ -169,12 +169,14 @@
 }
 
 func FuzzParse(f *testing.F) {
+	inline := strings.Replace(validFile, "key_file = peer.key", "key = 0123456789abcdef", 1)
+	f.Add([]byte(strings.Replace(inline, "users_file = users", "", 1)))
 	f.Add([]byte(validFile))
 	f.Add([]byte(faultyFile))
 	f.Add([]byte("[node\nname"))
 	f.Add([]byte("[peers]\nkey = a # b\nseeds = ,,\n[timing]\nlease_ttl = -1s\nlease_renew = 99999999999h"))
 	f.Fuzz(func(t *testing.T, content []byte) {
-		s, faults := parse(content, t.TempDir())
+		s, faults := parse(content, "missing")
 		if len(faults) > 0 {
 			return
 		}
