Prove the path with every process by itself

Cause: the whole path had run only inside one process. Change: testscript with platform, eight engines, a service and three nodes as processes; explain asks all nodes for controller steps; listeners bound concurrent requests and bodies; TLS between peers by settings. With load_time set five times too low the controller took loading members for stuck and formed groups anew: left for the control plane.

--- a/cmd/currantladder/explain.go
+++ b/cmd/currantladder/explain.go
@@ -15,7 +15,7 @@
 	c := &client{}
 	c.attach(sub)
 	var target string
-	sub.AddPositionalValue(&target, "KIND/NAME", 1, true, "An object, or request/ID for a request.")
+	sub.AddPositionalValue(&target, "KIND/NAME", 1, true, "An object, group/NAME for a replica group, or request/ID for a request.")
 	return command{sub: sub, run: func(ctx context.Context) error {
 		kind, name, err := splitKey(target)
 		if err != nil {
--- /dev/null
+++ b/cmd/currantladder/fleet_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// Secrets of the fleet scripts.
+const (
+	fleetKey   = "caller-key-of-the-municipality"
+	fleetToken = "operator-token-of-anna"
+)
+
+// readyTimeout bounds the start of a node process.
+const readyTimeout = 30 * time.Second
+
+// TestFleet runs every process of a small fleet on loopback.
+func TestFleet(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/fleet",
+		Setup: setUpFleet,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ready": readyCommand,
+			"post":  postCommand,
+		},
+	})
+}
+
+// setUpFleet chooses free ports, writes settings files and fills in hashes.
+func setUpFleet(env *testscript.Env) error {
+	addresses, err := freeAddresses(10)
+	if err != nil {
+		return err
+	}
+	env.Setenv("PLATFORM", addresses[0])
+	env.Setenv(serverVariable, "http://"+addresses[3])
+	env.Setenv(tokenVariable, fleetToken)
+	for i := range 3 {
+		node := addresses[1+3*i : 4+3*i]
+		env.Setenv(fmt.Sprintf("CALLERS%d", i+1), node[0])
+		settings := fmt.Sprintf(`[node]
+name = node-%d
+region = north
+failure_domain = north-1
+[callers]
+address = %s
+[peers]
+address = %s
+key = a-shared-peer-key-of-this-test
+[operators]
+address = %s
+user.anna = %s
+[platform]
+url = http://%s
+load_time = 5s
+[timing]
+peer_probe = 200ms
+host_list_poll = 200ms
+health_probe = 200ms
+head_poll = 300ms
+`, i+1, node[0], node[1], node[2], hexSum(fleetToken), addresses[0])
+		if err := os.WriteFile(filepath.Join(env.WorkDir, fmt.Sprintf("node-%d.ini", i+1)), []byte(settings), 0o600); err != nil {
+			return err
+		}
+	}
+	path := filepath.Join(env.WorkDir, "objects.json")
+	objects, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, bytes.ReplaceAll(objects, []byte("$KEYHASH"), []byte(hexSum(fleetKey))), 0o600)
+}
+
+func hexSum(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// freeAddresses returns loopback addresses that were free at the same time.
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// readyCommand waits until a node is ready: ready ADDRESS.
+func readyCommand(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		response, err := http.Get("http://" + args[0] + "/readyz")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("node %s is not ready after %v: %v", args[0], readyTimeout, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// postCommand sends a file as a caller: post ADDRESS PATH FILE [KEY].
+func postCommand(ts *testscript.TestScript, neg bool, args []string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+args[0]+args[1], strings.NewReader(ts.ReadFile(args[2])))
+	ts.Check(err)
+	request.Header.Set("Authorization", "Bearer "+fleetKey)
+	if len(args) > 3 {
+		request.Header.Set("Idempotency-Key", args[3])
+	}
+	response, err := http.DefaultClient.Do(request)
+	ts.Check(err)
+	defer response.Body.Close()
+	_, err = io.Copy(ts.Stdout(), response.Body)
+	ts.Check(err)
+	if ok := response.StatusCode == http.StatusOK; ok == neg {
+		ts.Fatalf("POST %s: %s", args[1], response.Status)
+	}
+}
--- a/cmd/currantladder/operator_test.go
+++ b/cmd/currantladder/operator_test.go
@@ -8,11 +8,9 @@
 	"fmt"
 	"io"
 	"net/http/httptest"
-	"os"
 	"testing"
 	"time"
 
-	"github.com/integrii/flaggy"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"currantladder.example/currantladder/internal/connection/peer"
@@ -25,24 +23,7 @@
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"currantladder": operatorMain})
-}
-
-// operatorMain runs the operator commands as the program does.
-func operatorMain() {
-	parser := flaggy.NewParser("currantladder")
-	commands := operatorCommands()
-	for _, c := range commands {
-		parser.AttachSubcommand(c.sub, 1)
-	}
-	err := parser.ParseArgs(os.Args[1:])
-	if err == nil {
-		err = used(commands).run(context.Background())
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "currantladder:", err)
-		os.Exit(exitFailure)
-	}
+	testscript.Main(m, map[string]func(){"currantladder": main})
 }
 
 // oneNode is a fleet of one node without peers.
--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -147,10 +147,20 @@
 	return reply, err
 }
 
-// Explain returns the peer's recorded steps of a request.
-func (c *Client) Explain(ctx context.Context, address, requestID string) ([]Step, error) {
+// ExplainRequest returns the peer's recorded steps of a request.
+func (c *Client) ExplainRequest(ctx context.Context, address, requestID string) ([]Step, error) {
+	return c.explain(ctx, address, url.Values{"request": {requestID}})
+}
+
+// ExplainGroup returns the steps of a replica group that the peer's
+// controllers have taken.
+func (c *Client) ExplainGroup(ctx context.Context, address, group string) ([]Step, error) {
+	return c.explain(ctx, address, url.Values{"group": {group}})
+}
+
+func (c *Client) explain(ctx context.Context, address string, query url.Values) ([]Step, error) {
 	var steps []Step
-	err := c.call(ctx, http.MethodGet, address, "/peer/explain?request="+url.QueryEscape(requestID), nil, &steps)
+	err := c.call(ctx, http.MethodGet, address, "/peer/explain?"+query.Encode(), nil, &steps)
 	return steps, err
 }
 
--- a/internal/connection/peer/protocol.go
+++ b/internal/connection/peer/protocol.go
@@ -7,7 +7,7 @@
 //	GET  /peer/snapshot                        -> 200 SnapshotBody
 //	POST /peer/shares/release  ReleaseRequest  -> 200 ReleaseReply
 //	GET  /peer/burn                            -> 200, the node's histograms
-//	GET  /peer/explain?request=ID              -> 200 []Step, 404
+//	GET  /peer/explain?request=ID | ?group=NAME -> 200 []Step
 package peer
 
 import (
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -28,7 +28,8 @@
 	Log(after int64) ([]object.Record, error)
 	Snapshot() SnapshotBody
 	Release(ctx context.Context, r ReleaseRequest) ReleaseReply
-	Explain(requestID string) []Step
+	ExplainRequest(requestID string) []Step
+	ExplainGroup(group string) []Step
 }
 
 // NewServer returns the peer listener's handler. Calls without the key are
@@ -103,7 +104,12 @@
 }
 
 func (s *server) explain(w http.ResponseWriter, r *http.Request) {
-	reply(w, s.handlers.Explain(r.URL.Query().Get("request")))
+	query := r.URL.Query()
+	if query.Has("group") {
+		reply(w, s.handlers.ExplainGroup(query.Get("group")))
+		return
+	}
+	reply(w, s.handlers.ExplainRequest(query.Get("request")))
 }
 
 func (s *server) generate(w http.ResponseWriter, r *http.Request) {
--- a/internal/demo/promises.go
+++ b/internal/demo/promises.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"sync"
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/table"
@@ -80,9 +79,7 @@
 	fleet    *fleet
 	promises *promises
 
-	mu       sync.Mutex
 	applied  map[string]int64
-	openAt   map[string]time.Time
 	downtime map[string]time.Duration
 	last     time.Time
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -4,10 +4,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -93,7 +96,9 @@
 	}
 	n := &Node{settings: s, log: log, listeners: opened, router: &router{}}
 	n.dutiesCtx, n.endDuties = context.WithCancel(context.Background())
-	n.buildConnections()
+	if err := n.buildConnections(); err != nil {
+		return nil, err
+	}
 	n.buildControl()
 	n.buildRequestPath()
 	return n, nil
@@ -128,17 +133,42 @@
 	}
 }
 
-func (n *Node) buildConnections() {
+func (n *Node) buildConnections() error {
+	peerTLS, err := peerTLS(n.settings.Peers)
+	if err != nil {
+		return err
+	}
 	platform := &http.Client{Timeout: n.settings.Platform.CallTimeout}
 	n.store = table.NewClient(n.settings.Platform.URL, platform)
 	n.roster = roster.New(hostlist.NewClient(n.settings.Platform.URL, platform), n.settings.Timing.HostListPoll)
 	n.endpoints = endpoint.NewClient()
-	n.peers = peer.NewClient(n.settings.Peers.Key, nil)
+	n.peers = peer.NewClient(n.settings.Peers.Key, peerTLS)
 	n.metrics = metrics.New(n.settings.Node.Name)
 	n.health = health.NewProber(health.Options{
 		Period:  n.settings.Timing.HealthProbe,
 		Timeout: n.settings.Timing.HealthProbe,
 	}, health.HTTPProbe(&http.Client{}), n.metrics.Scope().SubScope("health"))
+	return nil
+}
+
+// peerTLS returns the client side of TLS between nodes, nil where it is off.
+func peerTLS(s settings.Peers) (*tls.Config, error) {
+	if s.CertFile == "" {
+		return nil, nil
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if s.CAFile == "" {
+		return config, nil
+	}
+	pem, err := os.ReadFile(s.CAFile)
+	if err != nil {
+		return nil, fmt.Errorf("read [peers] ca_file: %w", err)
+	}
+	config.RootCAs = x509.NewCertPool()
+	if !config.RootCAs.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("[peers] ca_file %s holds no certificate: use PEM", s.CAFile)
+	}
+	return config, nil
 }
 
 func (n *Node) buildControl() {
--- a/internal/process/node/operators.go
+++ b/internal/process/node/operators.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
+	"strings"
 
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/process/operatorapi"
@@ -48,30 +50,57 @@
 // explainer implements operatorapi.Explainer.
 type explainer struct{ node *Node }
 
-// ExplainObject implements operatorapi.Explainer.
-func (e explainer) ExplainObject(_ context.Context, key object.Key) ([]peer.Step, error) {
-	placement := e.node.follower.Current().Placements[key.Name]
-	if key.Kind != object.KindReplicaGroup || placement == nil {
+// ExplainObject implements operatorapi.Explainer: the placement in force and
+// the steps of the controllers that decided on the group.
+func (e explainer) ExplainObject(ctx context.Context, key object.Key) ([]peer.Step, error) {
+	if key.Kind != object.KindReplicaGroup {
 		return nil, nil
 	}
-	return []peer.Step{{Time: placement.Changed, Reason: placement.Reason, Message: placement.Message}}, nil
+	steps := e.node.groups.Explain(key.Name)
+	steps = append(steps, e.fromPeers(func(address string) ([]peer.Step, error) {
+		return e.node.peers.ExplainGroup(ctx, address, key.Name)
+	})...)
+	sortSteps(steps)
+	if placement := e.node.follower.Current().Placements[key.Name]; placement != nil {
+		steps = append(steps, placementStep(placement))
+	}
+	return steps, nil
+}
+
+// placementStep tells the group's state now.
+func placementStep(p *object.Placement) peer.Step {
+	message := fmt.Sprintf("generation %d on %s in fabric domain %s is %s: %s", p.Generation, strings.Join(p.Members, ", "), p.FabricDomain, p.Phase, p.Message)
+	return peer.Step{Time: p.Changed, Reason: p.Reason, Message: message}
 }
 
 // ExplainRequest implements operatorapi.Explainer: the steps of all live
 // nodes in the order of time.
 func (e explainer) ExplainRequest(ctx context.Context, id string) ([]peer.Step, error) {
 	steps := e.node.recorder.Steps(id)
+	steps = append(steps, e.fromPeers(func(address string) ([]peer.Step, error) {
+		return e.node.peers.ExplainRequest(ctx, address, id)
+	})...)
+	sortSteps(steps)
+	return steps, nil
+}
+
+// fromPeers collects the steps of all other live nodes that answer.
+func (e explainer) fromPeers(ask func(address string) ([]peer.Step, error)) []peer.Step {
+	var steps []peer.Step
 	for _, digest := range e.node.members.Live() {
 		if digest.Node == e.node.settings.Node.Name {
 			continue
 		}
-		more, err := e.node.peers.Explain(ctx, digest.Address, id)
+		more, err := ask(digest.Address)
 		if err == nil {
 			steps = append(steps, more...)
 		}
 	}
-	slices.SortFunc(steps, func(a, b peer.Step) int { return a.Time.Compare(b.Time) })
-	return steps, nil
+	return steps
+}
+
+func sortSteps(steps []peer.Step) {
+	slices.SortStableFunc(steps, func(a, b peer.Step) int { return a.Time.Compare(b.Time) })
 }
 
 // burnReport implements operatorapi.Burn.
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -52,8 +52,13 @@
 	return h.node.shares.Release(ctx, r)
 }
 
-// Explain implements peer.Handlers.
-func (h peerHandlers) Explain(requestID string) []peer.Step { return h.node.recorder.Steps(requestID) }
+// ExplainRequest implements peer.Handlers.
+func (h peerHandlers) ExplainRequest(requestID string) []peer.Step {
+	return h.node.recorder.Steps(requestID)
+}
+
+// ExplainGroup implements peer.Handlers.
+func (h peerHandlers) ExplainGroup(group string) []peer.Step { return h.node.groups.Explain(group) }
 
 // homes implements relay.Homes: this node's home directly, others by HTTP.
 type homes struct{ node *Node }
--- a/internal/process/node/serve.go
+++ b/internal/process/node/serve.go
@@ -8,6 +8,7 @@
 
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/settings"
+	"currantladder.example/currantladder/internal/request/refusal"
 )
 
 // balancerNotice is how long a stopping node still takes work after readiness
@@ -36,7 +37,7 @@
 		listener: listener,
 		settings: l,
 		http: &http.Server{
-			Handler:           handler,
+			Handler:           limitStreams(l, handler),
 			ReadHeaderTimeout: l.HeaderTimeout,
 			IdleTimeout:       l.IdleTimeout,
 			MaxHeaderBytes:    l.MaxHeaderBytes,
@@ -44,6 +45,21 @@
 	}
 }
 
+// limitStreams bounds concurrent requests and body sizes of a listener.
+func limitStreams(l settings.Listener, next http.Handler) http.Handler {
+	bounded := http.MaxBytesHandler(next, l.MaxBodyBytes)
+	slots := make(chan struct{}, l.MaxStreams)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+			bounded.ServeHTTP(w, r)
+		default:
+			refusal.New(refusal.KindOverloaded, http.StatusServiceUnavailable, "this listener has as many requests in flight as it may; send the request later").After(gateRetryAfter).Write(w)
+		}
+	})
+}
+
 // servers returns the callers' server first.
 func (n *Node) servers() ([]*server, error) {
 	callers, peers, operators, err := n.handlers()
@@ -104,6 +120,7 @@
 func (n *Node) release() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	n.shares.Leave(ctx)
 	_ = n.keeper.Release(ctx)
 }
 
