--- a/internal/connection/table/client.go
+++ b/internal/connection/table/client.go
@@ -122,6 +122,9 @@
 	if err := decode(response.Body, &result); err != nil {
 		return CommitResult{}, fmt.Errorf("transaction %s: %w: %w", txn.Nonce, ErrUnknown, err)
 	}
+	if !result.Committed && len(result.Conflicts) == 0 {
+		return CommitResult{}, fmt.Errorf("transaction %s: %w: the answer names no conflict", txn.Nonce, ErrUnknown)
+	}
 	return result, nil
 }
 
--- a/internal/connection/table/settle.go
+++ b/internal/connection/table/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -134,6 +135,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkPage(page.Rows, r); err != nil {
+			return nil, err
+		}
 		rows = append(rows, page.Rows...)
 		if r.Limit > 0 {
 			if len(page.Rows) >= r.Limit {
@@ -148,6 +152,19 @@
 	}
 }
 
+// checkPage refuses a page with rows outside the range or out of order, on
+// which reading on might never end.
+func checkPage(rows []Row, r Range) error {
+	for i, row := range rows {
+		misplaced := !strings.HasPrefix(row.Key, r.Prefix) || row.Key < r.From || (r.To != "" && row.Key >= r.To)
+		unordered := i > 0 && row.Key <= rows[i-1].Key
+		if misplaced || unordered {
+			return fmt.Errorf("rows %s: %w: row %q of the answer is outside the range or out of order", r.Prefix, ErrUnavailable, row.Key)
+		}
+	}
+	return nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
