Test stalls, weight loads and the object store of the stand-ins

Seen failing with the mechanism off: cancel by a closed connection, weights kept in memory, the shared rate of the weight store, lost answers of object writes.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/standin/platform"
 )
 
 func TestResumeYieldsTheRest(t *testing.T) {
@@ -248,3 +249,62 @@
 		}
 	})
 }
+
+func TestStalledStreamEndsWithItsConnection(t *testing.T) {
+	inFleet(t, Options{Slots: 1}, []string{"a:1"}, func(f *fleet) {
+		f.form(1, "a:1")
+		f.engines["a:1"].SetFaults(Faults{StallAfter: 2})
+		response, err := f.post("a:1", "/v1/generate", request("stalled", "p", 10))
+		if err != nil {
+			t.Fatal(err)
+		}
+		stream := endpoint.NewStream(response.Body)
+		for range 2 {
+			if _, err := stream.Next(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Minute)
+		if n := f.engines["a:1"].Load().Active; n != 1 {
+			t.Errorf("%d streams are active while one is stalled", n)
+		}
+		_ = response.Body.Close()
+		f.engines["a:1"].SetFaults(Faults{})
+		if a := f.generate("a:1", request("next", "p", 10)); !a.whole() || a.took > time.Second {
+			t.Errorf("the closed connection kept its slot: took %v, whole=%t", a.took, a.whole())
+		}
+	})
+}
+
+// TestLoadTakesWeights checks that engines share the rate of the weight store,
+// come back after its refusals and keep weights that they have.
+func TestLoadTakesWeights(t *testing.T) {
+	const store = "platform:1"
+	options := Options{PlatformURL: "http://" + store}
+	inFleet(t, options, []string{"a:1", "b:1", "c:1"}, func(f *fleet) {
+		p := platform.New(platform.Options{WeightBytes: 1 << 20, WeightBytesPerSecond: 1 << 20, WeightReaders: 2})
+		f.servers = append(f.servers, f.network.Serve(store, p.Handler()))
+		for address := range f.engines {
+			f.order(address, loadOrder(1, 1, address))
+		}
+		for _, c := range []struct {
+			wait  time.Duration
+			ready int
+		}{{1900 * time.Millisecond, 0}, {200 * time.Millisecond, 2}, {2 * time.Second, 3}} {
+			time.Sleep(c.wait)
+			ready := 0
+			for _, e := range f.engines {
+				if e.State().State == endpoint.EngineReady {
+					ready++
+				}
+			}
+			if ready != c.ready {
+				t.Errorf("%d engines are ready, want %d", ready, c.ready)
+			}
+		}
+		f.order("a:1", loadOrder(1, 2, "a:1"))
+		if s := f.engines["a:1"].State(); s.State != endpoint.EngineReady || s.Generation != 2 {
+			t.Errorf("weights in memory were loaded again: %+v", s)
+		}
+	})
+}
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -179,3 +179,37 @@
 		}
 	}
 }
+
+func TestObjectStore(t *testing.T) {
+	p := New(Options{})
+	call := func(method, body string) (status int, answer string) {
+		defer func() {
+			if recover() != nil {
+				status = 0 // the connection was cut
+			}
+		}()
+		recorder := httptest.NewRecorder()
+		p.Handler().ServeHTTP(recorder, httptest.NewRequest(method, "/objects/digests/2026-12", strings.NewReader(body)))
+		return recorder.Code, recorder.Body.String()
+	}
+	for _, c := range []struct {
+		faults       Faults
+		method, body string
+		status       int
+		answer       string
+	}{
+		{Faults{}, "PUT", "one", 204, ""},
+		{Faults{}, "GET", "", 200, "one"},
+		{Faults{LoseNext: 1}, "PUT", "two", 0, ""},
+		{Faults{}, "GET", "", 200, "two"},
+	} {
+		p.SetFaults(c.faults)
+		if status, answer := call(c.method, c.body); status != c.status || answer != c.answer {
+			t.Errorf("%s %q: got %d %q, want %d %q", c.method, c.body, status, answer, c.status, c.answer)
+		}
+	}
+	p.SetFaults(Faults{Outage: true})
+	if status, _ := call("GET", ""); status != 503 {
+		t.Errorf("an outage answers %d", status)
+	}
+}
