--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -106,6 +106,19 @@
 	})
 }
 
+// TestRenewalKeepsLeaving checks that a host that is told to leave is not made
+// live again by its own renewals.
+func TestRenewalKeepsLeaving(t *testing.T) {
+	p := New(Options{})
+	renewal := HostChange{Host: &hostlist.Host{Name: "h", State: hostlist.StateLive}, TTLMillis: 1000, KeepState: true}
+	p.ChangeHost(renewal)
+	p.ChangeHost(HostChange{Host: &hostlist.Host{Name: "h", State: hostlist.StateLeaving}})
+	p.ChangeHost(renewal)
+	if got := p.Hosts().Hosts[0].State; got != hostlist.StateLeaving {
+		t.Errorf("the renewal set the state to %s", got)
+	}
+}
+
 func TestWeightReadersShareTheRate(t *testing.T) {
 	for readers, want := range map[int]time.Duration{1: time.Second, 4: 4 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
@@ -166,3 +179,37 @@
 		}
 	}
 }
+
+func TestObjectStore(t *testing.T) {
+	p := New(Options{})
+	call := func(method, body string) (status int, answer string) {
+		defer func() {
+			if recover() != nil {
+				status = 0 // the connection was cut
+			}
+		}()
+		recorder := httptest.NewRecorder()
+		p.Handler().ServeHTTP(recorder, httptest.NewRequest(method, "/objects/digests/2026-12", strings.NewReader(body)))
+		return recorder.Code, recorder.Body.String()
+	}
+	for _, c := range []struct {
+		faults       Faults
+		method, body string
+		status       int
+		answer       string
+	}{
+		{Faults{}, "PUT", "one", 204, ""},
+		{Faults{}, "GET", "", 200, "one"},
+		{Faults{LoseNext: 1}, "PUT", "two", 0, ""},
+		{Faults{}, "GET", "", 200, "two"},
+	} {
+		p.SetFaults(c.faults)
+		if status, answer := call(c.method, c.body); status != c.status || answer != c.answer {
+			t.Errorf("%s %q: got %d %q, want %d %q", c.method, c.body, status, answer, c.status, c.answer)
+		}
+	}
+	p.SetFaults(Faults{Outage: true})
+	if status, _ := call("GET", ""); status != 503 {
+		t.Errorf("an outage answers %d", status)
+	}
+}
