--- a/internal/process/lease/keeper.go
+++ b/internal/process/lease/keeper.go
@@ -29,6 +29,7 @@
 // I/O; the other methods call the table service.
 type Keeper struct {
 	store  table.Store
+	node   string
 	ttl    time.Duration
 	margin time.Duration
 	renew  time.Duration
@@ -59,6 +60,7 @@
 	identity.Renewals = 0
 	return &Keeper{
 		store:    store,
+		node:     identity.Node,
 		ttl:      ttl,
 		margin:   ttl / marginDivisor,
 		renew:    renew,
@@ -92,16 +94,14 @@
 	}
 }
 
-// Renew inserts or renews the session row once. The call is bounded by the
-// renewal period.
+// Renew inserts or renews the session row once. Each of its calls of the table
+// service is bounded by the renewal period.
 func (k *Keeper) Renew(ctx context.Context) error {
 	k.io.Lock()
 	defer k.io.Unlock()
 	if k.isReleased() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, k.renew)
-	defer cancel()
 	if k.Incarnation() == 0 {
 		return k.insert(ctx)
 	}
@@ -118,10 +118,10 @@
 
 // insert writes the first session row of this process.
 func (k *Keeper) insert(ctx context.Context) error {
-	key := SessionKey(k.row.Node)
-	current, err := k.store.Get(ctx, key)
+	key := SessionKey(k.node)
+	current, err := k.get(ctx, key)
 	if err != nil {
-		return fmt.Errorf("read session %s: %w", k.row.Node, err)
+		return fmt.Errorf("read session %s: %w", k.node, err)
 	}
 	row := k.row
 	row.Incarnation = nextIncarnation(current, time.Now())
@@ -129,7 +129,7 @@
 	sent := time.Now()
 	version, err := k.put(ctx, key, current.Version, row, nil)
 	if err != nil {
-		return fmt.Errorf("insert session %s: %w", k.row.Node, err)
+		return fmt.Errorf("insert session %s: %w", k.node, err)
 	}
 	k.mu.Lock()
 	k.row = row
@@ -188,20 +188,20 @@
 // where an earlier renewal of this process arrived late.
 func (k *Keeper) reconcile(ctx context.Context, keys []string) error {
 	k.contact()
-	session := SessionKey(k.row.Node)
+	session := SessionKey(k.node)
 	for _, key := range keys {
 		if key != session {
 			k.drop(key)
 			continue
 		}
-		current, err := k.store.Get(ctx, key)
+		current, err := k.get(ctx, key)
 		if err != nil {
-			return fmt.Errorf("read session %s: %w", k.row.Node, err)
+			return fmt.Errorf("read session %s: %w", k.node, err)
 		}
 		var stored SessionRow
 		if current.Version > 0 {
 			if err := json.Unmarshal(current.Value, &stored); err != nil {
-				return fmt.Errorf("decode session %s: %w", k.row.Node, err)
+				return fmt.Errorf("decode session %s: %w", k.node, err)
 			}
 		}
 		if stored.Incarnation != k.Incarnation() {
@@ -235,7 +235,7 @@
 	k.row.Incarnation = 0
 	k.validUntil = time.Time{}
 	clear(k.owned)
-	k.log.Log(eventlog.LeaseLost, eventlog.Fields{"node": k.row.Node})
+	k.log.Log(eventlog.LeaseLost, eventlog.Fields{"node": k.node})
 }
 
 // Release hands over every ownership and deletes the session in one
@@ -252,7 +252,7 @@
 		return err
 	}
 	if err := k.reconcile(ctx, conflict.Keys); err != nil {
-		return fmt.Errorf("release session %s: %w", k.row.Node, err)
+		return fmt.Errorf("release session %s: %w", k.node, err)
 	}
 	return k.releaseOnce(ctx)
 }
@@ -268,10 +268,10 @@
 		row := OwnershipRow{Duty: duty, Epoch: o.Epoch}
 		txn.Writes = append(txn.Writes, table.Write{Key: OwnershipKey(duty), Expect: o.Assertion.Version, Value: encode(row)})
 	}
-	txn.Writes = append(txn.Writes, table.Write{Key: SessionKey(k.row.Node), Expect: k.version, Delete: true})
+	txn.Writes = append(txn.Writes, table.Write{Key: SessionKey(k.node), Expect: k.version, Delete: true})
 	k.mu.Unlock()
 	if err := k.store.Commit(ctx, txn); err != nil {
-		return fmt.Errorf("release session %s: %w", k.row.Node, err)
+		return fmt.Errorf("release session %s: %w", k.node, err)
 	}
 	k.mu.Lock()
 	clear(k.owned)
--- a/internal/process/lease/ownership.go
+++ b/internal/process/lease/ownership.go
@@ -44,7 +44,7 @@
 	if !k.Valid(time.Now()) {
 		return Ownership{}, false, nil
 	}
-	stored, err := k.store.Get(ctx, OwnershipKey(duty))
+	stored, err := k.get(ctx, OwnershipKey(duty))
 	if err != nil {
 		return Ownership{}, false, fmt.Errorf("read ownership of %s: %w", duty, err)
 	}
@@ -77,10 +77,10 @@
 	if owner == "" {
 		return nil, true, nil
 	}
-	if owner == k.row.Node {
+	if owner == k.node {
 		return nil, k.earlierProcessLapsed(), nil
 	}
-	session, err := k.store.Get(ctx, SessionKey(owner))
+	session, err := k.get(ctx, SessionKey(owner))
 	if err != nil {
 		return nil, false, fmt.Errorf("read session %s: %w", owner, err)
 	}
@@ -118,12 +118,12 @@
 func (k *Keeper) take(ctx context.Context, row OwnershipRow, version table.Version, check *table.Check) (Ownership, bool, error) {
 	former := row.Owner
 	k.mu.Lock()
-	checks := []table.Check{{Key: SessionKey(k.row.Node), Version: k.version}}
+	checks := []table.Check{{Key: SessionKey(k.node), Version: k.version}}
 	k.mu.Unlock()
 	if check != nil {
 		checks = append(checks, *check)
 	}
-	row.Owner = k.row.Node
+	row.Owner = k.node
 	row.Epoch++
 	next, err := k.put(ctx, OwnershipKey(row.Duty), version, row, checks)
 	if err != nil {
--- a/internal/process/lease/roster.go
+++ b/internal/process/lease/roster.go
@@ -31,7 +31,7 @@
 		k.unowned[duty] = now
 		since = now
 	}
-	position := slices.Index(Order(duty, k.liveLocked(now)), k.row.Node)
+	position := slices.Index(Order(duty, k.liveLocked(now)), k.node)
 	return now.Sub(since) >= time.Duration(position)*k.renew
 }
 
@@ -45,9 +45,9 @@
 // liveLocked returns this node and those whose session row changed lately. The
 // roster is read once a TTL, which adds to the age of what was observed.
 func (k *Keeper) liveLocked(now time.Time) []string {
-	live := []string{k.row.Node}
+	live := []string{k.node}
 	for node, seen := range k.observed {
-		if node != k.row.Node && now.Sub(seen.since) < 2*k.ttl+k.margin {
+		if node != k.node && now.Sub(seen.since) < 2*k.ttl+k.margin {
 			live = append(live, node)
 		}
 	}
@@ -65,7 +65,7 @@
 	var prune []table.Write
 	now := time.Now()
 	for node, seen := range k.observed {
-		if node != k.row.Node && now.Sub(seen.since) >= pruneTTLs*k.ttl {
+		if node != k.node && now.Sub(seen.since) >= pruneTTLs*k.ttl {
 			prune = append(prune, table.Write{Key: SessionKey(node), Expect: seen.version, Delete: true})
 		}
 	}
--- a/internal/process/lease/write.go
+++ b/internal/process/lease/write.go
@@ -15,7 +15,7 @@
 func (k *Keeper) put(ctx context.Context, key string, expect table.Version, value any, checks []table.Check) (table.Version, error) {
 	nonce := newNonce()
 	write := table.Write{Key: key, Expect: expect, Value: encode(value)}
-	err := k.store.Commit(ctx, table.Txn{Nonce: nonce, Checks: checks, Writes: []table.Write{write}})
+	err := k.commit(ctx, table.Txn{Nonce: nonce, Checks: checks, Writes: []table.Write{write}})
 	if err != nil && !errors.Is(err, table.ErrUnknown) {
 		return 0, err
 	}
@@ -27,7 +27,7 @@
 	}
 	// The version after an insertion is the service's to choose, because it
 	// may go on counting from a deleted row.
-	row, readErr := k.store.Get(ctx, key)
+	row, readErr := k.get(ctx, key)
 	if readErr != nil {
 		return 0, errors.Join(err, readErr)
 	}
@@ -37,6 +37,20 @@
 	return row.Version, nil
 }
 
+// commit sends a transaction, bounded by the renewal period.
+func (k *Keeper) commit(ctx context.Context, txn table.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, k.renew)
+	defer cancel()
+	return k.store.Commit(ctx, txn)
+}
+
+// get reads a row, bounded by the renewal period.
+func (k *Keeper) get(ctx context.Context, key string) (table.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, k.renew)
+	defer cancel()
+	return k.store.Get(ctx, key)
+}
+
 func newNonce() string { return rand.Text() }
 
 // encode marshals a row value. The row types hold only strings and integers,
