--- a/internal/connection/health/gate_test.go
+++ b/internal/connection/health/gate_test.go
@@ -135,6 +135,12 @@
 			m.crashed, m.state = false, endpoint.State{Host: name, State: endpoint.EngineIdle}
 		})
 	},
+	func(f *fleet, m *member, name string) { // loads the placement again
+		m.change(f.placement, func(m *member) {
+			m.crashed, m.silent, m.state = false, false, f.ready(name)
+			m.state.State = endpoint.EngineLoading
+		})
+	},
 	func(f *fleet, m *member, name string) { // returns with an old generation
 		m.change(f.placement, func(m *member) {
 			m.crashed, m.silent, m.state = false, false, f.ready(name)
