Exchange only newer digests and verify suspected peers

Ruled out: longer timeout alone; fanout 2 (over 10 KB/s sent and received); suspicion by rumour alone (digests on their way refuted it). Change: a probe names the versions that the sender has and the answer carries only newer digests, compressed; every second round goes to the successor by name; a failed probe makes a member suspected at that node, and others verify it themselves at once; peers carry their region. Conclusion: holds; peer_timeout is now 6 s by default as a backstop.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -31,6 +31,8 @@
 	// silenceTimeout is how long an answer may carry neither frame nor
 	// heartbeat before the home counts as gone.
 	silenceTimeout = 2 * time.Second
+	// MaxProbeBytes bounds a probe after decompression.
+	MaxProbeBytes = 4 << 20
 	// MaxBodyBytes bounds a peer answer that is read whole.
 	MaxBodyBytes = 64 << 20
 )
@@ -90,7 +92,12 @@
 		}
 		reader = bytes.NewReader(data)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, reader)
+	return c.rawRequest(ctx, method, address, path, reader)
+}
+
+// rawRequest builds a request with the peer key.
+func (c *Client) rawRequest(ctx context.Context, method, address, path string, body io.Reader) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, body)
 	if err != nil {
 		return nil, err
 	}
@@ -121,9 +128,28 @@
 
 // Probe exchanges digests with a peer.
 func (c *Client) Probe(ctx context.Context, address string, probe Probe) (Probe, error) {
-	var reply Probe
-	err := c.call(ctx, http.MethodPost, address, "/peer/probe", probe, &reply)
-	return reply, err
+	data, err := EncodeProbe(probe)
+	if err != nil {
+		return Probe{}, &LinkError{Address: address, Err: err}
+	}
+	request, err := c.rawRequest(ctx, http.MethodPost, address, "/peer/probe", bytes.NewReader(data))
+	if err != nil {
+		return Probe{}, &LinkError{Address: address, Err: err}
+	}
+	request.Header.Set("Content-Encoding", encodingGzip)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Probe{}, &LinkError{Address: address, Handed: true, Err: err}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Probe{}, &LinkError{Address: address, Handed: true, Err: fmt.Errorf("probe: %s", response.Status)}
+	}
+	reply, err := DecodeProbe(response.Body)
+	if err != nil {
+		return Probe{}, &LinkError{Address: address, Handed: true, Err: err}
+	}
+	return reply, nil
 }
 
 // Log returns the records after a revision that the peer holds.
--- a/internal/connection/peer/protocol.go
+++ b/internal/connection/peer/protocol.go
@@ -55,11 +55,40 @@
 	AgeMillis int64 `json:"ageMillis"`
 }
 
-// Probe carries a bounded number of digests of the sender's region, its own
-// first, and one summary for each region that it knows.
+// Probe is sent to a peer and answered by another one. The answer carries the
+// digests of the region that are newer than Known, so that each version of a
+// digest reaches a node about once.
 type Probe struct {
-	Digests []Digest        `json:"digests"`
+	// Region limits the digests to nodes of the sender's region.
+	Region string `json:"region"`
+	// Known holds the versions that the sender has, by node.
+	Known map[string]DigestVersion `json:"known,omitempty"`
+	// Digests starts with the sender's own.
+	Digests []Digest `json:"digests"`
+	// Regions holds one summary for each region that the sender knows.
 	Regions []RegionSummary `json:"regions,omitempty"`
+	// Suspected names nodes that did not answer the sender's own probe, with
+	// the version that it had of them. The receiver probes them itself.
+	Suspected map[string]DigestVersion `json:"suspected,omitempty"`
+}
+
+// DigestVersion orders the digests of one node.
+type DigestVersion struct {
+	Incarnation int64 `json:"i"`
+	Seq         int64 `json:"s"`
+}
+
+// Newer reports whether v replaces other.
+func (v DigestVersion) Newer(other DigestVersion) bool {
+	if v.Incarnation != other.Incarnation {
+		return v.Incarnation > other.Incarnation
+	}
+	return v.Seq > other.Seq
+}
+
+// Version returns the digest's version.
+func (d Digest) Version() DigestVersion {
+	return DigestVersion{Incarnation: d.Incarnation, Seq: d.Seq}
 }
 
 // RegionSummary tells other regions of one region's nodes.
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -74,10 +74,12 @@
 }
 
 func (s *server) probe(w http.ResponseWriter, r *http.Request) {
-	var probe Probe
-	if decode(w, r, &probe) {
-		reply(w, s.handlers.Probe(probe))
+	probe, err := DecodeProbe(r.Body)
+	if err != nil {
+		refusal.New(refusal.KindBadRequest, http.StatusBadRequest, err.Error()).Write(w)
+		return
 	}
+	writeProbe(w, s.handlers.Probe(probe))
 }
 
 func (s *server) log(w http.ResponseWriter, r *http.Request) {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -249,7 +249,7 @@
 			LeaseRenew:   time.Second,
 			HeadPoll:     300 * time.Millisecond,
 			PeerProbe:    200 * time.Millisecond,
-			PeerTimeout:  1500 * time.Millisecond,
+			PeerTimeout:  2400 * time.Millisecond,
 			HostListPoll: 300 * time.Millisecond,
 			HealthProbe:  100 * time.Millisecond,
 			HealthBound:  400 * time.Millisecond,
--- /dev/null
+++ b/internal/process/membership/membership_test.go
@@ -0,0 +1,201 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"currantladder.example/currantladder/internal/connection/peer"
+)
+
+const (
+	testPeriod  = 500 * time.Millisecond
+	testTimeout = 6 * time.Second
+	// detectionBound is how soon every node must know of a death: requests
+	// wait for a new home for 3 s.
+	detectionBound = 3 * time.Second
+	// testTick is the step of the deterministic driver.
+	testTick = 50 * time.Millisecond
+)
+
+// fleet drives the tables of many nodes in one goroutine and a fixed order.
+type fleet struct {
+	now    time.Time
+	names  []string
+	tables map[string]*Table
+	phase  map[string]time.Duration
+	self   map[string]peer.Digest
+	cut    map[string]bool
+	// bytes counts the encoded size of all messages where count is set.
+	count bool
+	bytes int
+}
+
+// newFleet returns nodes of the given regions. Every node knows the addresses
+// of all, as from the session rows.
+func newFleet(regions []string, seed uint64) *fleet {
+	f := &fleet{
+		now: time.Unix(0, 0), tables: make(map[string]*Table), phase: make(map[string]time.Duration),
+		self: make(map[string]peer.Digest), cut: make(map[string]bool),
+	}
+	random := rand.New(rand.NewPCG(seed, seed))
+	var roster []Peer
+	for i, region := range regions {
+		name := fmt.Sprintf("node-%03d", i)
+		f.names = append(f.names, name)
+		roster = append(roster, Peer{Node: name, Address: name, Region: region})
+		f.phase[name] = time.Duration(random.IntN(int(testPeriod/testTick))) * testTick
+		f.self[name] = peer.Digest{
+			Node: name, Address: name, Region: region, FailureDomain: region + "-1", Incarnation: 1_796_358_536_919,
+			AppliedRevision: int64(i % 2), Ready: true,
+			Load: []peer.PoolLoad{{Model: "model-70b", Slots: 56, Running: 50 + i%6, Queued: i % 13}},
+		}
+		f.tables[name] = NewTable(f.self[name], testTimeout, seed<<16+uint64(i))
+	}
+	for _, table := range f.tables {
+		table.SetRoster(roster)
+	}
+	return f
+}
+
+// run advances the fleet.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(testTick) {
+		for _, name := range f.names {
+			if f.now.Sub(time.Unix(0, 0))%testPeriod == f.phase[name] {
+				f.round(name)
+			}
+		}
+	}
+}
+
+// round is what Prober.round does, without I/O.
+func (f *fleet) round(name string) {
+	table := f.tables[name]
+	table.SetSelf(f.self[name])
+	for _, target := range table.Targets(fanout) {
+		f.probe(name, target)
+	}
+}
+
+func (f *fleet) probe(name, target string) {
+	table := f.tables[name]
+	if f.cut[name] || f.cut[target] {
+		table.Suspect(target)
+		return
+	}
+	request := table.Request(f.now)
+	f.verify(target, f.tables[target].Merge(request, f.now))
+	reply := f.tables[target].Reply(request, f.now)
+	f.add(request)
+	f.add(reply)
+	f.verify(name, table.Merge(reply, f.now))
+}
+
+// verify is what Prober.verifySuspects does.
+func (f *fleet) verify(name string, suspicious bool) {
+	if !suspicious {
+		return
+	}
+	for _, target := range f.tables[name].Verifications() {
+		f.probe(name, target)
+	}
+}
+
+func (f *fleet) add(probe peer.Probe) {
+	if !f.count {
+		return
+	}
+	data, err := peer.EncodeProbe(probe)
+	if err != nil {
+		panic(err)
+	}
+	f.bytes += len(data)
+}
+
+func (f *fleet) live(name string) []string {
+	var names []string
+	for _, digest := range f.tables[name].Live(f.now) {
+		names = append(names, digest.Node)
+	}
+	return names
+}
+
+// TestMembersOfOneRegionStayLive checks that a region of the expected size
+// keeps every node live, and that a cut node is dropped and comes back.
+func TestMembersOfOneRegionStayLive(t *testing.T) {
+	const nodes, seeds = 47, 6
+	for seed := range uint64(seeds) {
+		f := newFleet(slices.Repeat([]string{"north"}, nodes), seed)
+		f.run(10 * time.Second)
+		for range 20 {
+			f.run(time.Second)
+			f.requireLive(t, seed, nodes)
+		}
+		f.cut["node-005"] = true
+		f.run(detectionBound)
+		for _, name := range f.names {
+			if name != "node-005" && slices.Contains(f.live(name), "node-005") {
+				t.Errorf("seed %d: %s still counts the cut node as live after %v", seed, name, detectionBound)
+			}
+		}
+		f.cut["node-005"] = false
+		f.run(testTimeout)
+		f.requireLive(t, seed, nodes)
+	}
+}
+
+func (f *fleet) requireLive(t *testing.T, seed uint64, want int) {
+	t.Helper()
+	for _, name := range f.names {
+		if got := len(f.live(name)); got != want {
+			t.Fatalf("seed %d, %v: %s counts %d live nodes, want %d", seed, f.now.Sub(time.Unix(0, 0)), name, got, want)
+		}
+	}
+}
+
+// TestRegionsExchangeSummaries checks that digests stay inside a region and
+// that summaries name the nodes whose configuration lags.
+func TestRegionsExchangeSummaries(t *testing.T) {
+	f := newFleet([]string{"north", "north", "south", "south", "south"}, 1)
+	f.run(10 * time.Second)
+	if got := f.live("node-001"); !slices.Equal(got, []string{"node-000", "node-001"}) {
+		t.Errorf("live nodes of north: %v", got)
+	}
+	regions := f.tables["node-001"].Regions(f.now)
+	if len(regions) != 1 || regions[0].Region != "south" {
+		t.Fatalf("regions known in north: %+v", regions)
+	}
+	if regions[0].Nodes != 3 || regions[0].MinApplied != 0 || !slices.Equal(regions[0].Lagging, []string{"node-002", "node-004"}) {
+		t.Errorf("summary of south: %+v", regions[0])
+	}
+}
+
+// TestDigestsNeverGoBack checks that no order of probes replaces a digest by
+// an older one.
+func TestDigestsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		table := NewTable(peer.Digest{Node: "self", Region: "north"}, testTimeout, 1)
+		var newest peer.DigestVersion
+		for range rapid.IntRange(1, 30).Draw(t, "probes") {
+			digest := peer.Digest{
+				Node:        "other",
+				Region:      "north",
+				Incarnation: rapid.Int64Range(1, 3).Draw(t, "incarnation"),
+				Seq:         rapid.Int64Range(1, 5).Draw(t, "seq"),
+			}
+			table.Merge(peer.Probe{Digests: []peer.Digest{digest}}, now)
+			if digest.Version().Newer(newest) {
+				newest = digest.Version()
+			}
+			if got := table.Live(now)[0].Version(); got != newest {
+				t.Fatalf("kept %v, newest is %v", got, newest)
+			}
+		}
+	})
+}
--- a/internal/process/membership/prober.go
+++ b/internal/process/membership/prober.go
@@ -9,7 +9,7 @@
 )
 
 // fanout is the number of peers probed each period.
-const fanout = 2
+const fanout = 1
 
 // Caller sends a probe to a peer.
 type Caller interface {
@@ -30,12 +30,14 @@
 	table       *Table
 	lastContact time.Time
 	changed     chan struct{}
-	probes      sync.WaitGroup
+	// verify holds a token while members wait to be verified.
+	verify chan struct{}
+	probes sync.WaitGroup
 }
 
 // NewProber returns a prober over the table.
 func NewProber(table *Table, caller Caller, describe Describe, period time.Duration) *Prober {
-	return &Prober{caller: caller, describe: describe, period: period, table: table, changed: make(chan struct{}, 1)}
+	return &Prober{caller: caller, describe: describe, period: period, table: table, changed: make(chan struct{}, 1), verify: make(chan struct{}, 1)}
 }
 
 // Run probes until ctx ends.
@@ -43,16 +45,30 @@
 	ticker := time.NewTicker(p.period)
 	defer ticker.Stop()
 	defer p.probes.Wait()
+	p.round(ctx)
 	for {
-		p.round(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			p.round(ctx)
+		case <-p.verify:
+			p.verifySuspects(ctx)
 		}
 	}
 }
 
+// verifySuspects probes at once the members that another node suspects.
+func (p *Prober) verifySuspects(ctx context.Context) {
+	p.mu.Lock()
+	targets := p.table.Verifications()
+	probe := p.table.Request(time.Now())
+	p.mu.Unlock()
+	for _, address := range targets {
+		p.probes.Go(func() { p.probe(ctx, address, probe) })
+	}
+}
+
 func (p *Prober) round(ctx context.Context) {
 	own := p.describe()
 	now := time.Now()
@@ -60,7 +76,7 @@
 	p.table.SetSelf(own)
 	p.table.Forget(now)
 	targets := p.table.Targets(fanout)
-	probe := p.table.Outgoing(now)
+	probe := p.table.Request(now)
 	p.mu.Unlock()
 	p.signal()
 	for _, address := range targets {
@@ -68,29 +84,44 @@
 	}
 }
 
-func (p *Prober) probe(ctx context.Context, address string, probe peer.Probe) {
-	ctx, cancel := context.WithTimeout(ctx, p.period)
+// probe calls one peer; a peer that does not answer within the period is
+// suspected.
+func (p *Prober) probe(parent context.Context, address string, probe peer.Probe) {
+	ctx, cancel := context.WithTimeout(parent, p.period)
 	defer cancel()
 	reply, err := p.caller.Probe(ctx, address, probe)
-	if err != nil {
+	if err == nil {
+		p.merge(reply)
 		return
 	}
-	p.merge(reply)
+	if parent.Err() != nil {
+		return
+	}
+	p.mu.Lock()
+	p.table.Suspect(address)
+	p.mu.Unlock()
+	p.signal()
 }
 
 func (p *Prober) merge(probe peer.Probe) {
 	now := time.Now()
 	p.mu.Lock()
-	p.table.Merge(probe, now)
+	suspicious := p.table.Merge(probe, now)
 	p.lastContact = now
 	p.mu.Unlock()
 	p.signal()
+	if suspicious {
+		notify(p.verify)
+	}
 }
 
-// signal coalesces change notices: one pending notice is enough.
-func (p *Prober) signal() {
+func (p *Prober) signal() { notify(p.changed) }
+
+// notify puts a token into a channel of capacity 1; one that waits already is
+// enough.
+func notify(channel chan<- struct{}) {
 	select {
-	case p.changed <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
@@ -103,14 +134,14 @@
 	p.merge(probe)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Outgoing(time.Now())
+	return p.table.Reply(probe, time.Now())
 }
 
 // SetRoster replaces the known peers.
-func (p *Prober) SetRoster(addresses map[string]string) {
+func (p *Prober) SetRoster(peers []Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.SetRoster(addresses)
+	p.table.SetRoster(peers)
 }
 
 // Live returns the digests of the live nodes of the region.
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -6,6 +6,7 @@
 
 	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/process/membership"
 	"currantladder.example/currantladder/internal/request/route"
 )
 
@@ -104,21 +105,34 @@
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Platform.CallTimeout)
 	defer cancel()
 	rows, err := n.keeper.Sessions(ctx)
-	addresses := make(map[string]string, len(rows))
-	for _, row := range rows {
-		addresses[row.Node] = row.PeerAddress
-	}
 	if err != nil {
-		for _, seed := range n.settings.Peers.Seeds {
-			addresses[seed] = seed
-		}
-		n.members.SetRoster(addresses)
+		n.useSeeds()
 		return
 	}
+	peers := make([]membership.Peer, 0, len(rows))
+	for _, row := range rows {
+		peers = append(peers, membership.Peer{Node: row.Node, Address: row.PeerAddress, Region: row.Region})
+	}
 	n.mu.Lock()
 	n.sessions = rows
 	n.mu.Unlock()
-	n.members.SetRoster(addresses)
+	n.members.SetRoster(peers)
+}
+
+// useSeeds takes the peers from the settings while the session rows cannot be
+// read, unless they were read before.
+func (n *Node) useSeeds() {
+	n.mu.Lock()
+	known := len(n.sessions) > 0
+	n.mu.Unlock()
+	if known {
+		return
+	}
+	var peers []membership.Peer
+	for _, seed := range n.settings.Peers.Seeds {
+		peers = append(peers, membership.Peer{Node: seed, Address: seed})
+	}
+	n.members.SetRoster(peers)
 }
 
 // sessionNodes returns the nodes that the session rows name.
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -131,7 +131,7 @@
 		period("lease_renew", "3s", "period of renewing the session; below lease_ttl", func(t *Timing) *time.Duration { return &t.LeaseRenew }),
 		period("head_poll", "1s", "mean period of reading the configuration head", func(t *Timing) *time.Duration { return &t.HeadPoll }),
 		period("peer_probe", "500ms", "period of probing peers", func(t *Timing) *time.Duration { return &t.PeerProbe }),
-		timeout("peer_timeout", "3s", "how long a silent peer counts as live; above peer_probe", func(t *Timing) *time.Duration { return &t.PeerTimeout }),
+		timeout("peer_timeout", "6s", "how long a silent peer counts as live; above peer_probe", func(t *Timing) *time.Duration { return &t.PeerTimeout }),
 		period("host_list_poll", "1s", "period of reading the host list", func(t *Timing) *time.Duration { return &t.HostListPoll }),
 		period("health_probe", "500ms", "period of probing endpoint hosts", func(t *Timing) *time.Duration { return &t.HealthProbe }),
 		timeout("health_bound", "2s", "age at which an observation of a host no longer counts; above health_probe", func(t *Timing) *time.Duration { return &t.HealthBound }),
