Race group controllers under faults and mend what they showed

Cause: TestInvariantHostExclusive left groups closed in the end. A group whose members all returned long after it broke counted them as stuck and never ordered them to load; a group under repair lost its hosts to another one although its replacement was loading. Change: members that are back load in place and their time to load starts then (step Reload); a group whose replacements load counts as repairable. TestPlanReloadsMembersThatReturnLate covers the first.

--- a/internal/connection/endpoint/orders.go
+++ b/internal/connection/endpoint/orders.go
@@ -29,8 +29,13 @@
 // concurrent use; every call ends with its context.
 type OrderClient struct{ http *http.Client }
 
-// NewOrderClient returns a client that sends through the given HTTP client.
-func NewOrderClient(client *http.Client) *OrderClient { return &OrderClient{http: client} }
+// NewOrderClient returns a client that sends through the given HTTP client,
+// without following redirects: an order goes to the named host only.
+func NewOrderClient(client *http.Client) *OrderClient {
+	own := *client
+	own.CheckRedirect = refuseRedirect
+	return &OrderClient{http: &own}
+}
 
 // State reads the state of the engine at the address.
 func (c *OrderClient) State(ctx context.Context, address string) (State, error) {
--- a/internal/version/groupcontrol/input.go
+++ b/internal/version/groupcontrol/input.go
@@ -124,7 +124,8 @@
 func refused(seen health.Observation) bool {
 	return errors.Is(seen.Err, syscall.ECONNREFUSED) ||
 		errors.Is(seen.Err, syscall.ECONNRESET) ||
-		errors.Is(seen.Err, io.EOF)
+		errors.Is(seen.Err, io.EOF) ||
+		errors.Is(seen.Err, io.ErrUnexpectedEOF)
 }
 
 // observeLatency feeds the straggler detector with the groups that serve.
--- a/internal/version/placement/form.go
+++ b/internal/version/placement/form.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		missing := p.lost(donor)
-		if len(missing) == 0 || p.in.Now.Before(p.giveUpAt(missing)) || p.canRepair(donor, len(missing)) {
+		if len(missing) == 0 || p.in.Now.Before(p.giveUpAt(missing)) || p.canRepair(donor, missing) {
 			continue
 		}
 		if !outranks(g, donor, lost, len(missing)) {
@@ -156,9 +156,12 @@
 	}
 }
 
-// canRepair reports whether free hosts are enough to repair the group.
-func (p *planner) canRepair(g *Group, lost int) bool {
-	return len(p.spares[g.Placement.FabricDomain]) >= lost || p.fittingDomain(len(g.Placement.Members), g.Placement.FabricDomain) != ""
+// canRepair reports whether replacements that load already and free hosts are
+// enough to repair the group.
+func (p *planner) canRepair(g *Group, lost []vacancy) bool {
+	staged := p.staged(g)
+	open := positionsWithout(positionsOf(lost), staged)
+	return p.moving(g, staged) || len(p.spares[g.Placement.FabricDomain]) >= len(open) || p.fittingDomain(len(g.Placement.Members), g.Placement.FabricDomain) != ""
 }
 
 // lowerWorthDonor returns the whole group of the lowest worth whose hosts, with
--- a/internal/version/placement/plan_test.go
+++ b/internal/version/placement/plan_test.go
@@ -111,6 +111,23 @@
 	}
 }
 
+// TestPlanReloadsMembersThatReturnLate: without a spare, members that return
+// long after the group broke load in place.
+func TestPlanReloadsMembersThatReturnLate(t *testing.T) {
+	w := newSimWorld(Plan, 4, 10)
+	w.run([]simEvent{
+		crash(0, "h0-08"),
+		crash(0, "h0-09"),
+		crash(time.Second, "h0-00"),
+		crash(time.Second, "h0-01"),
+		restart(5*time.Minute, "h0-00"),
+		restart(6*time.Minute, "h0-01"),
+	})
+	if g := &w.groups[0]; !serving(g) {
+		t.Errorf("group is closed although its members are back: %+v", g.Placement)
+	}
+}
+
 // TestPlanRespectsConcurrentLoads counts the groups that load while a whole
 // failure domain forms.
 func TestPlanRespectsConcurrentLoads(t *testing.T) {
--- a/internal/version/placement/prepare.go
+++ b/internal/version/placement/prepare.go
@@ -112,6 +112,9 @@
 	if serving(g) {
 		p.markBroken(g, lost)
 	}
+	if p.stuck(g) {
+		p.loadMembers(g, nil)
+	}
 	chance, load := p.weigh(g, lost)
 	p.wait(g, until, lost[0].fault.reason, fmt.Sprintf("%s; chance of a return %.0f%%, loading a replacement takes about %s; %s", p.describe(lost), 100*chance, load, why))
 }
--- a/internal/version/placement/repair.go
+++ b/internal/version/placement/repair.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/version/object"
 )
 
@@ -30,7 +29,7 @@
 	}
 	unready := p.unready(g)
 	if len(unready) > 0 {
-		p.load(g, unready, staged)
+		p.load(g, unready)
 		return
 	}
 	if slow := p.slow(g); len(slow) > 0 && serving(g) {
@@ -67,74 +66,6 @@
 	p.add(step)
 }
 
-// updateAdapters orders members to hold the declared adapters. The group
-// serves on.
-func (p *planner) updateAdapters(g *Group) {
-	t := p.targetOf(g.Placement)
-	var orders []HostOrder
-	for _, name := range g.Placement.Members {
-		if h := p.hosts[name]; !sameSet(h.State.Adapters, g.Spec.Adapters) {
-			orders = append(orders, HostOrder{name, p.loadOrder(g, t)})
-		}
-	}
-	if len(orders) > 0 {
-		p.add(Step{Kind: KindLoad, Group: g.Name, Orders: orders, Reason: "Adapters",
-			Message: fmt.Sprintf("%d members load the declared adapters", len(orders))})
-	}
-}
-
-func sameSet(a, b []string) bool {
-	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
-}
-
-// load orders members that answer, but do not hold the placement, to load.
-func (p *planner) load(g *Group, unready []vacancy, staged map[int]*Host) {
-	if serving(g) {
-		p.add(p.change(g, KindMarkBroken, object.PhaseBroken, unready[0].fault.reason, unready[0].fault.message))
-		return
-	}
-	var orders []HostOrder
-	needStore := false
-	t := p.targetOf(g.Placement)
-	for _, v := range unready {
-		h := p.hosts[g.Placement.Members[v.position]]
-		if h.holds(t) || !h.reachable() {
-			continue
-		}
-		needStore = needStore || !h.hasWeights(t)
-		orders = append(orders, HostOrder{h.Name, p.loadOrder(g, t)})
-	}
-	if needStore && !p.mayLoad(g.Name) {
-		p.waitForStore(g)
-		return
-	}
-	if len(orders) > 0 {
-		if needStore {
-			p.loading[g.Name] = true
-		}
-		p.add(Step{Kind: KindLoad, Group: g.Name, Orders: orders, Reason: "Loading",
-			Message: fmt.Sprintf("%d members load generation %d", len(orders), g.Placement.Generation)})
-	}
-	p.loadStaged(g, staged)
-	p.wait(g, p.stuckAt(g), "Loading", fmt.Sprintf("waiting for %d members to load; the first is %s", len(unready), g.Placement.Members[unready[0].position]))
-}
-
-func (p *planner) loadOrder(g *Group, t *target) endpoint.Order {
-	order := endpoint.Order{
-		Epoch:        p.in.Epoch,
-		Action:       endpoint.ActionLoad,
-		Group:        t.group,
-		Generation:   t.generation,
-		Model:        t.model,
-		ModelVersion: t.modelVersion,
-		Members:      t.addresses,
-	}
-	if g.Spec != nil {
-		order.Adapters = g.Spec.Adapters
-	}
-	return order
-}
-
 // lost returns positions that need a replacement or the member's return.
 func (p *planner) lost(g *Group) []vacancy {
 	found, ok := p.lostByGroup[g.Name]
@@ -151,7 +82,7 @@
 		if f.symptom != symptomUnready {
 			return f.missing()
 		}
-		return p.replacedSooner(g, position, staged[position]) || !p.in.Now.Before(p.stuckAt(g))
+		return p.replacedSooner(g, position, staged[position]) || p.stuck(g)
 	})
 }
 
@@ -186,15 +117,17 @@
 	return found
 }
 
-// stuckAt is when a member that still loads counts as lost. Members of a
-// group that serves have just restarted and get the whole time.
+// stuckAt is when loads that began with the placement's last change count as
+// failed.
 func (p *planner) stuckAt(g *Group) time.Time {
-	if serving(g) {
-		return p.in.Now.Add(p.in.Policy.LoadTime)
-	}
 	return g.Placement.Changed.Add(time.Duration(p.in.Policy.StuckLoads) * p.in.Policy.LoadTime)
 }
 
+// stuck reports whether members of the group had their time to load.
+func (p *planner) stuck(g *Group) bool {
+	return g.Placement.Phase == object.PhaseLoading && !p.in.Now.Before(p.stuckAt(g))
+}
+
 // staged returns usable hosts that load as replacements, by position.
 func (p *planner) staged(g *Group) map[int]*Host {
 	staged := map[int]*Host{}
@@ -229,21 +162,6 @@
 	return members
 }
 
-// loadStaged orders replacements to load that do not do so yet.
-func (p *planner) loadStaged(g *Group, staged map[int]*Host) {
-	t := p.stagedTarget(g, staged)
-	var orders []HostOrder
-	for position := range g.Placement.Members {
-		if h := staged[position]; h != nil && h.reachable() && !h.holds(t) {
-			orders = append(orders, HostOrder{h.Name, p.loadOrder(g, t)})
-		}
-	}
-	if len(orders) > 0 {
-		p.add(Step{Kind: KindLoad, Group: g.Name, Orders: orders, Reason: "Preparing",
-			Message: fmt.Sprintf("%d replacements load generation %d", len(orders), t.generation)})
-	}
-}
-
 // repair plans a group with lost members.
 func (p *planner) repair(g *Group, lost []vacancy, staged map[int]*Host, all []Group) {
 	if serving(g) && p.inGrace(lost) {
@@ -260,6 +178,7 @@
 			p.markBroken(g, lost)
 		}
 		p.loadStaged(g, staged)
+		p.loadMembers(g, staged)
 		p.wait(g, p.stuckAt(g), lost[0].fault.reason, p.describe(lost)+"; "+strings.Join(stagedNames(staged), ", ")+" load as replacement")
 	case p.draining(g, lost):
 		p.wait(g, g.Placement.Changed.Add(p.in.Policy.Drain), lost[0].fault.reason, "the replacement is ready; waiting for streams of the leaving member to end")
--- a/internal/version/placement/types.go
+++ b/internal/version/placement/types.go
@@ -133,6 +133,8 @@
 	KindForm Kind = "Form"
 	// KindLoad orders hosts to load what they are claimed for.
 	KindLoad Kind = "Load"
+	// KindReload lets members that are back load in place.
+	KindReload Kind = "Reload"
 	// KindOpen lets a group serve whose members are all ready.
 	KindOpen Kind = "Open"
 	// KindMarkBroken closes a group.
