Pause owners at their commits and orders in the controller tests

Cause: with the ownership's assertion off TestInvariantHostExclusive passed, because no pause fell on a commit. Now it fails (revision 14 was written under epoch 4 after epoch 5). Not whole yet: under -race the test failed once in three runs with a group left closed; the cause is being looked for.

--- a/internal/version/groupcontrol/controller_test.go
+++ b/internal/version/groupcontrol/controller_test.go
@@ -53,10 +53,8 @@
 // TestInvariantHostExclusive runs three racing controllers under paused nodes,
 // lost answers, outages, and crashing, silent and restarting engines. No host
 // is ever a member of two groups, epochs never fall, engines that check
-// fencing carry out no stale order, and stale orders at the others do no
-// lasting harm: in the end every group is open.
+// fencing carry out no stale order, and in the end every group is open.
 func TestInvariantHostExclusive(t *testing.T) {
-	refused, obeyed := 0, 0
 	for seed := range uint64(4) {
 		inHall(t, 6, func(h *hall) {
 			groups := []string{"a", "b", "c"}
@@ -65,31 +63,25 @@
 				h.addNode(name, nil)
 			}
 			random := rand.New(rand.NewPCG(seed, 1))
-			for range 150 {
+			for range 100 {
 				h.disturb(random)
 				time.Sleep(time.Duration(random.Int64N(int64(6 * time.Second))))
 			}
 			h.heal()
-			h.awaitOpen(groups, 3*time.Minute)
 			h.checkLog(groups)
+			h.awaitOpen(groups, 3*time.Minute)
 			for _, v := range h.audit.violations {
 				t.Error(v)
 			}
-			refused += h.audit.refused
-			obeyed += h.audit.obeyed
 		})
 	}
-	t.Logf("stale orders: %d refused, %d obeyed", refused, obeyed)
-	if refused == 0 || obeyed == 0 {
-		t.Errorf("stale orders: %d refused and %d obeyed, want some of both for the test to mean something", refused, obeyed)
-	}
 }
 
 // disturb brings or ends one fault.
 func (h *hall) disturb(random *rand.Rand) {
 	name := h.names[random.IntN(len(h.names))]
 	e, node := h.engines[name], h.nodes[random.IntN(len(h.nodes))]
-	switch random.IntN(10) {
+	switch random.IntN(11) {
 	case 0, 1:
 		node.gate.Set(true, 0)
 	case 2, 3, 4:
@@ -97,13 +89,15 @@
 	case 5:
 		node.pauseAtOrder.Store(true)
 	case 6:
-		h.platform.SetFaults(platform.Faults{LoseEvery: random.IntN(4), Outage: random.IntN(6) == 0})
+		node.pauseAtCommit.Store(true)
 	case 7:
-		e.Crash()
+		h.platform.SetFaults(platform.Faults{LoseEvery: random.IntN(4), Outage: random.IntN(6) == 0})
 	case 8:
+		e.Crash()
+	case 9:
 		e.Restart()
 		h.audit.forget(name)
-	case 9:
+	case 10:
 		e.SetFaults(engine.Faults{Pause: random.IntN(2) == 0})
 	}
 }
@@ -111,6 +105,7 @@
 func (h *hall) heal() {
 	for _, n := range h.nodes {
 		n.pauseAtOrder.Store(false)
+		n.pauseAtCommit.Store(false)
 		n.gate.Set(false, 0)
 	}
 	h.platform.SetFaults(platform.Faults{})
@@ -168,6 +163,44 @@
 	}
 }
 
+// TestStaleOrdersDoNoHarm pauses an owner whose orders are about to leave.
+// When it wakes, another one has given the hosts to another group: hosts that
+// check fencing refuse the orders, and where they are obeyed the gate closes
+// and the owner puts the host right.
+func TestStaleOrdersDoNoHarm(t *testing.T) {
+	inHall(t, 3, func(h *hall) {
+		h.declare()
+		old := h.addNode("n1", nil)
+		time.Sleep(2 * testOrderTimeout)
+		h.addNode("n2", nil)
+		old.pauseAtOrder.Store(true)
+		h.declare("a")
+		time.Sleep(longPause / 2)
+		former := h.placements()["a"].Members
+		h.declare()
+		time.Sleep(longPause / 6)
+		h.declare("b")
+		h.awaitOpen([]string{"b"}, longPause/3)
+		if !slices.Equal(former, h.placements()["b"].Members) {
+			t.Fatalf("group b has other hosts than group a had: %v, %v", h.placements()["b"].Members, former)
+		}
+		closed := false
+		for range 10 * int(longPause/testPeriod) {
+			time.Sleep(testPeriod / 10)
+			if open, _ := h.open(h.placements()["b"]); !open {
+				closed = true
+			}
+		}
+		if h.audit.refused == 0 || h.audit.obeyed == 0 || !closed {
+			t.Errorf("%d stale orders refused, %d obeyed, gate closed %t: the test shows nothing", h.audit.refused, h.audit.obeyed, closed)
+		}
+		for _, v := range h.audit.violations {
+			t.Error(v)
+		}
+		h.awaitOpen([]string{"b"}, time.Minute)
+	})
+}
+
 // TestNewOwnerWaitsForOldOrders lets the orders of an owner that loses the
 // store take almost the order timeout on their way: none of them may reach a
 // host that does not check fencing after an order of the next owner.
--- a/internal/version/groupcontrol/harness_test.go
+++ b/internal/version/groupcontrol/harness_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -39,7 +41,9 @@
 	testTTL          = 5 * time.Second
 	testRenew        = time.Second
 	// longPause outlives a lease, its take-over and the wait of the new owner.
-	longPause = 4 * testTTL
+	longPause = 6 * testTTL
+	// gather lets orders of one step get ready before the node is paused.
+	gather = 100 * time.Millisecond
 )
 
 // hall is a failure domain of stand-in engines with the platform, in virtual
@@ -63,11 +67,21 @@
 type testNode struct {
 	name string
 	gate fault.Gate
-	// pauseAtOrder pauses the node when its next order is about to leave.
-	pauseAtOrder atomic.Bool
-	keeper       *lease.Keeper
-	manager      *Manager
-	stop         func()
+	// pauseAtOrder and pauseAtCommit pause the node when its next order or
+	// commit of a placement is about to leave.
+	pauseAtOrder  atomic.Bool
+	pauseAtCommit atomic.Bool
+	keeper        *lease.Keeper
+	manager       *Manager
+	stop          func()
+}
+
+// pauseIf pauses the node for long where the flag is set, and clears it.
+func (n *testNode) pauseIf(flag *atomic.Bool) {
+	if flag.CompareAndSwap(true, false) {
+		n.gate.Set(true, 0)
+		time.AfterFunc(longPause, func() { n.gate.Set(false, 0) })
+	}
 }
 
 // fixedView is a configuration that tests replace.
@@ -178,9 +192,9 @@
 	}
 	// An order that was about to leave when the process was paused leaves
 	// when it wakes, whatever its deadline.
-	if n.node.pauseAtOrder.CompareAndSwap(true, false) {
-		n.node.gate.Set(true, 0)
-		time.AfterFunc(longPause, func() { n.node.gate.Set(false, 0) })
+	if n.node.pauseAtOrder.Load() {
+		time.Sleep(gather)
+		n.node.pauseIf(&n.node.pauseAtOrder)
 	}
 	_ = n.node.gate.Hold(context.Background())
 	if n.slow != nil {
@@ -217,21 +231,24 @@
 // pausedStore holds a node's calls of the table service while it is paused.
 type pausedStore struct {
 	table.Store
-	gate *fault.Gate
+	node *testNode
 }
 
 func (s *pausedStore) Get(ctx context.Context, key string) (table.Row, error) {
-	_ = s.gate.Hold(context.Background())
+	_ = s.node.gate.Hold(context.Background())
 	return s.Store.Get(ctx, key)
 }
 
 func (s *pausedStore) List(ctx context.Context, r table.Range) ([]table.Row, error) {
-	_ = s.gate.Hold(context.Background())
+	_ = s.node.gate.Hold(context.Background())
 	return s.Store.List(ctx, r)
 }
 
 func (s *pausedStore) Commit(ctx context.Context, txn table.Txn) error {
-	_ = s.gate.Hold(context.Background())
+	if slices.ContainsFunc(txn.Writes, func(w table.Write) bool { return strings.HasPrefix(w.Key, table.PrefixPlacement) }) {
+		s.node.pauseIf(&s.node.pauseAtCommit)
+	}
+	_ = s.node.gate.Hold(context.Background())
 	return s.Store.Commit(context.WithoutCancel(ctx), txn)
 }
 
@@ -300,7 +317,7 @@
 // addNode starts a node; slow delays its orders on their way.
 func (h *hall) addNode(name string, slow func() time.Duration) *testNode {
 	n := &testNode{name: name}
-	store := &pausedStore{h.platform.Table, &n.gate}
+	store := &pausedStore{h.platform.Table, n}
 	client := &http.Client{Transport: &nodeTransport{h, n, slow}}
 	n.keeper = lease.New(store, lease.SessionRow{Node: name}, testTTL, testRenew, eventlog.Discard())
 	policy := placement.DefaultPolicy(testLoad, 2)
