--- a/internal/version/configlog/acceptor.go
+++ b/internal/version/configlog/acceptor.go
@@ -27,15 +27,21 @@
 
 // Acceptor implements Log over the table service.
 type Acceptor struct {
-	store table.Store
-	log   *eventlog.Logger
+	store    table.Store
+	log      *eventlog.Logger
+	accepted func(object.Record)
 }
 
 // NewAcceptor returns a Log that accepts proposals in the store.
 func NewAcceptor(store table.Store, log *eventlog.Logger) *Acceptor {
-	return &Acceptor{store: store, log: log}
+	return &Acceptor{store: store, log: log, accepted: func(object.Record) {}}
 }
 
+// OnAccept sets the function that is called with every record accepted through
+// this Acceptor, usually Follower.Offer. Call it before the first Propose. The
+// function must not block.
+func (a *Acceptor) OnAccept(accepted func(object.Record)) { a.accepted = accepted }
+
 // Propose implements Log. It blocks on the store until an answer or ctx ends.
 func (a *Acceptor) Propose(ctx context.Context, p Proposal) (object.Record, error) {
 	var err error
@@ -71,6 +77,7 @@
 	if err == nil {
 		if len(record.Changes) > 0 {
 			a.log.Log(eventlog.ConfigAccepted, eventlog.Fields{"revision": record.Revision, "author": p.Author, "changes": len(record.Changes)})
+			a.accepted(record)
 		}
 		return record, false, nil
 	}
--- a/internal/version/configlog/follower.go
+++ b/internal/version/configlog/follower.go
@@ -15,16 +15,22 @@
 )
 
 const (
-	// readTimeout bounds one round of reading the store or the peers, so that
-	// a slow one does not keep the follower from the other.
-	readTimeout = 2 * time.Second
+	// storeTimeout bounds one round of reading the store, which takes several
+	// calls of a store that may be slow.
+	storeTimeout = 15 * time.Second
+	// peerTimeout bounds one round of reading peers.
+	peerTimeout = 5 * time.Second
 	// learnShare is the part of the poll period over which the reads of all
 	// followers that learn of a head at the same time are spread.
 	learnShare = 4
 )
 
-// errGap reports log records that do not follow the revision in force.
-var errGap = errors.New("log records are missing")
+var (
+	// errGap reports log records that do not follow the revision in force.
+	errGap = errors.New("log records are missing")
+	// errNoSnapshot reports that no peer has loaded the configuration.
+	errNoSnapshot = errors.New("no peer has a snapshot")
+)
 
 // PeerSource reads the configuration from other nodes. Both calls block until
 // an answer or ctx ends.
@@ -52,26 +58,29 @@
 
 	// learned is the highest revision that a peer told of.
 	learned atomic.Int64
-	// wake holds one token while a learned revision waits to be read. It has
-	// room for one; more tokens would add nothing and are dropped.
-	wake chan struct{}
+	// wakeStore and wakePeers hold one token while a learned revision waits
+	// to be read by the duty of that name. Further tokens would add nothing
+	// and are dropped.
+	wakeStore chan struct{}
+	wakePeers chan struct{}
+	// storeFailing is true after a failed read of the store.
+	storeFailing atomic.Bool
 
+	// mu serializes the steps from one revision to the next.
 	mu      sync.Mutex
 	changed chan struct{}
-
-	// storeFailing is true after a failed read of the store. Only Run uses it.
-	storeFailing bool
 }
 
 // NewFollower returns a follower that reads the head every poll on average.
 func NewFollower(store table.Store, peers PeerSource, poll time.Duration, log *eventlog.Logger) *Follower {
 	f := &Follower{
-		store:   store,
-		peers:   peers,
-		poll:    poll,
-		log:     log,
-		wake:    make(chan struct{}, 1),
-		changed: make(chan struct{}),
+		store:     store,
+		peers:     peers,
+		poll:      poll,
+		log:       log,
+		wakeStore: make(chan struct{}, 1),
+		wakePeers: make(chan struct{}, 1),
+		changed:   make(chan struct{}),
 	}
 	f.current.Store(snapshot.Empty())
 	return f
@@ -98,22 +107,35 @@
 func (f *Follower) Learn(revision int64) {
 	for {
 		known := f.learned.Load()
-		if revision <= known {
-			break
-		}
-		if f.learned.CompareAndSwap(known, revision) {
+		if revision <= known || f.learned.CompareAndSwap(known, revision) {
 			break
 		}
 	}
-	if revision <= f.Current().Revision {
+	if !f.behindPeers() {
 		return
 	}
+	signal(f.wakeStore)
+	signal(f.wakePeers)
+}
+
+func signal(wake chan<- struct{}) {
 	select {
-	case f.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
 
+// Offer hands over a record that was accepted through this node. It is put in
+// force at once where it is the next one, so that it spreads to the peers even
+// if the store fails right after the acceptance.
+func (f *Follower) Offer(record object.Record) {
+	if !f.Ready() {
+		return
+	}
+	f.apply([]object.Record{record})
+	f.Learn(record.Revision)
+}
+
 // Run loads the configuration and follows it until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil && !f.Ready() {
@@ -122,85 +144,89 @@
 			_ = sleep(ctx, jitter(f.poll))
 		}
 	}
-	for f.wait(ctx) {
-		f.refresh(ctx)
-	}
-}
-
-// wait blocks until the next read is due and reports false when ctx ends.
-func (f *Follower) wait(ctx context.Context) bool {
-	timer := time.NewTimer(jitter(f.poll))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-f.wake:
-		return sleep(ctx, jitter(f.poll/learnShare)) == nil
-	case <-ctx.Done():
-		return false
-	}
+	var duties sync.WaitGroup
+	duties.Go(func() { f.followStore(ctx) })
+	duties.Go(func() { f.followPeers(ctx) })
+	duties.Wait()
 }
 
 // start takes the higher one of the store's and the peers' configuration.
+// Peers are read at the same time, so that a hanging store costs one timeout.
 func (f *Follower) start(ctx context.Context) {
-	stored, storeErr := f.loadStore(ctx)
-	if storeErr == nil {
-		f.adopt(stored)
-	}
-	peered, peerErr := f.loadPeers(ctx)
-	if peerErr == nil {
-		f.adopt(peered)
-	}
+	var peerErr error
+	var peers sync.WaitGroup
+	peers.Go(func() { peerErr = f.loadPeers(ctx) })
+	storeErr := f.loadStore(ctx)
+	peers.Wait()
 	f.noteStore(storeErr)
 	if storeErr == nil || peerErr == nil {
 		f.ready.Store(true)
 	}
 }
 
-func (f *Follower) loadStore(ctx context.Context) (*snapshot.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+func (f *Follower) loadStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return loadSnapshot(ctx, f.store)
+	loaded, err := loadSnapshot(ctx, f.store)
+	if err != nil {
+		return err
+	}
+	f.adopt(loaded)
+	return nil
 }
 
-func (f *Follower) loadPeers(ctx context.Context) (*snapshot.Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+// loadPeers adopts the peers' snapshot. Revision 0 is no evidence: a peer that
+// has not loaded the configuration itself has it too.
+func (f *Follower) loadPeers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	loaded, err := f.peers.Snapshot(ctx)
-	if err == nil && loaded == nil {
-		return nil, errors.New("no peer has a snapshot")
+	if err != nil {
+		return fmt.Errorf("read a peer's snapshot: %w", err)
+	}
+	if loaded == nil || loaded.Revision == 0 {
+		return errNoSnapshot
 	}
-	return loaded, err
+	f.adopt(loaded)
+	return nil
 }
 
-// refresh reads what is newer than the revision in force: from the store, or
-// from the peers while the store fails and a peer told of a newer head.
-func (f *Follower) refresh(ctx context.Context) {
-	if f.storeFailing && f.behindPeers() {
-		f.refreshFromPeers(ctx)
-	}
-	err := f.refreshFromStore(ctx)
-	f.noteStore(err)
-	if err != nil && f.behindPeers() {
-		f.refreshFromPeers(ctx)
+// followStore reads the head every poll, and soon after a peer told of a
+// higher one.
+func (f *Follower) followStore(ctx context.Context) {
+	for f.waitStore(ctx) {
+		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := f.readStore(readCtx)
+		cancel()
+		if ctx.Err() == nil {
+			f.noteStore(err)
+		}
 	}
 }
 
-func (f *Follower) behindPeers() bool { return f.learned.Load() > f.Current().Revision }
+func (f *Follower) waitStore(ctx context.Context) bool {
+	timer := time.NewTimer(jitter(f.poll))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-f.wakeStore:
+		return sleep(ctx, jitter(f.poll/learnShare)) == nil
+	case <-ctx.Done():
+		return false
+	}
+}
 
-func (f *Follower) refreshFromStore(ctx context.Context) error {
-	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	head, err := readHead(readCtx, f.store)
+func (f *Follower) readStore(ctx context.Context) error {
+	head, err := readHead(ctx, f.store)
 	if err != nil {
 		return err
 	}
 	current := f.Current().Revision
 	if head < current {
-		f.log.Log(eventlog.ConfigHeadLower, eventlog.Fields{"head": head, "revision": current})
-		return nil
+		return f.checkLowerHead(ctx, head)
 	}
-	records, err := readRecords(readCtx, f.store, current, head)
+	records, err := readRecords(ctx, f.store, current, head)
 	if err != nil {
 		return err
 	}
@@ -208,7 +234,7 @@
 		f.apply(records)
 		return nil
 	}
-	loaded, err := f.loadStore(ctx)
+	loaded, err := loadSnapshot(ctx, f.store)
 	if err != nil {
 		return err
 	}
@@ -216,21 +242,41 @@
 	return nil
 }
 
-// refreshFromPeers applies a peer's log, or adopts the peers' snapshot where
-// the log does not reach back far enough. Failures leave the revision as it
-// is: the next round tries again.
-func (f *Follower) refreshFromPeers(ctx context.Context) {
-	if f.applyPeerLog(ctx) == nil {
-		return
+// followPeers reads the peers when the store does not bring a revision that a
+// peer told of: at once while the store fails, else after a poll period.
+func (f *Follower) followPeers(ctx context.Context) {
+	for {
+		select {
+		case <-f.wakePeers:
+		case <-ctx.Done():
+			return
+		}
+		delay := f.poll
+		if f.storeFailing.Load() {
+			delay = f.poll / learnShare
+		}
+		if sleep(ctx, jitter(delay)) != nil {
+			return
+		}
+		if f.behindPeers() {
+			f.readPeers(ctx)
+		}
 	}
-	loaded, err := f.loadPeers(ctx)
-	if err == nil {
-		f.adopt(loaded)
+}
+
+func (f *Follower) behindPeers() bool { return f.learned.Load() > f.Current().Revision }
+
+// readPeers applies a peer's log, or adopts the peers' snapshot where the log
+// does not reach back far enough. A failure leaves the revision as it is: the
+// next digest of a peer starts another try.
+func (f *Follower) readPeers(ctx context.Context) {
+	if f.readPeerLog(ctx) != nil {
+		_ = f.loadPeers(ctx)
 	}
 }
 
-func (f *Follower) applyPeerLog(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+func (f *Follower) readPeerLog(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	current := f.Current().Revision
 	records, err := f.peers.Log(ctx, current)
@@ -244,21 +290,26 @@
 	return nil
 }
 
-// apply puts contiguous records in force, one after the other.
+// apply puts records in force that follow the current revision one by one.
+// Lower ones are skipped; after a gap nothing more is applied.
 func (f *Follower) apply(records []object.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, record := range records {
-		next := f.Current().Apply(record)
-		if next == f.Current() {
+		current := f.Current()
+		if record.Revision != current.Revision+1 {
 			continue
 		}
 		f.history.add(record)
-		f.put(next)
+		f.put(current.Apply(record))
 		f.log.Log(eventlog.ConfigApplied, eventlog.Fields{"revision": record.Revision, "author": record.Author})
 	}
 }
 
 // adopt puts a whole snapshot in force, provided that it is higher.
 func (f *Follower) adopt(next *snapshot.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if next.Revision <= f.Current().Revision {
 		return
 	}
@@ -267,23 +318,34 @@
 	f.log.Log(eventlog.ConfigLoaded, eventlog.Fields{"revision": next.Revision})
 }
 
-// put publishes the snapshot and wakes those who wait for a change. Only Run
-// calls it, so revisions are compared and stored without a race.
+// put publishes the snapshot and wakes those who wait for a change. The caller
+// holds mu.
 func (f *Follower) put(next *snapshot.Snapshot) {
 	f.current.Store(next)
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+// checkLowerHead logs a head below the revision in force, unless the revision
+// was accepted between the read of the head and now.
+func (f *Follower) checkLowerHead(ctx context.Context, seen int64) error {
+	current := f.Current().Revision
+	head, err := readHead(ctx, f.store)
+	if err != nil {
+		return err
+	}
+	if head == seen && head < current {
+		f.log.Log(eventlog.ConfigHeadLower, eventlog.Fields{"head": head, "revision": current})
+	}
+	return nil
+}
+
 // noteStore logs when reading the store begins and ceases to fail.
 func (f *Follower) noteStore(err error) {
 	failing := err != nil
-	if failing == f.storeFailing {
+	if f.storeFailing.Swap(failing) == failing {
 		return
 	}
-	f.storeFailing = failing
 	if failing {
 		f.log.Log(eventlog.ConfigLagging, eventlog.Fields{"error": err.Error(), "revision": f.Current().Revision})
 		return
