Keep a record accepted ahead of the node's own revision

Cause: a node that accepted a record while its follower still missed the one before dropped it; when the store went out in that second, nobody could learn the accepted revision until the store was back, 3 minutes in the test. Ruled out: waiting for the predecessor inside Propose, which would make an accepted change look unanswered. Change: offered records wait, bounded, for their predecessors.

--- a/internal/version/configlog/follower.go
+++ b/internal/version/configlog/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,9 @@
 	// learnShare is the part of the poll period over which the reads of all
 	// followers that learn of a head at the same time are spread.
 	learnShare = 4
+	// offeredCapacity bounds the records that wait for their predecessors;
+	// further ones are read from the store or a peer.
+	offeredCapacity = 64
 )
 
 var (
@@ -69,6 +73,9 @@
 	// mu serializes the steps from one revision to the next.
 	mu      sync.Mutex
 	changed chan struct{}
+	// offered holds records that were accepted through this node before their
+	// predecessors were applied here, by revision.
+	offered map[int64]object.Record
 }
 
 // NewFollower returns a follower that reads the head every poll on average.
@@ -81,6 +88,7 @@
 		wakeStore: make(chan struct{}, 1),
 		wakePeers: make(chan struct{}, 1),
 		changed:   make(chan struct{}),
+		offered:   make(map[int64]object.Record),
 	}
 	f.current.Store(snapshot.Empty())
 	return f
@@ -126,14 +134,32 @@
 }
 
 // Offer hands over a record that was accepted through this node. It is put in
-// force at once where it is the next one, so that it spreads to the peers even
+// force as soon as its predecessors are, so that it spreads to the peers even
 // if the store fails right after the acceptance.
 func (f *Follower) Offer(record object.Record) {
+	f.mu.Lock()
+	if len(f.offered) < offeredCapacity {
+		f.offered[record.Revision] = record
+	}
+	f.applyOffered()
+	f.mu.Unlock()
+	f.Learn(record.Revision)
+}
+
+// applyOffered applies the offered records that are next, and drops those that
+// were overtaken. The caller holds mu.
+func (f *Follower) applyOffered() {
 	if !f.Ready() {
 		return
 	}
-	f.apply([]object.Record{record})
-	f.Learn(record.Revision)
+	for {
+		record, ok := f.offered[f.Current().Revision+1]
+		if !ok {
+			break
+		}
+		f.applyOne(record)
+	}
+	maps.DeleteFunc(f.offered, func(revision int64, _ object.Record) bool { return revision <= f.Current().Revision })
 }
 
 // Run loads the configuration and follows it until ctx ends.
@@ -296,26 +322,30 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, record := range records {
-		current := f.Current()
-		if record.Revision != current.Revision+1 {
-			continue
+		if record.Revision == f.Current().Revision+1 {
+			f.applyOne(record)
 		}
-		f.history.add(record)
-		f.put(current.Apply(record))
-		f.log.Log(eventlog.ConfigApplied, eventlog.Fields{"revision": record.Revision, "author": record.Author})
 	}
+	f.applyOffered()
+}
+
+// applyOne puts the next record in force. The caller holds mu.
+func (f *Follower) applyOne(record object.Record) {
+	f.history.add(record)
+	f.put(f.Current().Apply(record))
+	f.log.Log(eventlog.ConfigApplied, eventlog.Fields{"revision": record.Revision, "author": record.Author})
 }
 
 // adopt puts a whole snapshot in force, provided that it is higher.
 func (f *Follower) adopt(next *snapshot.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if next.Revision <= f.Current().Revision {
-		return
+	if next.Revision > f.Current().Revision {
+		f.history.reset(next.Revision)
+		f.put(next)
+		f.log.Log(eventlog.ConfigLoaded, eventlog.Fields{"revision": next.Revision})
 	}
-	f.history.reset(next.Revision)
-	f.put(next)
-	f.log.Log(eventlog.ConfigLoaded, eventlog.Fields{"revision": next.Revision})
+	f.applyOffered()
 }
 
 // put publishes the snapshot and wakes those who wait for a change. The caller
