--- a/internal/version/configlog/invariant_test.go
+++ b/internal/version/configlog/invariant_test.go
@@ -27,6 +27,8 @@
 	inForceBound = 5 * time.Second
 	raceKeys     = 3
 	raceWriters  = 4
+	// lostValue is the value of the proposal whose answer is lost for sure.
+	lostValue = 1_000_000
 	// checkTimeout bounds the search for a linearization, in real time.
 	checkTimeout = time.Minute
 )
@@ -288,6 +290,9 @@
 	time.Sleep(20 * time.Second)
 	f.platform.SetFaults(platform.Faults{})
 	time.Sleep(20 * time.Second)
+	f.platform.SetFaults(platform.Faults{LoseNext: 1})
+	f.running.Go(func() { r.propose(writing, nodes[0], operation{write: true, value: lostValue}, "lost") })
+	synctest.Wait()
 	f.platform.SetFaults(platform.Faults{Outage: true})
 	time.Sleep(time.Minute)
 	watch(f.start(ctx, "node-5"))
