--- a/internal/request/queue/account.go
+++ b/internal/request/queue/account.go
@@ -6,9 +6,15 @@
 	"math"
 )
 
-// maxCreditQuanta bounds, in quanta, what an account may gain by estimates
-// that were too high.
-const maxCreditQuanta = 4
+const (
+	// maxCreditQuanta bounds, in quanta, what an account may gain by
+	// estimates that were too high.
+	maxCreditQuanta = 4
+	// maxQuantumDrift is the factor by which the mean cost may depart from
+	// the quantum. Accounts whose turns see different quanta drift apart, so
+	// the quantum seldom changes.
+	maxQuantumDrift = 4
+)
 
 // account is one client account's queue inside a rank.
 type account struct {
@@ -25,10 +31,12 @@
 	ringElement *list.Element
 	inNew       bool
 	running     int
-	sizeIndex   int
+	// parked is the number of items that avoid every free group.
+	parked    int
+	sizeIndex int
 }
 
-func (a *account) queued() int { return a.resumed.Len() + a.fresh.Len() }
+func (a *account) queued() int { return a.resumed.Len() + a.fresh.Len() + a.parked }
 
 // head returns the item that the account starts next, or nil.
 func (a *account) head() *item {
@@ -91,6 +99,13 @@
 	quantum int64
 }
 
+// adjust sets the quantum where the mean cost has departed from it.
+func (r *ring) adjust(meanCost int64) {
+	if meanCost > r.quantum*maxQuantumDrift || meanCost*maxQuantumDrift < r.quantum {
+		r.quantum = meanCost
+	}
+}
+
 // active returns the number of accounts in the ring.
 func (r *ring) active() int { return r.fresh.Len() + r.old.Len() }
 
--- /dev/null
+++ b/internal/request/queue/decisions_test.go
@@ -0,0 +1,140 @@
+package queue
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"currantladder.example/currantladder/internal/request/refusal"
+)
+
+// fill offers count requests of an account and starts what fits.
+func fill(t *testing.T, s *Scheduler, rank, account string, count int, now time.Time) Decisions {
+	t.Helper()
+	for i := range count {
+		r := Request{ID: fmt.Sprintf("%s-%s-%d", rank, account, i), Account: account, Rank: rank, CostTokens: 500}
+		if refused := s.Offer(r, now); refused != nil {
+			t.Fatalf("offer of %s: %v", r.ID, refused)
+		}
+	}
+	return s.Next(now)
+}
+
+// TestUrgentPreemptsDownToFloor fills 24 slots with digests, whose floor is
+// 2.4 slots, and offers 48 urgent requests. Each preempted run frees its slot
+// a few calls of Next later.
+func TestUrgentPreemptsDownToFloor(t *testing.T) {
+	const slots, cancelDelay, calls = 24, 3, 100
+	s := newSimScheduler(1, slots)
+	fill(t, s, "digest", "a", slots, simStart)
+	now := simStart.Add(time.Second)
+	for i := range 2 * slots {
+		_ = s.Offer(Request{ID: fmt.Sprintf("urgent-%d", i), Account: "b", Rank: "urgent", CostTokens: 500, Resumed: true}, now)
+	}
+	preempted := map[string]bool{}
+	cancels := make([][]string, calls+cancelDelay)
+	for call := range calls {
+		for _, id := range cancels[call] {
+			s.Finish(id, 0, now)
+			_ = s.Offer(Request{ID: id, Account: "a", Rank: "digest", CostTokens: 500, Resumed: true}, now)
+		}
+		for _, id := range s.Next(now).Preempt {
+			if preempted[id] || !strings.HasPrefix(id, "digest") {
+				t.Fatalf("preempted %s, preempted before: %v", id, preempted[id])
+			}
+			preempted[id] = true
+			cancels[call+cancelDelay] = append(cancels[call+cancelDelay], id)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	digests := s.byName["digest"].running.Len()
+	if digests < 3 || digests > 4 || len(preempted) != slots-digests {
+		t.Errorf("%d digests run after %d preemptions, want 3 for their floor of 2.4 slots, or 4 with headroom", digests, len(preempted))
+	}
+}
+
+// TestResumedGoesFirst offers a resumed request after new ones of its account.
+func TestResumedGoesFirst(t *testing.T) {
+	s := newSimScheduler(1, 1)
+	fill(t, s, "digest", "a", 3, simStart)
+	_ = s.Offer(Request{ID: "resumed", Account: "a", Rank: "digest", CostTokens: 500, Resumed: true}, simStart)
+	s.Finish("digest-a-0", 500, simStart.Add(time.Second))
+	d := s.Next(simStart.Add(time.Second))
+	if len(d.Assign) != 1 || d.Assign[0].RequestID != "resumed" {
+		t.Errorf("assigned %v, want the resumed request first", d.Assign)
+	}
+}
+
+// TestFullQueueEvictsLargestAccount offers a request of a small account to a
+// queue that a large one has filled.
+func TestFullQueueEvictsLargestAccount(t *testing.T) {
+	s := New()
+	s.SetRanks([]Rank{{Name: "digest", FirstTokenTarget: time.Minute, QueueBound: 5}}, simStart)
+	fill(t, s, "digest", "large", 4, simStart)
+	fill(t, s, "digest", "small", 1, simStart)
+	if refused := s.Offer(Request{ID: "more", Account: "large", Rank: "digest"}, simStart); refused == nil || refused.Kind != refusal.KindOverloaded {
+		t.Fatalf("the large account's request got %v, want it refused as overloaded", refused)
+	}
+	if refused := s.Offer(Request{ID: "next", Account: "small", Rank: "digest"}, simStart); refused != nil {
+		t.Fatalf("the small account's request was refused: %v", refused)
+	}
+	d := s.Next(simStart)
+	if len(d.Expire) != 1 || d.Expire[0].RequestID != "digest-large-3" {
+		t.Fatalf("expired %v, want the newest request of the large account", d.Expire)
+	}
+	r := d.Expire[0].Refusal
+	if r.Kind != refusal.KindOverloaded || r.Ran != refusal.RanNo || r.RetryAfter <= 0 || !strings.Contains(r.Message, "account large holds the most with 4") {
+		t.Errorf("evicted with %v, want overloaded, ran: no, with the figures", r)
+	}
+}
+
+// TestOfferRefusesLateWork fills 8 slots with runs of 5 s and offers requests
+// until the predicted wait passes the target of the rank or the deadline.
+func TestOfferRefusesLateWork(t *testing.T) {
+	s := newSimScheduler(1, 8)
+	now := simStart
+	for round := range 3 {
+		fill(t, s, "urgent", fmt.Sprint(round), 8, now)
+		now = now.Add(5 * time.Second)
+		for id := range s.running {
+			s.Finish(id, 500, now)
+		}
+	}
+	fill(t, s, "urgent", "busy", 8, now)
+	accepted := 0
+	var refused *refusal.Error
+	for refused == nil && accepted < 100 {
+		accepted++
+		refused = s.Offer(Request{ID: fmt.Sprint(accepted), Account: "busy", Rank: "urgent", CostTokens: 500}, now)
+	}
+	// A slot frees every 5 s / 8 = 625 ms on average.
+	if accepted != 2 || refused.Kind != refusal.KindOverloaded || refused.RetryAfter < time.Second || !strings.Contains(refused.Message, "1.25s") {
+		t.Errorf("refused offer %d with %v, want the second one with a predicted wait of 1.25s", accepted, refused)
+	}
+	short := Request{ID: "short", Account: "other", Rank: "draft", CostTokens: 500, Deadline: now.Add(time.Second)}
+	if refused := s.Offer(short, now); refused == nil || !strings.Contains(refused.Message, "deadline of 1s") {
+		t.Errorf("a request that cannot start before its deadline got %v", refused)
+	}
+}
+
+// TestPrefersGroupWithPrefix starts a request where most of its leading
+// blocks ran before, as long as a slot is free there.
+func TestPrefersGroupWithPrefix(t *testing.T) {
+	s := newSimScheduler(3, 2)
+	offer := func(id string, prefix ...uint64) Assignment {
+		_ = s.Offer(Request{ID: id, Account: "a", Rank: "draft", Prefix: prefix}, simStart)
+		return s.Next(simStart).Assign[0]
+	}
+	first := offer("first", 1, 2, 3)
+	if other := offer("other", 7, 8); other.Group == first.Group {
+		t.Fatalf("unrelated requests share %s while others are empty", other.Group)
+	}
+	second := offer("second", 1, 2, 9)
+	if second.Group != first.Group || second.PrefixHit != 2 {
+		t.Errorf("assigned %+v, want group %s with 2 blocks", second, first.Group)
+	}
+	if third := offer("third", 1, 2, 3); third.Group == first.Group {
+		t.Errorf("assigned %+v to a full group", third)
+	}
+}
--- a/internal/request/queue/rank.go
+++ b/internal/request/queue/rank.go
@@ -99,7 +99,7 @@
 		r.startBacklog(now)
 	}
 	r.cost.add(float64(it.CostTokens))
-	r.ring.quantum = max(int64(r.cost.value), 1)
+	r.ring.adjust(max(int64(r.cost.value), 1))
 	it.rankElement = r.arrivals.PushBack(it)
 	r.queuedTokens += it.CostTokens
 	a := r.account(it.Account)
@@ -126,8 +126,7 @@
 	it.rankElement = nil
 	r.queuedTokens -= it.CostTokens
 	if it.parked {
-		it.parked = false
-		r.parked--
+		r.setParked(it, false)
 		return
 	}
 	r.unlink(it)
@@ -145,14 +144,22 @@
 // park sets aside an item that avoids every free group.
 func (r *rankState) park(it *item) {
 	r.unlink(it)
-	it.parked = true
-	r.parked++
+	r.setParked(it, true)
+}
+
+func (r *rankState) setParked(it *item, parked bool) {
+	change := 1
+	if !parked {
+		change = -1
+	}
+	it.parked = parked
+	it.account.parked += change
+	r.parked += change
 }
 
 // unpark puts an item back in front of its account's queue.
 func (r *rankState) unpark(it *item) {
-	it.parked = false
-	r.parked--
+	r.setParked(it, false)
 	a := it.account
 	it.accountElement = a.list(it).PushFront(it)
 	a.queuedTokens += it.CostTokens
