Let a node run over another network

Cause: node.New, the endpoint client and the peer client open TCP sockets by themselves, so that the request path can't run in virtual time. Change: NewOver takes a Network (listen and dial); NewClientOver takes a dial function. New and NewClient keep their meaning. Connections to the platform and to hosts now belong to the node instead of http.DefaultTransport and are closed with it. Checked: go test ./cmd/... and ./internal/connection/endpoint pass.

--- a/internal/connection/endpoint/client.go
+++ b/internal/connection/endpoint/client.go
@@ -55,11 +55,19 @@
 // Client calls engines and services. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client with a transport of its own.
+// DialFunc opens a connection to host:port.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client with a transport of its own over TCP.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewClientOver(dialer.DialContext)
+}
+
+// NewClientOver returns a client whose connections dial opens.
+func NewClientOver(dial DialFunc) *Client {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -64,8 +64,13 @@
 // nil for plain HTTP.
 func NewClient(key string, tlsConfig *tls.Config) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewClientOver(key, tlsConfig, dialer.DialContext)
+}
+
+// NewClientOver returns a client whose connections dial opens.
+func NewClientOver(key string, tlsConfig *tls.Config, dial endpoint.DialFunc) *Client {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		TLSClientConfig:     tlsConfig,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -44,10 +44,13 @@
 	settings *settings.Settings
 	log      *eventlog.Logger
 
+	network   Network
 	listeners listeners
 	store     table.Store
 	endpoints *endpoint.Client
 	peers     *peer.Client
+	// clients are closed with the node.
+	clients []*http.Client
 
 	keeper   *lease.Keeper
 	roster   *roster.Roster
@@ -88,13 +91,35 @@
 // Addresses are the host:port of a node's listeners.
 type Addresses struct{ Callers, Peers, Operators string }
 
-// New opens the listeners and builds the parts. Nothing runs before Run.
+// Network opens a node's listeners and connections.
+type Network struct {
+	Listen func(network, address string) (net.Listener, error)
+	// Dial bounds the time of a dial by itself; calls bound it further.
+	Dial endpoint.DialFunc
+}
+
+// TCP returns the network of the machine.
+func TCP() Network {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return Network{Listen: net.Listen, Dial: dialer.DialContext}
+}
+
+// dialTimeout bounds the time to open a connection.
+const dialTimeout = 500 * time.Millisecond
+
+// New opens the listeners on TCP and builds the parts. Nothing runs before
+// Run.
 func New(s *settings.Settings, log *eventlog.Logger) (*Node, error) {
-	opened, err := listen(s)
+	return NewOver(TCP(), s, log)
+}
+
+// NewOver is New over another network.
+func NewOver(network Network, s *settings.Settings, log *eventlog.Logger) (*Node, error) {
+	opened, err := listen(network, s)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, log: log, listeners: opened, router: &router{}}
+	n := &Node{settings: s, log: log, network: network, listeners: opened, router: &router{}}
 	n.dutiesCtx, n.endDuties = context.WithCancel(context.Background())
 	if err := n.buildConnections(); err != nil {
 		return nil, err
@@ -104,7 +129,7 @@
 	return n, nil
 }
 
-func listen(s *settings.Settings) (listeners, error) {
+func listen(network Network, s *settings.Settings) (listeners, error) {
 	var opened listeners
 	for _, l := range []struct {
 		target  *net.Listener
@@ -115,7 +140,7 @@
 		{&opened.peers, "peers", s.Peers.Address},
 		{&opened.operators, "operators", s.Operators.Address},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := network.Listen("tcp", l.address)
 		if err != nil {
 			return opened, fmt.Errorf("listen for %s on %s: %w; choose a free address in section [%s]", l.section, l.address, err, l.section)
 		}
@@ -138,19 +163,38 @@
 	if err != nil {
 		return err
 	}
-	platform := &http.Client{Timeout: n.settings.Platform.CallTimeout}
+	platform := n.httpClient()
+	platform.Timeout = n.settings.Platform.CallTimeout
 	n.store = table.NewClient(n.settings.Platform.URL, platform)
 	n.roster = roster.New(hostlist.NewClient(n.settings.Platform.URL, platform), n.settings.Timing.HostListPoll)
-	n.endpoints = endpoint.NewClient()
-	n.peers = peer.NewClient(n.settings.Peers.Key, peerTLS)
+	n.endpoints = endpoint.NewClientOver(n.network.Dial)
+	n.peers = peer.NewClientOver(n.settings.Peers.Key, peerTLS, n.network.Dial)
 	n.metrics = metrics.New(n.settings.Node.Name)
 	n.health = health.NewProber(health.Options{
 		Period:  n.settings.Timing.HealthProbe,
 		Timeout: n.settings.Timing.HealthProbe,
-	}, health.HTTPProbe(&http.Client{}), n.metrics.Scope().SubScope("health"))
+	}, health.HTTPProbe(n.httpClient()), n.metrics.Scope().SubScope("health"))
 	return nil
 }
 
+// httpClient returns a client with connections of its own, which are closed
+// when the node ends.
+func (n *Node) httpClient() *http.Client {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         n.network.Dial,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+	}}
+	n.clients = append(n.clients, client)
+	return client
+}
+
+// Bounds of kept connections to the platform and to hosts.
+const (
+	maxIdleConnsPerHost = 4
+	idleConnTimeout     = 30 * time.Second
+)
+
 // peerTLS returns the client side of TLS between nodes, nil where it is off.
 func peerTLS(s settings.Peers) (*tls.Config, error) {
 	if s.CertFile == "" {
@@ -186,7 +230,7 @@
 	n.acceptor = configlog.NewAcceptor(n.store, n.log)
 	n.follower = configlog.NewFollower(n.store, source, s.Timing.HeadPoll, n.log)
 	n.sweeper = configlog.NewSweeper(n.store, keptRevisions, sweepPeriod, n.log)
-	probeClient := &http.Client{}
+	probeClient := n.httpClient()
 	policy := placement.DefaultPolicy(s.Platform.LoadTime, s.Platform.ConcurrentLoads)
 	policy.Drain = groupDrain
 	n.groups = groupcontrol.NewManager(groupcontrol.Options{
--- a/internal/process/node/serve.go
+++ b/internal/process/node/serve.go
@@ -98,12 +98,19 @@
 	}
 	n.duties.Wait()
 	n.home.Wait()
-	n.endpoints.Close()
-	n.peers.Close()
+	n.closeConnections()
 	_ = n.metrics.Close()
 	n.log.Log(eventlog.NodeStopped, nil)
 }
 
+func (n *Node) closeConnections() {
+	n.endpoints.Close()
+	n.peers.Close()
+	for _, client := range n.clients {
+		client.CloseIdleConnections()
+	}
+}
+
 // awaitHomeWork waits until requests that run here for other nodes have ended.
 func (n *Node) awaitHomeWork(ctx context.Context) {
 	done := make(chan struct{})
