Prove that answers are whole from the caller to the engine

Cause: the request path had no test of its own. Found: a preempted request was offered again as new work, so that a full queue could refuse the rest of a begun answer (the relay counted the preemption down to attempt 1). It is marked as resumed once it was assigned.

--- /dev/null
+++ b/internal/process/node/fleet_test.go
@@ -0,0 +1,295 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/hostlist"
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/process/settings"
+	"currantladder.example/currantladder/internal/request/suspect"
+	"currantladder.example/currantladder/internal/standin/engine"
+	"currantladder.example/currantladder/internal/standin/memnet"
+	"currantladder.example/currantladder/internal/standin/platform"
+	"currantladder.example/currantladder/internal/version/configlog"
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// Names and sizes of the fleet.
+const (
+	testModel     = "m"
+	testKey       = "caller-key"
+	testDomain    = "hall-1"
+	testFabric    = "fabric-1"
+	testHostLag   = 500 * time.Millisecond
+	tokenInterval = 20 * time.Millisecond
+	engineSlots   = 4
+)
+
+// fleet is a platform, engines in groups of two and entry nodes on a network
+// in memory, in virtual time.
+type fleet struct {
+	t        *testing.T
+	network  memnet.Network
+	platform *platform.Platform
+	engines  map[string]*engine.Engine
+	nodes    map[string]*runningNode
+	servers  []*http.Server
+	clients  []*http.Client
+	callers  *http.Client
+	duties   sync.WaitGroup
+
+	mu       sync.Mutex
+	conns    map[string][]net.Conn // by dialled address
+	repeat   map[string]int        // engines that send every n-th event twice
+	arrivals []arrival
+}
+
+// arrival is one generate request that reached an engine.
+type arrival struct {
+	engine string
+	at     time.Time
+}
+
+// repeatingWriter writes every n-th event twice; 0 means none.
+type repeatingWriter struct {
+	http.ResponseWriter
+	every  int
+	events int
+}
+
+// Write implements io.Writer.
+func (w *repeatingWriter) Write(p []byte) (int, error) {
+	w.events++
+	if w.every > 0 && w.events%w.every == 0 {
+		if _, err := w.ResponseWriter.Write(p); err != nil {
+			return 0, err
+		}
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController flush.
+func (w *repeatingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+type runningNode struct {
+	node *Node
+	stop context.CancelFunc
+	done chan struct{}
+	// killed is true once the node was ended as by a crash.
+	killed bool
+}
+
+// inFleet runs a test with the given numbers of nodes and groups, all ready.
+func inFleet(t *testing.T, nodes, groups int, body func(*fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, engines: map[string]*engine.Engine{}, nodes: map[string]*runningNode{}, conns: map[string][]net.Conn{}, repeat: map[string]int{}}
+		f.callers = f.httpClient()
+		defer f.close()
+		f.platform = platform.New(platform.Options{HostLag: testHostLag})
+		f.serve("platform", f.platform.Handler())
+		for g := range groups {
+			f.addEngine(fmt.Sprintf("e%d-0", g))
+			f.addEngine(fmt.Sprintf("e%d-1", g))
+		}
+		for n := range nodes {
+			f.startNode(nodeName(n))
+		}
+		time.Sleep(2 * time.Second)
+		f.declare(groups)
+		time.Sleep(15 * time.Second)
+		body(f)
+	})
+}
+
+func nodeName(n int) string { return fmt.Sprintf("n%d", n) }
+
+func (f *fleet) serve(address string, handler http.Handler) {
+	f.servers = append(f.servers, f.network.Serve(address, handler))
+}
+
+// dial is the network's Dial; it keeps the connection to be cut later.
+func (f *fleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	address = strings.TrimSuffix(address, ":80")
+	conn, err := f.network.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns[address] = append(f.conns[address], conn)
+	return conn, nil
+}
+
+// cut breaks every connection to an address.
+func (f *fleet) cut(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, conn := range f.conns[address] {
+		_ = conn.Close()
+	}
+	f.conns[address] = nil
+}
+
+func (f *fleet) httpClient() *http.Client {
+	client := &http.Client{Transport: &http.Transport{DialContext: f.dial, DisableCompression: true, MaxIdleConnsPerHost: 256}}
+	f.clients = append(f.clients, client)
+	return client
+}
+
+func (f *fleet) addEngine(name string) {
+	e := engine.New(engine.Options{
+		Host:          name,
+		Address:       name,
+		Slots:         engineSlots,
+		TokenInterval: tokenInterval,
+		ChecksFencing: true,
+		HTTPClient:    f.httpClient(),
+	})
+	f.engines[name] = e
+	handler := e.Handler()
+	f.serve(name, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == "/v1/generate" {
+			f.mu.Lock()
+			f.arrivals = append(f.arrivals, arrival{name, time.Now()})
+			w = &repeatingWriter{ResponseWriter: w, every: f.repeat[name]}
+			f.mu.Unlock()
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	f.list(hostlist.Host{Name: name, Address: name, Role: hostlist.RoleEngine, FabricDomain: testFabric, State: hostlist.StateLive})
+}
+
+func (f *fleet) list(host hostlist.Host) {
+	host.Region = "north"
+	host.FailureDomain = testDomain
+	f.platform.ChangeHost(platform.HostChange{Host: &host})
+}
+
+func (f *fleet) startNode(name string) {
+	f.t.Helper()
+	network := Network{
+		Listen: func(_, address string) (net.Listener, error) { return f.network.Listen(address), nil },
+		Dial:   f.dial,
+	}
+	started, err := NewOver(network, testSettings(name), eventlog.Discard())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	running := &runningNode{node: started, stop: stop, done: make(chan struct{})}
+	f.nodes[name] = running
+	go func() {
+		defer close(running.done)
+		_ = started.Run(ctx)
+	}()
+	f.list(hostlist.Host{Name: name, Address: peerAddress(name), Role: hostlist.RoleNode, State: hostlist.StateLive})
+}
+
+func peerAddress(node string) string { return node + "-peers" }
+
+func callerAddress(node string) string { return node + "-callers" }
+
+func testSettings(name string) *settings.Settings {
+	listener := func(address string) settings.Listener {
+		return settings.Listener{Address: address, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxStreams: 4096}
+	}
+	return &settings.Settings{
+		Node:      settings.Node{Name: name, Region: "north", FailureDomain: testDomain},
+		Callers:   listener(callerAddress(name)),
+		Peers:     settings.Peers{Listener: listener(peerAddress(name)), Key: "peer-key"},
+		Operators: settings.Operators{Listener: listener(name + "-operators"), Users: map[string]string{}},
+		Platform:  settings.Platform{URL: "http://platform", CallTimeout: 2 * time.Second, LoadTime: time.Second, ConcurrentLoads: 4},
+		Timing: settings.Timing{
+			LeaseTTL: 4 * time.Second, LeaseRenew: time.Second, HeadPoll: 300 * time.Millisecond,
+			PeerProbe: 200 * time.Millisecond, PeerTimeout: 1500 * time.Millisecond, HostListPoll: 300 * time.Millisecond,
+			HealthProbe: 100 * time.Millisecond, HealthBound: 400 * time.Millisecond, OrderTimeout: 2 * time.Second,
+			Isolation: 5 * time.Second, ShareVoid: 6 * time.Second, DrainTimeout: 60 * time.Second,
+		},
+	}
+}
+
+// declare accepts the objects and waits for nothing.
+func (f *fleet) declare(groups int) {
+	f.t.Helper()
+	objects := []*object.Object{
+		{Kind: object.KindRank, Metadata: object.Metadata{Name: "urgent"}, Spec: testRank(0, 670, 0, false)},
+		{Kind: object.KindRank, Metadata: object.Metadata{Name: "batch"}, Spec: testRank(1, 60_000, 0.1, true)},
+		{Kind: object.KindClientAccount, Metadata: object.Metadata{Name: "district"}, Spec: &object.ClientAccountSpec{
+			KeyHashes: []string{hashKey(testKey)}, Ranks: []string{"urgent", "batch"}, TokensPerSecond: 1e6, BurstTokens: 1e7, MaxInFlight: 1000, Class: object.AccountSmall,
+		}},
+	}
+	for name := range f.engines {
+		objects = append(objects, &object.Object{Kind: object.KindHost, Metadata: object.Metadata{Name: name}, Spec: &object.HostSpec{ChecksFencing: true}})
+	}
+	for g := range groups {
+		objects = append(objects, &object.Object{Kind: object.KindReplicaGroup, Metadata: object.Metadata{Name: fmt.Sprintf("g%d", g)}, Spec: &object.ReplicaGroupSpec{
+			Model: testModel, ModelVersion: "1", FailureDomain: testDomain, Members: 2, Worth: 1,
+		}})
+	}
+	var changes []object.Change
+	for _, o := range objects {
+		changes = append(changes, object.Change{Object: o})
+	}
+	if _, err := f.nodes[nodeName(0)].node.acceptor.Propose(context.Background(), configlog.Proposal{Author: "test", Changes: changes}); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func hashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func testRank(priority int, firstTokenMillis int64, floor float64, preemptible bool) *object.RankSpec {
+	return &object.RankSpec{
+		Priority: priority, FirstTokenTargetMillis: firstTokenMillis, InterTokenTargetMillis: 27, FloorShare: floor,
+		QueueBound: 500, Preemptible: preemptible, RetryShare: 1, MaxAttempts: 4, Objective: 0.95,
+	}
+}
+
+// kill ends a node as a crash would: its listeners close and its connections
+// break.
+func (f *fleet) kill(name string) {
+	f.nodes[name].killed = true
+	f.nodes[name].node.Kill()
+	f.cut(peerAddress(name))
+	f.cut(callerAddress(name))
+	f.platform.ChangeHost(platform.HostChange{Drop: name})
+}
+
+// crash ends an engine's process.
+func (f *fleet) crash(name string) {
+	f.engines[name].Crash()
+	f.platform.ChangeHost(platform.HostChange{Drop: name})
+}
+
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	for _, n := range f.nodes {
+		<-n.done
+	}
+	for _, e := range f.engines {
+		e.Close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	for _, c := range f.clients {
+		c.CloseIdleConnections()
+	}
+	f.duties.Wait()
+	time.Sleep(suspect.AnnounceDelay)
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -103,7 +103,9 @@
 	attempts    int
 	preemptions int
 	ranUnknown  bool
-	group       string
+	// assigned is true once a home gave the request a slot.
+	assigned bool
+	group    string
 	// waitingSince is when the request began to look for an endpoint.
 	waitingSince time.Time
 	backoff      time.Duration
@@ -188,6 +190,7 @@
 func (j *journey) frame(frame peer.Frame, end **peer.End) error {
 	switch {
 	case frame.Assigned != nil:
+		j.assigned = true
 		j.group = frame.Assigned.Group
 		j.waitingSince = time.Time{}
 		j.backoff = firstBackoff
@@ -226,7 +229,7 @@
 		ResumeIndex: j.assembler.Next(),
 		Delivered:   j.assembler.Text(),
 		Avoid:       j.avoidGroups,
-		Resumed:     j.attempts > 1,
+		Resumed:     j.assigned || j.attempts > 1,
 		Isolate:     j.request.Isolate,
 	}
 	if !j.request.Deadline.IsZero() {
--- /dev/null
+++ b/internal/request/relay/relay_test.go
@@ -0,0 +1,226 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/request/refusal"
+)
+
+const (
+	testRequest = "request-1"
+	testTokens  = 12
+	testGroups  = 4
+)
+
+func tokenText(i int) string { return fmt.Sprintf("t%d ", i) }
+
+func expectedText(tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(tokenText(i))
+	}
+	return b.String()
+}
+
+// attemptEnd is how a scripted attempt ends.
+type attemptEnd int
+
+const (
+	endWhole attemptEnd = iota
+	endTruncated
+	endFailed
+	endPreempted
+	endRefused
+	endDialFailed
+	endLinkFailed
+)
+
+// attemptScript is what one home does with the request.
+type attemptScript struct {
+	End   attemptEnd
+	Kind  refusal.Kind // of a refusal
+	Fault string
+	// At and Other place the fault, Cut the end of an answer that is cut.
+	At, Other, Cut int
+}
+
+// maxScripts is the number of scripts, which repeat after the last one.
+const maxScripts = 24
+
+func drawScripts(t *rapid.T) []attemptScript {
+	position := rapid.IntRange(0, testTokens)
+	script := rapid.Custom(func(t *rapid.T) attemptScript {
+		return attemptScript{
+			End:   rapid.SampledFrom([]attemptEnd{endWhole, endTruncated, endFailed, endPreempted, endRefused, endDialFailed, endLinkFailed}).Draw(t, "end"),
+			Kind:  rapid.SampledFrom([]refusal.Kind{refusal.KindNoEndpoint, refusal.KindOverloaded}).Draw(t, "kind"),
+			Fault: rapid.SampledFrom([]string{"", "repeat", "drop", "swap", "foreign", "early", "text after"}).Draw(t, "fault"),
+			At:    position.Draw(t, "at"),
+			Other: position.Draw(t, "other"),
+			Cut:   position.Draw(t, "cut"),
+		}
+	})
+	return rapid.SliceOfN(script, maxScripts, maxScripts).Draw(t, "scripts")
+}
+
+// scriptedHomes answers each attempt by its script.
+type scriptedHomes struct {
+	scripts  []attemptScript
+	attempts int
+	// handed is true once a home may have run the request.
+	handed bool
+	// assigned is true once a home has assigned the request.
+	assigned bool
+	// fault is the first offer that broke the protocol.
+	fault string
+}
+
+// frames returns the honest frames of an attempt with the script's fault.
+func (s attemptScript) frames(r peer.HomeRequest) []peer.Frame {
+	var frames []peer.Frame
+	for i := r.ResumeIndex; i < testTokens; i++ {
+		frames = append(frames, chunkFrame(endpoint.Chunk{RequestID: r.RequestID, Index: i, Text: tokenText(i)}))
+	}
+	frames = append(frames, chunkFrame(endpoint.Chunk{RequestID: r.RequestID, Index: testTokens, Finish: endpoint.FinishLength}))
+	at, other := s.At%len(frames), s.Other%len(frames)
+	switch s.Fault {
+	case "repeat":
+		frames = slices.Insert(frames, at, frames[at])
+	case "drop":
+		frames = slices.Delete(frames, at, at+1)
+	case "swap":
+		frames[at], frames[other] = frames[other], frames[at]
+	case "foreign":
+		foreign := *frames[at].Chunk
+		foreign.RequestID = "request-2"
+		foreign.Text = "foreign "
+		frames[at] = chunkFrame(foreign)
+	case "early":
+		frames = slices.Insert(frames, at, frames[len(frames)-1])
+	case "text after":
+		frames = append(frames, chunkFrame(endpoint.Chunk{RequestID: r.RequestID, Index: testTokens, Text: "more "}))
+	}
+	if s.End != endWhole {
+		frames = frames[:min(s.Cut, max(len(frames)-1, 0))]
+	}
+	return frames
+}
+
+func chunkFrame(chunk endpoint.Chunk) peer.Frame { return peer.Frame{Chunk: &chunk} }
+
+// Run implements Homes.
+func (h *scriptedHomes) Run(_ context.Context, node string, r peer.HomeRequest, sink func(peer.Frame) error) error {
+	script := h.scripts[h.attempts%maxScripts]
+	h.attempts++
+	if h.assigned && !r.Resumed {
+		h.fault = fmt.Sprintf("attempt %d is offered as new work after the request was assigned", h.attempts)
+	}
+	switch script.End {
+	case endDialFailed:
+		return &peer.LinkError{Address: node, Err: errors.New("connection refused")}
+	case endRefused:
+		return sink(peer.Frame{End: &peer.End{Cause: peer.EndRefused, Refusal: refusal.New(script.Kind, http.StatusServiceUnavailable, "refused")}})
+	}
+	h.handed, h.assigned = true, true
+	group := fmt.Sprintf("g%d@1", h.attempts%testGroups)
+	if err := sink(peer.Frame{Assigned: &peer.Assigned{Group: group}}); err != nil {
+		return err
+	}
+	for _, frame := range script.frames(r) {
+		if err := sink(frame); err != nil {
+			return err
+		}
+	}
+	switch script.End {
+	case endFailed:
+		return sink(endFrame(peer.EndFailed, group))
+	case endPreempted:
+		return sink(endFrame(peer.EndPreempted, group))
+	case endLinkFailed, endTruncated:
+		return &peer.LinkError{Address: node, Handed: true, Err: endpoint.ErrTruncated}
+	}
+	return nil
+}
+
+func endFrame(cause peer.EndCause, group string) peer.Frame {
+	refused := refusal.Unknown(refusal.KindIncomplete, http.StatusBadGateway, "ended early")
+	return peer.Frame{End: &peer.End{Cause: cause, Group: group, Refusal: refused}}
+}
+
+// fixedRouter knows three homes.
+type fixedRouter struct{}
+
+// ChooseHome implements Router.
+func (fixedRouter) ChooseHome(_ string, _ []uint64, avoid map[string]bool) (string, bool) {
+	for _, node := range []string{"n1", "n2", "n3"} {
+		if !avoid[node] {
+			return node, true
+		}
+	}
+	return "", false
+}
+
+// maxAttempts is a retry budget without shares.
+type maxAttempts int
+
+// First implements RetryBudget.
+func (maxAttempts) First(string, time.Time) {}
+
+// Retry implements RetryBudget.
+func (m maxAttempts) Retry(_ string, attempts int, _ time.Time) bool { return attempts < int(m) }
+
+type noRecorder struct{}
+
+// Record implements Recorder.
+func (noRecorder) Record(string, string, string) {}
+
+// run passes one request through the scripts and returns how it broke a
+// promise, or "".
+func run(ctx context.Context, scripts []attemptScript) string {
+	homes := &scriptedHomes{scripts: scripts}
+	r := &Relay{Homes: homes, Router: fixedRouter{}, Budget: maxAttempts(4), Recorder: noRecorder{}}
+	var delivered strings.Builder
+	result, refused := r.Run(ctx, Request{ID: testRequest, Rank: "r", Model: "m", MaxTokens: testTokens}, func(token string) error {
+		delivered.WriteString(token)
+		return nil
+	})
+	text := delivered.String()
+	switch {
+	case homes.fault != "":
+		return homes.fault
+	case refused == nil && text != expectedText(testTokens):
+		return "whole answer is " + text
+	case refused == nil && result.Finish != endpoint.FinishLength:
+		return "whole answer has no finish reason"
+	case !strings.HasPrefix(expectedText(testTokens), text):
+		return "delivered " + text
+	case refused != nil && (refused.Ran == refusal.RanNo) == homes.handed:
+		return fmt.Sprintf("handed is %t, told the caller %v", homes.handed, refused)
+	}
+	return ""
+}
+
+// TestInvariantAnswerWhole covers frames that a home or its connection loses,
+// repeats, swaps or mixes up with another request's, and whether the caller is
+// told rightly that its request did not run.
+func TestInvariantAnswerWhole(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		scripts := drawScripts(r)
+		broken := ""
+		synctest.Test(t, func(t *testing.T) { broken = run(t.Context(), scripts) })
+		if broken != "" {
+			r.Fatal(broken)
+		}
+	})
+}
