Report the service-level burn of the fleet

Cause: GET /burn and GET /peer/burn were stubs, so an operator could not see what the ranks keep of their objectives.

Change: a recorder at each node keeps counts and HDR histograms by rank and account class in rings over 5 minutes, 1 hour and 6 hours; peers exchange them as a digest; any node merges all digests into a report with error budget, burn rates and two-window alerts, as text, JSON or one HTML page. Requests are judged by the targets in force at their end. Refusals for the account's own cap or the caller's fault are not counted; overload, faults and requests that may have run are. A caller that hangs up before its target has passed is not counted either: the observer's sample has a new outcome for it. A node that cannot be asked is named.

An objective below 1-1/14.4 could never reach the fast rate, even with every request bad; a bad share of 0.9 raises the alert there.

Ruled out: one ring of one-minute histograms over 6 hours (361 times two histograms for each rank and class); summing windows at the reader (every bucket would have to be sent).

Seen failing with the mechanism off: without histogram merging TestMergeEqualsWhole; with the 1-hour window alone TestAlertStates (fast instead of slow 8 minutes after an outage); with fixed rates TestAlertStates (none instead of fast at burn 5.00); without the bound of series TestRecorderIsBounded (86401 series); with failed asks left out TestUnreachableNodeIsNamed.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -164,6 +164,13 @@
 	return steps, err
 }
 
+// Burn returns what the peer has observed of the requests that it answered.
+func (c *Client) Burn(ctx context.Context, address string) (BurnDigest, error) {
+	var digest BurnDigest
+	err := c.call(ctx, http.MethodGet, address, "/peer/burn", nil, &digest)
+	return digest, err
+}
+
 // Generate runs a request at a home node and passes its frames to sink. It
 // blocks until the answer has ended and returns the error of sink or a
 // *LinkError.
--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -30,6 +30,7 @@
 	Release(ctx context.Context, r ReleaseRequest) ReleaseReply
 	ExplainRequest(requestID string) []Step
 	ExplainGroup(group string) []Step
+	Burn() BurnDigest
 }
 
 // NewServer returns the peer listener's handler. Calls without the key are
@@ -43,6 +44,7 @@
 	mux.HandleFunc("GET /peer/snapshot", s.snapshot)
 	mux.HandleFunc("POST /peer/shares/release", s.release)
 	mux.HandleFunc("GET /peer/explain", s.explain)
+	mux.HandleFunc("GET /peer/burn", s.burn)
 	return requireKey(key, mux)
 }
 
@@ -112,6 +114,8 @@
 	reply(w, s.handlers.ExplainRequest(query.Get("request")))
 }
 
+func (s *server) burn(w http.ResponseWriter, _ *http.Request) { reply(w, s.handlers.Burn()) }
+
 func (s *server) generate(w http.ResponseWriter, r *http.Request) {
 	var request HomeRequest
 	if !decode(w, r, &request) {
--- /dev/null
+++ b/internal/process/burn/burn_test.go
@@ -0,0 +1,309 @@
+package burn
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/process/callerapi"
+	"currantladder.example/currantladder/internal/request/refusal"
+	"currantladder.example/currantladder/internal/version/object"
+)
+
+// randomSample draws a request of any outcome.
+func randomSample(random *rand.Rand) callerapi.Sample {
+	ranks := []string{"urgent", "standard", "batch", ""}
+	classes := []object.AccountClass{object.AccountLarge, object.AccountSmall}
+	kinds := []refusal.Kind{refusal.KindOverloaded, refusal.KindCapExceeded, refusal.KindIncomplete}
+	outcomes := []callerapi.Outcome{callerapi.OutcomeWhole, callerapi.OutcomeWhole, callerapi.OutcomeWhole, callerapi.OutcomeRefused, callerapi.OutcomeUnknown, callerapi.OutcomeLeft}
+	s := callerapi.Sample{Rank: ranks[random.IntN(len(ranks))], Class: classes[random.IntN(len(classes))], Outcome: outcomes[random.IntN(len(outcomes))]}
+	if s.Outcome == callerapi.OutcomeWhole {
+		s.FirstToken = time.Duration(random.ExpFloat64() * float64(300*time.Millisecond))
+		s.MaxInterToken = time.Duration(random.ExpFloat64() * float64(12*time.Millisecond))
+		return s
+	}
+	s.Kind = kinds[random.IntN(len(kinds))]
+	return s
+}
+
+// TestMergeEqualsWhole spreads ten hours of requests over seven nodes. Their
+// digests, sent as JSON, must make the report of one node that saw all.
+func TestMergeEqualsWhole(t *testing.T) {
+	const nodes, requests, seed = 7, 40_000, 20260301
+	random := rand.New(rand.NewPCG(seed, seed))
+	view := testRanks()
+	whole := NewRecorder("whole", view)
+	parts := make([]*Recorder, nodes)
+	for i := range parts {
+		parts[i] = NewRecorder(fmt.Sprintf("n%d", i), view)
+	}
+	now := testStart
+	for range requests {
+		now = now.Add(time.Duration(random.ExpFloat64() * float64(10*time.Hour/requests)))
+		s := randomSample(random)
+		whole.record(s, now)
+		parts[random.IntN(nodes)].record(s, now)
+	}
+	var digests []peer.BurnDigest
+	for _, part := range parts {
+		digests = append(digests, overWire(t, part.digest(now)))
+	}
+	got := NewReport(view.current, digests, nil, now)
+	want := NewReport(view.current, []peer.BurnDigest{whole.digest(now)}, nil, now)
+	if diff := cmp.Diff(want, got, cmpopts.IgnoreFields(Report{}, "Nodes")); diff != "" {
+		t.Errorf("merged report (-whole +merged):\n%s", diff)
+	}
+	if got.Nodes != nodes || got.Lines[0].Windows[2].FirstToken.Count == 0 {
+		t.Errorf("%d nodes, first tokens %+v", got.Nodes, got.Lines[0].Windows[2].FirstToken)
+	}
+}
+
+func overWire(t testing.TB, digest peer.BurnDigest) peer.BurnDigest {
+	t.Helper()
+	data, err := json.Marshal(digest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received peer.BurnDigest
+	if err := json.Unmarshal(data, &received); err != nil {
+		t.Fatal(err)
+	}
+	return received
+}
+
+// TestAlertStates plays phases of failing requests, one request a second, and
+// checks the alert at the end of each.
+func TestAlertStates(t *testing.T) {
+	type phase struct {
+		length time.Duration
+		bad    float64
+		want   Alert
+	}
+	for name, c := range map[string]struct {
+		rank   string
+		phases []phase
+	}{
+		"a burst raises nothing and an outage pages until it ends": {"urgent", []phase{
+			{time.Hour, 0.01, AlertNone}, {6 * time.Minute, 1, AlertNone}, {60 * time.Minute, 1, AlertFast}, {8 * time.Minute, 0, AlertSlow}, {3 * time.Hour, 0, AlertNone},
+		}},
+		"a lasting small fault is slow":             {"urgent", []phase{{7 * time.Hour, 0.4, AlertSlow}, {2 * time.Hour, 0.01, AlertNone}}},
+		"errors within the objective raise nothing": {"urgent", []phase{{7 * time.Hour, 0.05, AlertNone}}},
+		"an outage pages under a loose objective":   {"batch", []phase{{2 * time.Hour, 0, AlertNone}, {90 * time.Minute, 1, AlertFast}}},
+		"no requests raise nothing":                 {"urgent", []phase{{time.Hour, 1, AlertFast}, {14 * time.Hour, -1, AlertNone}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			view := testRanks()
+			r := NewRecorder("n", view)
+			random := rand.New(rand.NewPCG(5, 5))
+			now := testStart
+			for i, p := range c.phases {
+				for end := now.Add(p.length); now.Before(end); now = now.Add(time.Second) {
+					if p.bad < 0 {
+						continue
+					}
+					s := callerapi.Sample{Rank: c.rank, Class: object.AccountSmall, Outcome: callerapi.OutcomeWhole, FirstToken: time.Millisecond}
+					if random.Float64() < p.bad {
+						s.Outcome, s.Kind = callerapi.OutcomeRefused, refusal.KindOverloaded
+					}
+					r.record(s, now)
+				}
+				report := NewReport(view.current, []peer.BurnDigest{r.digest(now)}, nil, now)
+				for _, line := range report.Lines {
+					if line.Rank == c.rank && line.Class == ClassAll && line.Alert != p.want {
+						t.Errorf("after phase %d: alert %s, want %s: burns %.2f %.2f %.2f", i, line.Alert, p.want, line.Windows[0].Burn, line.Windows[1].Burn, line.Windows[2].Burn)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestJudge fixes how every kind of end counts.
+func TestJudge(t *testing.T) {
+	urgent := testRanks().current.Rank("urgent")
+	whole := func(first, gap time.Duration) callerapi.Sample {
+		return callerapi.Sample{Outcome: callerapi.OutcomeWhole, FirstToken: first, MaxInterToken: gap}
+	}
+	left := func(first, waited time.Duration) callerapi.Sample {
+		return callerapi.Sample{Outcome: callerapi.OutcomeLeft, FirstToken: first, Waited: waited}
+	}
+	refused := func(k refusal.Kind) callerapi.Sample {
+		return callerapi.Sample{Outcome: callerapi.OutcomeRefused, Kind: k}
+	}
+	unknown := func(k refusal.Kind) callerapi.Sample {
+		return callerapi.Sample{Outcome: callerapi.OutcomeUnknown, Kind: k}
+	}
+	for _, c := range []struct {
+		sample callerapi.Sample
+		want   verdict
+	}{
+		{whole(670*time.Millisecond, 27*time.Millisecond), verdictGood},
+		{whole(671*time.Millisecond, 0), verdictBad},
+		{whole(time.Millisecond, 28*time.Millisecond), verdictBad},
+		{left(0, 600*time.Millisecond), verdictExcluded},
+		{left(0, 700*time.Millisecond), verdictBad},
+		{left(700*time.Millisecond, 0), verdictBad},
+		{refused(refusal.KindBadRequest), verdictExcluded},
+		{refused(refusal.KindBodyTooLarge), verdictExcluded},
+		{refused(refusal.KindUnauthorized), verdictExcluded},
+		{refused(refusal.KindUnknownModel), verdictExcluded},
+		{refused(refusal.KindUnknownRank), verdictExcluded},
+		{refused(refusal.KindUnknownService), verdictExcluded},
+		{refused(refusal.KindRankNotAllowed), verdictExcluded},
+		{refused(refusal.KindCapExceeded), verdictExcluded},
+		{refused(refusal.KindCrashSuspect), verdictExcluded},
+		{refused(refusal.KindOverloaded), verdictBad},
+		{refused(refusal.KindDeadline), verdictBad},
+		{refused(refusal.KindNoEndpoint), verdictBad},
+		{refused(refusal.KindNodeStopping), verdictBad},
+		{refused(refusal.KindNodeIsolated), verdictBad},
+		{refused(refusal.KindStoreUnavailable), verdictBad},
+		{refused(refusal.KindRetriesExhausted), verdictBad},
+		{unknown(refusal.KindIncomplete), verdictBad},
+		{unknown(refusal.KindAlreadyClaimed), verdictBad},
+		{unknown(refusal.KindBadRequest), verdictBad},
+	} {
+		if got, cause := judge(c.sample, urgent); got != c.want {
+			t.Errorf("%+v: verdict %d for %q, want %d", c.sample, got, cause, c.want)
+		}
+	}
+}
+
+// TestUnreachableNodeIsNamed asks one node that answers, one that refuses, one
+// that never answers and one whose digest is damaged.
+func TestUnreachableNodeIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := testRanks()
+		good := NewRecorder("good", view)
+		good.Observe(callerapi.Sample{Rank: "urgent", Class: object.AccountSmall, Outcome: callerapi.OutcomeWhole, FirstToken: time.Millisecond})
+		ask := func(ctx context.Context, address string) (peer.BurnDigest, error) {
+			switch address {
+			case "good":
+				return good.Digest(), nil
+			case "refuses":
+				return peer.BurnDigest{}, errors.New("connection refused")
+			case "damaged":
+				digest := good.Digest()
+				digest.Node = "damaged"
+				digest.Series[0].Windows[1].FirstToken = "AAAA"
+				return digest, nil
+			}
+			<-ctx.Done()
+			return peer.BurnDigest{}, ctx.Err()
+		}
+		var sources []Source
+		for _, name := range []string{"silent", "good", "refuses", "damaged"} {
+			sources = append(sources, Source{Node: name, Address: name})
+		}
+		began := time.Now()
+		digests, missing := Collect(t.Context(), sources, ask)
+		if took := time.Since(began); took != askTimeout {
+			t.Errorf("asking took %s, want %s", took, askTimeout)
+		}
+		report := NewReport(view.current, digests, missing, time.Now())
+		var named []string
+		for _, m := range report.Missing {
+			named = append(named, m.Node)
+		}
+		if diff := cmp.Diff([]string{"damaged", "refuses", "silent"}, named); diff != "" {
+			t.Errorf("missing nodes (-want +got):\n%s", diff)
+		}
+		if report.Nodes != 1 || report.Lines[0].Windows[0].Total != 1 {
+			t.Errorf("%d nodes and %d requests, want 1 and 1", report.Nodes, report.Lines[0].Windows[0].Total)
+		}
+		for form, write := range map[string]func(*bytes.Buffer) error{
+			"text": func(b *bytes.Buffer) error { return report.WriteText(b) },
+			"json": func(b *bytes.Buffer) error { return report.WriteJSON(b) },
+			"html": func(b *bytes.Buffer) error { return report.WriteHTML(b) },
+		} {
+			var b bytes.Buffer
+			if err := write(&b); err != nil {
+				t.Fatal(err)
+			}
+			for _, name := range append(named, "urgent", "batch") {
+				if !strings.Contains(b.String(), name) {
+					t.Errorf("form %s does not name %s", form, name)
+				}
+			}
+		}
+	})
+}
+
+// TestRecorderIsBounded feeds a day of requests with a new rank each second
+// and checks that memory does not grow with time or names.
+func TestRecorderIsBounded(t *testing.T) {
+	r := NewRecorder("n", testRanks())
+	now := testStart
+	const seconds = 24 * 60 * 60
+	for i := range seconds {
+		now = now.Add(time.Second)
+		s := callerapi.Sample{Rank: fmt.Sprintf("rank-%d", i), Outcome: callerapi.OutcomeUnknown, Kind: refusal.Kind(fmt.Sprintf("kind-%d", i)), FirstToken: time.Second, MaxInterToken: time.Hour}
+		r.record(s, now)
+		s.Rank = "urgent"
+		r.record(s, now)
+	}
+	if len(r.series) > maxSeries || r.dropped == 0 {
+		t.Errorf("%d series, %d dropped samples", len(r.series), r.dropped)
+	}
+	urgent := r.series[seriesKey{rank: "urgent"}]
+	if urgent == nil {
+		t.Fatal("the series of the declared rank is missing")
+	}
+	for _, ring := range urgent.rings {
+		for _, b := range ring.buckets {
+			if n := len(b.tally.bad); n > maxCauses+1 {
+				t.Errorf("a bucket holds %d causes, over %d", n, maxCauses)
+			}
+		}
+	}
+}
+
+// TestPageLoadsNothing checks that the page needs no other file and escapes
+// what nodes sent.
+func TestPageLoadsNothing(t *testing.T) {
+	view := testRanks()
+	missing := []Missing{{Node: "<script>x</script>", Why: "gone"}}
+	var b bytes.Buffer
+	if err := NewReport(view.current, []peer.BurnDigest{sampleDigest()}, missing, testStart).WriteHTML(&b); err != nil {
+		t.Fatal(err)
+	}
+	for _, forbidden := range []string{"<script", "http://", "https://", "src=", "@import", "url(", "NaN", "ZgotmplZ"} {
+		if strings.Contains(b.String(), forbidden) {
+			t.Errorf("the page contains %q", forbidden)
+		}
+	}
+	if !strings.Contains(b.String(), "<polyline") {
+		t.Error("the page has no curve")
+	}
+}
+
+// sampleDigest is six hours of requests with an outage of the rank standard.
+func sampleDigest() peer.BurnDigest {
+	r := NewRecorder("n", testRanks())
+	random := rand.New(rand.NewPCG(9, 9))
+	const requests = 60_000
+	for i := range requests {
+		now := testStart.Add(-LongWindow + time.Duration(i)*LongWindow/requests)
+		s := randomSample(random)
+		if s.Outcome != callerapi.OutcomeWhole && random.IntN(15) > 0 {
+			s.Outcome, s.FirstToken, s.MaxInterToken = callerapi.OutcomeWhole, 120*time.Millisecond, 14*time.Millisecond
+		}
+		outage := testStart.Sub(now) < 70*time.Minute && s.Rank == "standard"
+		if outage && random.IntN(10) < 9 {
+			s.Outcome, s.Kind = callerapi.OutcomeRefused, refusal.KindOverloaded
+		}
+		r.record(s, now)
+	}
+	return r.digest(testStart)
+}
--- a/internal/process/callerapi/completions.go
+++ b/internal/process/callerapi/completions.go
@@ -160,6 +160,9 @@
 	}
 	sample := pace.sample(current)
 	sample.Outcome, sample.Kind = OutcomeUnknown, refused.Kind
+	if callerLeft(r.Context()) {
+		sample.Outcome = OutcomeLeft
+	}
 	s.deps.Observer.Observe(sample)
 	out.abort(refused)
 	return nil
--- a/internal/process/callerapi/server.go
+++ b/internal/process/callerapi/server.go
@@ -49,6 +49,8 @@
 	OutcomeWhole   Outcome = "whole"
 	OutcomeRefused Outcome = "refused"
 	OutcomeUnknown Outcome = "unknown"
+	// OutcomeLeft: the caller closed the connection before the end.
+	OutcomeLeft Outcome = "left"
 )
 
 // Sample is what one request contributes to metrics and the burn report.
@@ -61,6 +63,9 @@
 	Kind refusal.Kind
 	// FirstToken is the time to the first token; zero where none came.
 	FirstToken time.Duration
+	// Waited is how long a caller that left had waited for the first token;
+	// zero where one came.
+	Waited time.Duration
 	// MaxInterToken is the longest time between two tokens.
 	MaxInterToken time.Duration
 	Tokens        int
@@ -165,7 +170,7 @@
 		}
 		copied := *refused
 		copied.RequestID = current.id
-		s.observeRefusal(current, &copied)
+		s.observeRefusal(r.Context(), current, &copied)
 		copied.Write(w)
 	}
 }
@@ -265,8 +270,12 @@
 	return context.WithDeadline(parent, c.deadline)
 }
 
-func (s *Server) observeRefusal(current *session, refused *refusal.Error) {
+func (s *Server) observeRefusal(ctx context.Context, current *session, refused *refusal.Error) {
 	sample := Sample{Outcome: outcomeOf(refused), Kind: refused.Kind}
+	if callerLeft(ctx) {
+		sample.Outcome = OutcomeLeft
+		sample.Waited = time.Since(current.received)
+	}
 	if current.account != nil {
 		sample.Account = current.account.Name
 		sample.Class = current.account.Class
@@ -277,6 +286,10 @@
 	s.deps.Observer.Observe(sample)
 }
 
+// callerLeft reports whether the context of a request ended because its caller
+// closed the connection, and not at the caller's deadline.
+func callerLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
 func outcomeOf(refused *refusal.Error) Outcome {
 	if refused.Ran == refusal.RanNo {
 		return OutcomeRefused
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -19,6 +19,7 @@
 	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/connection/table"
+	"currantladder.example/currantladder/internal/process/burn"
 	"currantladder.example/currantladder/internal/process/callerapi"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/explain"
@@ -66,6 +67,7 @@
 	relay    *relay.Relay
 	recorder *explain.Recorder
 	metrics  *metrics.Metrics
+	burn     *burn.Recorder
 	gate     *gate
 
 	// homeWork counts requests that run here for other entry nodes.
@@ -245,6 +247,7 @@
 	n.suspects = suspect.New()
 	n.home = dispatch.NewHome(n.dutiesCtx, n.endpoints, n.reportCrash)
 	n.recorder = explain.NewRecorder(s.Node.Name)
+	n.burn = burn.NewRecorder(s.Node.Name, n.follower)
 	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Recorder: n.recorder}
 	n.gate = newGate(s.Callers.MaxStreams, n.unfit)
 }
@@ -347,7 +350,7 @@
 		Suspects:     suspects{n.suspects},
 		Services:     newServiceEndpoints(n.follower, n.roster),
 		Client:       n.endpoints,
-		Observer:     n.metrics,
+		Observer:     observers{n.metrics, n.burn},
 		MaxBodyBytes: n.settings.Callers.MaxBodyBytes,
 	})
 	peers = peer.NewServer(n.settings.Peers.Key, peerHandlers{n})
--- a/internal/process/node/operators.go
+++ b/internal/process/node/operators.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"slices"
 	"strings"
 
@@ -102,11 +100,3 @@
 func sortSteps(steps []peer.Step) {
 	slices.SortStableFunc(steps, func(a, b peer.Step) int { return a.Time.Compare(b.Time) })
 }
-
-// burnReport implements operatorapi.Burn.
-type burnReport struct{ node *Node }
-
-// WriteBurn implements operatorapi.Burn.
-func (burnReport) WriteBurn(context.Context, io.Writer, operatorapi.BurnFormat) error {
-	return errors.New("the burn report is not available in this version")
-}
