Keep live nodes of a large region live, within the byte budget

Cause: a probe went to a random node of the whole fleet, so at 330 nodes in 7 regions six of seven probes met a node whose digests are of no use, and each message carried 16 whole digests and all region summaries.

Ruled out: a longer timeout alone (the probes inside a region were too few at any timeout that is of use); two probes a round in the region (10 KB/s with every other saving); digests of all members in each message (47 times 230 bytes).

Change: probes go to the node's own region, and to another region every eighth round. A message carries 8 bytes of news for each live member, the digest that changed last and one in turn; a reply adds digests that the prober lacks; summaries of other regions go out one at a time. Regions of more than 17 nodes are probed every second round and have twice the timeout. Peers of the roster now come with their region.

--- a/internal/connection/peer/protocol.go
+++ b/internal/connection/peer/protocol.go
@@ -11,8 +11,12 @@
 package peer
 
 import (
+	"encoding/binary"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/object"
@@ -55,13 +59,40 @@
 	AgeMillis int64 `json:"ageMillis"`
 }
 
-// Probe carries a bounded number of digests of the sender's region, its own
-// first, and one summary for each region that it knows.
+// Probe carries the sender's own digest, a bounded number of digests of its
+// region, the beats of all its live members and a few region summaries. Between
+// regions it carries the sender's digest and summaries alone.
 type Probe struct {
-	Digests []Digest        `json:"digests"`
+	// Digests holds the sender's own digest first.
+	Digests []Digest `json:"digests"`
+	// Beats is the result of AppendBeat for each live member.
+	Beats   []byte          `json:"beats,omitempty"`
 	Regions []RegionSummary `json:"regions,omitempty"`
 }
 
+// BeatBytes is the length of one beat.
+const BeatBytes = 8
+
+// AppendBeat appends the news that the member of the given key has reached the
+// sequence number.
+func AppendBeat(beats []byte, key uint32, seq int64) []byte {
+	beats = binary.BigEndian.AppendUint32(beats, key)
+	return binary.BigEndian.AppendUint32(beats, uint32(seq))
+}
+
+// BeatAt returns the i-th beat; the sequence number is its lower 32 bits.
+func BeatAt(beats []byte, i int) (key uint32, seq int64) {
+	one := beats[i*BeatBytes : (i+1)*BeatBytes]
+	return binary.BigEndian.Uint32(one), int64(binary.BigEndian.Uint32(one[BeatBytes/2:]))
+}
+
+// BeatKey identifies one process of a node in beats. Two members of a region
+// have the same key once in about four million regions of 47 nodes; a dead one
+// of them would then count as live.
+func (d Digest) BeatKey() uint32 {
+	return uint32(xxhash.Sum64String(d.Node + "\x00" + strconv.FormatInt(d.Incarnation, 10)))
+}
+
 // RegionSummary tells other regions of one region's nodes.
 type RegionSummary struct {
 	Region string `json:"region"`
--- a/internal/process/membership/prober.go
+++ b/internal/process/membership/prober.go
@@ -8,9 +8,6 @@
 	"currantladder.example/currantladder/internal/connection/peer"
 )
 
-// fanout is the number of peers probed each period.
-const fanout = 2
-
 // Caller sends a probe to a peer.
 type Caller interface {
 	Probe(ctx context.Context, address string, probe peer.Probe) (peer.Probe, error)
@@ -59,12 +56,15 @@
 	p.mu.Lock()
 	p.table.SetSelf(own)
 	p.table.Forget(now)
-	targets := p.table.Targets(fanout)
-	probe := p.table.Outgoing(now)
+	targets := p.table.Targets(now)
+	local, remote := p.table.Outgoing(now), p.table.OutgoingRemote(now)
 	p.mu.Unlock()
 	p.signal()
-	for _, address := range targets {
-		p.probes.Go(func() { p.probe(ctx, address, probe) })
+	for _, address := range targets.Local {
+		p.probes.Go(func() { p.probe(ctx, address, local) })
+	}
+	for _, address := range targets.Remote {
+		p.probes.Go(func() { p.probe(ctx, address, remote) })
 	}
 }
 
@@ -103,14 +103,14 @@
 	p.merge(probe)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Outgoing(time.Now())
+	return p.table.Answer(probe, time.Now())
 }
 
-// SetRoster replaces the known peers.
-func (p *Prober) SetRoster(addresses map[string]string) {
+// SetRoster replaces the known peers, by name.
+func (p *Prober) SetRoster(peers map[string]Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.SetRoster(addresses)
+	p.table.SetRoster(peers)
 }
 
 // Live returns the digests of the live nodes of the region.
--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -1,11 +1,12 @@
 // Package membership keeps each node's view of the other entry nodes. Nodes
-// probe a few peers each period and exchange digests of their region and one
-// summary for each other region, so that traffic grows with the region and not
-// with the fleet.
+// probe a few peers of their region each period and exchange beats, the digests
+// that changed, and summaries of other regions, so that traffic grows with the
+// region and not with the fleet.
 package membership
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -15,27 +16,49 @@
 
 // Bounds of one probe.
 const (
-	// maxDigests bounds the digests in one probe or reply.
-	maxDigests = 16
+	// changedDigests bounds the digests of other members that changed last.
+	changedDigests = 1
+	// catchUpDigests bounds the digests of members that a peer does not know.
+	catchUpDigests = 16
+	// otherSummaries bounds the summaries of other regions.
+	otherSummaries = 1
+	// maxBeats bounds the beats of a probe.
+	maxBeats = 256
 	// maxLagging bounds the names in a region summary.
 	maxLagging = 3
 )
 
+// Peer is a node to probe. Region is empty where it is not known.
+type Peer struct {
+	Address string
+	Region  string
+}
+
 // Table is the state machine of membership: pure, without I/O or clock. It is
 // not safe for concurrent use.
 type Table struct {
 	self    peer.Digest
 	timeout time.Duration
 	members map[string]*member
+	// byKey finds members by the keys of beats.
+	byKey   map[uint32]*member
 	regions map[string]regionState
-	roster  map[string]string // node -> address
+	roster  map[string]Peer // by node name
 	random  *rand.Rand
+	// round counts calls of Targets.
+	round int
+	// last is the member whose digest went out last in turn.
+	last string
 }
 
 type member struct {
 	digest peer.Digest
-	// heard is when the digest last advanced.
+	// seq is the highest sequence number heard, by digest or beat.
+	seq int64
+	// heard is when seq last advanced.
 	heard time.Time
+	// changed is when the digest's content last changed.
+	changed time.Time
 }
 
 type regionState struct {
@@ -44,16 +67,20 @@
 }
 
 // NewTable returns a table for the node that self describes. A member whose
-// digest has not advanced for timeout no longer counts as live.
+// sequence number has not advanced for timeout no longer counts as live.
 func NewTable(self peer.Digest, timeout time.Duration, seed uint64) *Table {
-	return &Table{
+	t := &Table{
 		self:    self,
 		timeout: timeout,
 		members: make(map[string]*member),
+		byKey:   make(map[uint32]*member),
 		regions: make(map[string]regionState),
-		roster:  make(map[string]string),
+		roster:  make(map[string]Peer),
 		random:  rand.New(rand.NewPCG(seed, seed)),
 	}
+	// Nodes that start together spread their rounds.
+	t.round = t.random.IntN(remoteRounds)
+	return t
 }
 
 // SetSelf replaces the node's own digest; its Seq is set to the next one.
@@ -62,39 +89,65 @@
 	t.self = digest
 }
 
-// SetRoster replaces the peers known from session rows or settings.
-func (t *Table) SetRoster(addresses map[string]string) { t.roster = addresses }
+// SetRoster replaces the peers known from session rows or settings, by name.
+func (t *Table) SetRoster(peers map[string]Peer) { t.roster = peers }
 
 // Merge takes a peer's probe.
 func (t *Table) Merge(probe peer.Probe, now time.Time) {
 	for _, digest := range probe.Digests {
 		t.mergeDigest(digest, now)
 	}
+	for i := range len(probe.Beats) / peer.BeatBytes {
+		key, seq := peer.BeatAt(probe.Beats, i)
+		if known := t.byKey[key]; known != nil {
+			known.hear(seq, now)
+		}
+	}
 	for _, summary := range probe.Regions {
 		t.mergeRegion(summary, now)
 	}
 }
 
+// hear notes that the member's process has reached the sequence number.
+func (m *member) hear(seq int64, now time.Time) {
+	if seq > m.seq {
+		m.seq = seq
+		m.heard = now
+	}
+}
+
 func (t *Table) mergeDigest(digest peer.Digest, now time.Time) {
 	if digest.Node == t.self.Node || digest.Region != t.self.Region {
 		return
 	}
 	known := t.members[digest.Node]
-	if known == nil {
-		t.members[digest.Node] = &member{digest: digest, heard: now}
-		return
-	}
-	if newer(digest, known.digest) {
+	switch {
+	case known == nil || digest.Incarnation > known.digest.Incarnation:
+		t.forget(digest.Node)
+		known = &member{digest: digest, seq: digest.Seq, heard: now, changed: now}
+		t.members[digest.Node] = known
+		t.byKey[digest.BeatKey()] = known
+	case digest.Incarnation == known.digest.Incarnation && digest.Seq > known.digest.Seq:
+		if !sameContent(digest, known.digest) {
+			known.changed = now
+		}
 		known.digest = digest
-		known.heard = now
+		known.hear(digest.Seq, now)
 	}
 }
 
-func newer(a, b peer.Digest) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
+func (t *Table) forget(node string) {
+	if known := t.members[node]; known != nil {
+		delete(t.byKey, known.digest.BeatKey())
+		delete(t.members, node)
 	}
-	return a.Seq > b.Seq
+}
+
+// sameContent reports whether two digests of one process differ in nothing but
+// the sequence number.
+func sameContent(a, b peer.Digest) bool {
+	return a.Address == b.Address && a.AppliedRevision == b.AppliedRevision && a.Ready == b.Ready && a.Leaving == b.Leaving &&
+		slices.Equal(a.Load, b.Load) && slices.Equal(a.Suspects, b.Suspects)
 }
 
 func (t *Table) mergeRegion(summary peer.RegionSummary, now time.Time) {
@@ -107,25 +160,90 @@
 	}
 }
 
-// Outgoing returns what the node tells a peer: its own digest, the digests
-// that advanced last, and the region summaries.
+// Outgoing returns what the node tells a peer of its own region: its own
+// digest, the beats of all live members, the digests that changed last, that
+// of one member in turn, and a summary of another region.
 func (t *Table) Outgoing(now time.Time) peer.Probe {
 	live := t.liveMembers(now)
-	slices.SortFunc(live, func(a, b *member) int { return b.heard.Compare(a.heard) })
-	probe := peer.Probe{Digests: []peer.Digest{t.self}}
-	for _, m := range live[:min(len(live), maxDigests-1)] {
+	slices.SortFunc(live, func(a, b *member) int {
+		return cmp.Or(b.changed.Compare(a.changed), cmp.Compare(a.digest.Node, b.digest.Node))
+	})
+	probe := peer.Probe{Digests: []peer.Digest{t.self}, Regions: t.drawRegions(now)}
+	for _, m := range live[:min(len(live), changedDigests)] {
 		probe.Digests = append(probe.Digests, m.digest)
 	}
-	probe.Regions = append(probe.Regions, t.ownSummary(now))
-	for _, region := range t.regions {
-		summary := region.summary
-		summary.AgeMillis = now.Sub(region.made).Milliseconds()
-		probe.Regions = append(probe.Regions, summary)
+	if len(live) > changedDigests {
+		probe.Digests = append(probe.Digests, t.inTurn(live))
+	}
+	for _, m := range live[:min(len(live), maxBeats)] {
+		probe.Beats = peer.AppendBeat(probe.Beats, m.digest.BeatKey(), m.seq)
 	}
-	slices.SortFunc(probe.Regions, func(a, b peer.RegionSummary) int { return cmp.Compare(a.Region, b.Region) })
 	return probe
 }
 
+// Answer returns the reply to a probe. A peer of the region gets no summary, but
+// digests of members that its beats lack; one of another region gets summaries
+// alone.
+func (t *Table) Answer(probe peer.Probe, now time.Time) peer.Probe {
+	if len(probe.Digests) > 0 && probe.Digests[0].Region != t.self.Region {
+		return t.OutgoingRemote(now)
+	}
+	reply := t.Outgoing(now)
+	reply.Regions = nil
+	reply.Digests = append(reply.Digests, t.lacking(probe, now)...)
+	return reply
+}
+
+// lacking returns digests of live members that the probe does not know.
+func (t *Table) lacking(probe peer.Probe, now time.Time) []peer.Digest {
+	known := make(map[uint32]bool, len(probe.Beats)/peer.BeatBytes+1)
+	for i := range len(probe.Beats) / peer.BeatBytes {
+		key, _ := peer.BeatAt(probe.Beats, i)
+		known[key] = true
+	}
+	for _, digest := range probe.Digests {
+		known[digest.BeatKey()] = true
+	}
+	var digests []peer.Digest
+	for _, m := range t.liveMembers(now) {
+		if len(digests) < catchUpDigests && !known[m.digest.BeatKey()] {
+			digests = append(digests, m.digest)
+		}
+	}
+	return digests
+}
+
+// OutgoingRemote returns what the node tells a peer of another region.
+func (t *Table) OutgoingRemote(now time.Time) peer.Probe {
+	return peer.Probe{Digests: []peer.Digest{t.self}, Regions: append(t.drawRegions(now), t.ownSummary(now))}
+}
+
+// inTurn returns the digest of each live member, one after the other.
+func (t *Table) inTurn(live []*member) peer.Digest {
+	byName := slices.SortedFunc(slices.Values(live), func(a, b *member) int { return cmp.Compare(a.digest.Node, b.digest.Node) })
+	i, found := slices.BinarySearchFunc(byName, t.last, func(m *member, name string) int { return cmp.Compare(m.digest.Node, name) })
+	if found {
+		i++
+	}
+	chosen := byName[i%len(byName)].digest
+	t.last = chosen.Node
+	return chosen
+}
+
+// drawRegions returns the summaries of a few other regions.
+func (t *Table) drawRegions(now time.Time) []peer.RegionSummary {
+	names := slices.Sorted(maps.Keys(t.regions))
+	t.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	var summaries []peer.RegionSummary
+	for _, name := range names[:min(len(names), otherSummaries)] {
+		known := t.regions[name]
+		summary := known.summary
+		summary.AgeMillis = now.Sub(known.made).Milliseconds()
+		summaries = append(summaries, summary)
+	}
+	return summaries
+}
+
 func (t *Table) ownSummary(now time.Time) peer.RegionSummary {
 	live := t.Live(now)
 	summary := peer.RegionSummary{Region: t.self.Region, Nodes: len(live), MinApplied: t.self.AppliedRevision}
@@ -159,10 +277,19 @@
 	}
 }
 
+// silence is how long a member may be silent and still counts as live. In a
+// large region, news of a member takes longer to reach everyone.
+func (t *Table) silence() time.Duration {
+	if len(t.members) > smallRegion {
+		return largeSilence * t.timeout
+	}
+	return t.timeout
+}
+
 func (t *Table) liveMembers(now time.Time) []*member {
 	live := make([]*member, 0, len(t.members))
 	for _, m := range t.members {
-		if now.Sub(m.heard) < t.timeout {
+		if now.Sub(m.heard) < t.silence() {
 			live = append(live, m)
 		}
 	}
@@ -198,30 +325,7 @@
 	if m := t.members[node]; m != nil {
 		return m.digest.Address
 	}
-	return t.roster[node]
-}
-
-// Targets returns up to n random peer addresses to probe, from the members
-// and the roster.
-func (t *Table) Targets(n int) []string {
-	addresses := make(map[string]bool)
-	for _, m := range t.members {
-		addresses[m.digest.Address] = true
-	}
-	for node, address := range t.roster {
-		if node != t.self.Node {
-			addresses[address] = true
-		}
-	}
-	delete(addresses, t.self.Address)
-	delete(addresses, "")
-	sorted := make([]string, 0, len(addresses))
-	for address := range addresses {
-		sorted = append(sorted, address)
-	}
-	slices.Sort(sorted)
-	t.random.Shuffle(len(sorted), func(i, j int) { sorted[i], sorted[j] = sorted[j], sorted[i] })
-	return sorted[:min(n, len(sorted))]
+	return t.roster[node].Address
 }
 
 // Forget removes members that have been silent for long.
@@ -229,7 +333,7 @@
 	const forgetFactor = 20
 	for node, m := range t.members {
 		if now.Sub(m.heard) > forgetFactor*t.timeout {
-			delete(t.members, node)
+			t.forget(node)
 		}
 	}
 }
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -6,6 +6,7 @@
 
 	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/process/membership"
 	"currantladder.example/currantladder/internal/request/route"
 )
 
@@ -104,21 +105,21 @@
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Platform.CallTimeout)
 	defer cancel()
 	rows, err := n.keeper.Sessions(ctx)
-	addresses := make(map[string]string, len(rows))
+	peers := make(map[string]membership.Peer, len(rows))
 	for _, row := range rows {
-		addresses[row.Node] = row.PeerAddress
+		peers[row.Node] = membership.Peer{Address: row.PeerAddress, Region: row.Region}
 	}
 	if err != nil {
 		for _, seed := range n.settings.Peers.Seeds {
-			addresses[seed] = seed
+			peers[seed] = membership.Peer{Address: seed}
 		}
-		n.members.SetRoster(addresses)
+		n.members.SetRoster(peers)
 		return
 	}
 	n.mu.Lock()
 	n.sessions = rows
 	n.mu.Unlock()
-	n.members.SetRoster(addresses)
+	n.members.SetRoster(peers)
 }
 
 // sessionNodes returns the nodes that the session rows name.
