--- /dev/null
+++ b/internal/process/node/capacity_test.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"currantladder.example/currantladder/internal/capacity"
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/health"
+	"currantladder.example/currantladder/internal/connection/hostlist"
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/request/dispatch"
+	"currantladder.example/currantladder/internal/request/route"
+	"currantladder.example/currantladder/internal/version/object"
+	"currantladder.example/currantladder/internal/version/snapshot"
+)
+
+// benchPlanInput describes a fleet of n nodes as its first node sees it.
+func benchPlanInput(n int) planInput {
+	groups := capacity.Groups * n / capacity.Nodes
+	in := planInput{hosts: make(map[string]hostlist.Host)}
+	var objects []*object.Object
+	var placements []*object.Placement
+	for g := range groups {
+		region := fmt.Sprintf("region-%d", capacity.Region(g, n))
+		name := fmt.Sprintf("advice-%03d", g)
+		spec := &object.ReplicaGroupSpec{Model: fmt.Sprintf("advice-70b-%d", g/capacity.Regions%capacity.Models), ModelVersion: "1", FailureDomain: region + "-1", Members: capacity.GroupMembers}
+		placement := &object.Placement{Group: name, Generation: 3, FailureDomain: spec.FailureDomain, Model: spec.Model, ModelVersion: "1", Phase: object.PhaseServing}
+		for m := range capacity.GroupMembers {
+			host := hostlist.Host{Name: fmt.Sprintf("worker-%04d", g*capacity.GroupMembers+m), Address: fmt.Sprintf("10.1.%d.%d:8000", g, m), Role: hostlist.RoleEngine, Region: region, FailureDomain: spec.FailureDomain, State: hostlist.StateLive}
+			in.hosts[host.Name] = host
+			placement.Members = append(placement.Members, host.Name)
+			objects = append(objects, &object.Object{Kind: object.KindHost, Metadata: object.Metadata{Name: host.Name}, Spec: &object.HostSpec{ChecksFencing: true}})
+		}
+		objects = append(objects, &object.Object{Kind: object.KindReplicaGroup, Metadata: object.Metadata{Name: name}, Spec: spec})
+		placements = append(placements, placement)
+	}
+	in.snapshot = snapshot.New(7, objects, placements)
+	for i := range n {
+		digest := peer.Digest{Node: fmt.Sprintf("node-%03d", i), Region: fmt.Sprintf("region-%d", capacity.Region(i, n)), Ready: true}
+		in.roster = append(in.roster, route.Node{Name: digest.Node, Region: digest.Region})
+		if digest.Region == "region-0" {
+			in.nodes = append(in.nodes, digest)
+		}
+	}
+	in.self = in.nodes[0]
+	for r := 1; r < capacity.Regions && n > capacity.NodesPerRegion; r++ {
+		summary := peer.RegionSummary{Region: fmt.Sprintf("region-%d", r), Nodes: capacity.NodesPerRegion}
+		for m := range capacity.Models {
+			summary.Load = append(summary.Load, peer.PoolLoad{Model: fmt.Sprintf("advice-70b-%d", m), Slots: 80, Running: 60})
+		}
+		in.regions = append(in.regions, summary)
+	}
+	return in
+}
+
+// BenchmarkCapacityPlan computes the homes of all groups anew.
+func BenchmarkCapacityPlan(b *testing.B) {
+	for _, n := range capacity.Sizes {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			in := benchPlanInput(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				buildPlan(in)
+			}
+		})
+	}
+}
+
+// benchObservation is a member that was seen ready for its placement.
+func benchObservation(in planInput, now time.Time) func(string) health.Observation {
+	seen := make(map[string]health.Observation)
+	for _, p := range in.snapshot.Placements {
+		for _, member := range p.Members {
+			seen[member] = health.Observation{Seen: now, State: endpoint.State{Host: member, State: endpoint.EngineReady, Group: p.Group, Generation: p.Generation, Model: p.Model, ModelVersion: p.ModelVersion, Slots: 8}}
+		}
+	}
+	return func(host string) health.Observation { return seen[host] }
+}
+
+// BenchmarkCapacityHomeConfigure sets the gates of a home's groups.
+func BenchmarkCapacityHomeConfigure(b *testing.B) {
+	in := benchPlanInput(capacity.Nodes)
+	now := time.Now()
+	observe := benchObservation(in, now)
+	var groups []string
+	for _, g := range in.snapshot.Groups() {
+		groups = append(groups, g.Name)
+	}
+	for _, owned := range []int{groupsPerHome, 2 * groupsPerHome, len(groups) / capacity.Regions} {
+		b.Run(fmt.Sprintf("groups=%d", owned), func(b *testing.B) {
+			ctx, cancel := context.WithCancel(context.Background())
+			home := dispatch.NewHome(ctx, endpoint.NewClient(), nil)
+			defer home.Wait()
+			defer cancel()
+			plan := &routePlan{owned: map[string][]string{"advice-70b-0": groups[:owned]}}
+			b.ReportAllocs()
+			for b.Loop() {
+				home.Configure(queueRanks(in.snapshot.Ranks()), targetsOf(plan, in.snapshot, in.hosts, observe, time.Hour, now))
+			}
+		})
+	}
+}
