Keep the homes of groups between plans

Cause: the route plan was computed anew with every probe, host list and at least every 200 ms.

Ruled out: a longer period (a closed gate must act at once); comparing the whole input (load is part of it and changes with every probe).

Change: a planner keeps groups and homes and computes them again only when configuration, the content of the host list, the candidates or the roster has changed. The roster keeps its map while the list's content is the same.

Before, a change of load cost a whole plan. TestPlannerSeesEveryInput fails when the host list is not compared.

--- a/internal/process/node/capacity_test.go
+++ b/internal/process/node/capacity_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"reflect"
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,12 +67,75 @@
 			in := benchPlanInput(n)
 			b.ReportAllocs()
 			for b.Loop() {
-				buildPlan(in)
+				new(planner).plan(in)
 			}
 		})
 	}
 }
 
+// maxReplanBytes bounds the garbage of a plan after a change of load. At ten
+// plans a second it keeps the collector's work far below one part in a
+// thousand of a core.
+const maxReplanBytes = 64 << 10
+
+// BenchmarkCapacityReplan computes the plan after load has changed, which
+// happens with every probe.
+func BenchmarkCapacityReplan(b *testing.B) {
+	for _, n := range capacity.Sizes {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			in := benchPlanInput(n)
+			var p planner
+			p.plan(in)
+			b.ReportAllocs()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			for b.Loop() {
+				in.nodes[0].Load = []peer.PoolLoad{{Model: "advice-70b-0", Slots: 56, Running: b.N % 56}}
+				p.plan(in)
+			}
+			runtime.ReadMemStats(&after)
+			bytes := float64(after.TotalAlloc-before.TotalAlloc) / float64(b.N)
+			if bytes > maxReplanBytes {
+				b.Fatalf("a plan after a change of load allocates %.0f bytes, over %d", bytes, maxReplanBytes)
+			}
+		})
+	}
+}
+
+// TestPlannerSeesEveryInput checks that a planner that is kept makes the same
+// plan as a new one after each kind of change.
+func TestPlannerSeesEveryInput(t *testing.T) {
+	in := benchPlanInput(capacity.Nodes)
+	var kept planner
+	check := func(change string) {
+		t.Helper()
+		want, got := new(planner).plan(in), kept.plan(in)
+		if !reflect.DeepEqual(want, got) {
+			t.Errorf("after %s the plan of a kept planner differs", change)
+		}
+	}
+	check("nothing")
+	in.nodes = slices.Clone(in.nodes)
+	in.nodes[0].Load = []peer.PoolLoad{{Model: "advice-70b-0", Slots: 56, Running: 9}}
+	check("a change of load")
+	in.nodes[1].Leaving = true
+	check("a node that leaves")
+	in.nodes = in.nodes[:len(in.nodes)-2]
+	check("the death of two nodes")
+	in.roster = in.roster[:len(in.roster)-9]
+	check("a change of the roster")
+	in.regions = in.regions[1:]
+	check("the loss of a region")
+	in.snapshot = in.snapshot.Apply(object.Record{Revision: 8, Changes: []object.Change{{DeletedPlacement: "advice-000"}}})
+	check("a change of configuration")
+	in.hosts = maps.Clone(in.hosts)
+	moved := in.hosts["worker-0004"]
+	moved.Region = "region-0"
+	in.hosts["worker-0004"] = moved
+	in.hostsVersion++
+	check("a change of hosts")
+}
+
 // benchObservation is a member that was seen ready for its placement.
 func benchObservation(in planInput, now time.Time) func(string) health.Observation {
 	seen := make(map[string]health.Observation)
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -49,15 +49,18 @@
 
 // replan computes homes, probes the hosts of owned groups and sets the gates.
 func (n *Node) replan() {
+	n.planMu.Lock()
+	defer n.planMu.Unlock()
 	snap := n.follower.Current()
-	hosts := n.roster.Hosts()
-	plan := buildPlan(planInput{
-		snapshot: snap,
-		hosts:    hosts,
-		nodes:    n.members.Live(),
-		roster:   n.sessionNodes(),
-		regions:  n.members.Regions(),
-		self:     n.digest(),
+	hosts, hostsVersion := n.roster.Versioned()
+	plan := n.planner.plan(planInput{
+		snapshot:     snap,
+		hosts:        hosts,
+		hostsVersion: hostsVersion,
+		nodes:        n.members.Live(),
+		roster:       n.sessionNodes(),
+		regions:      n.members.Regions(),
+		self:         n.digest(),
 	})
 	n.router.plan.Store(plan)
 	n.health.SetHosts(n.probedHosts(plan, hosts))
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -64,6 +64,9 @@
 	suspects *suspect.Tracker
 	home     *dispatch.Home
 	router   *router
+	// planner is used under planMu.
+	planMu   sync.Mutex
+	planner  planner
 	relay    *relay.Relay
 	recorder *explain.Recorder
 	metrics  *metrics.Metrics
--- a/internal/process/node/plan.go
+++ b/internal/process/node/plan.go
@@ -25,6 +25,8 @@
 type planInput struct {
 	snapshot *snapshot.Snapshot
 	hosts    map[string]hostlist.Host
+	// hostsVersion changes with the content of hosts.
+	hostsVersion int64
 	// nodes are the live nodes of this node's region.
 	nodes []peer.Digest
 	// roster names the nodes of other regions.
@@ -45,13 +47,44 @@
 // other regions by free slots.
 type modelPlan struct{ regions [][]route.HomeLoad }
 
-// buildPlan assigns every placed group to its home node.
-func buildPlan(in planInput) *routePlan {
+// planner assigns every placed group to its home node. It keeps what depends
+// on configuration, hosts and nodes, and computes it anew only when one of
+// them has changed; load changes much more often. It is not safe for
+// concurrent use.
+type planner struct {
+	inputs planInputs
+	groups map[string]map[string][]string // model -> region -> groups
+	homes  map[homesKey][]route.Home
+}
+
+// planInputs are what the homes of groups depend on.
+type planInputs struct {
+	snapshot     *snapshot.Snapshot
+	hostsVersion int64
+	candidates   []route.Node
+	roster       []route.Node
+}
+
+// homesKey names the groups of one model in one region.
+type homesKey struct{ model, region string }
+
+func (i planInputs) equal(o planInputs) bool {
+	return i.snapshot == o.snapshot && i.hostsVersion == o.hostsVersion &&
+		slices.Equal(i.candidates, o.candidates) && slices.Equal(i.roster, o.roster)
+}
+
+// plan returns the plan for the input.
+func (p *planner) plan(in planInput) *routePlan {
+	inputs := planInputs{snapshot: in.snapshot, hostsVersion: in.hostsVersion, candidates: homeCandidates(in.nodes), roster: in.roster}
+	if p.groups == nil || !inputs.equal(p.inputs) {
+		p.inputs = inputs
+		p.groups = groupsByModel(in)
+		p.homes = make(map[homesKey][]route.Home)
+	}
 	plan := &routePlan{models: make(map[string]modelPlan), owned: make(map[string][]string)}
-	for model, byRegion := range groupsByModel(in) {
-		plan.models[model] = buildModelPlan(in, model, byRegion)
-		local := byRegion[in.self.Region]
-		for _, home := range route.Homes(model, in.self.Region, local, homeCandidates(in.nodes), groupsPerHome) {
+	for model := range p.groups {
+		plan.models[model] = p.modelPlan(in, model)
+		for _, home := range p.homesOf(in, model, in.self.Region) {
 			if home.Node == in.self.Node {
 				plan.owned[model] = home.Groups
 			}
@@ -60,6 +93,23 @@
 	return plan
 }
 
+// homesOf returns the homes of a model in a region. In the node's own region
+// they are live nodes, in others the nodes of the roster.
+func (p *planner) homesOf(in planInput, model, region string) []route.Home {
+	key := homesKey{model, region}
+	homes, known := p.homes[key]
+	if known {
+		return homes
+	}
+	nodes := p.inputs.candidates
+	if region != in.self.Region {
+		nodes = nodesOf(in.roster, region)
+	}
+	homes = route.Homes(model, region, p.groups[model][region], nodes, groupsPerHome)
+	p.homes[key] = homes
+	return homes
+}
+
 // groupsByModel returns model -> region -> names of placed groups.
 func groupsByModel(in planInput) map[string]map[string][]string {
 	models := make(map[string]map[string][]string)
@@ -86,15 +136,13 @@
 	return candidates
 }
 
-func buildModelPlan(in planInput, model string, byRegion map[string][]string) modelPlan {
+func (p *planner) modelPlan(in planInput, model string) modelPlan {
 	var plan modelPlan
-	local := route.Homes(model, in.self.Region, byRegion[in.self.Region], homeCandidates(in.nodes), groupsPerHome)
-	if len(local) > 0 {
+	if local := p.homesOf(in, model, in.self.Region); len(local) > 0 {
 		plan.regions = append(plan.regions, localLoads(local, in.nodes, model))
 	}
 	for _, region := range remoteRegions(in, model) {
-		remote := route.Homes(model, region, byRegion[region], nodesOf(in.roster, region), groupsPerHome)
-		if len(remote) > 0 {
+		if remote := p.homesOf(in, model, region); len(remote) > 0 {
 			plan.regions = append(plan.regions, remoteLoads(remote))
 		}
 	}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 
 	mu       sync.Mutex
 	hosts    map[string]hostlist.Host
+	version  int64
 	list     hostlist.List
 	sent     time.Time
 	lastRead time.Time
@@ -56,20 +58,27 @@
 	if err != nil {
 		return
 	}
-	hosts := make(map[string]hostlist.Host, len(list.Hosts))
-	for _, host := range list.Hosts {
-		hosts[host.Name] = host
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastRead = time.Now()
-	r.list = list
 	r.sent = sent
-	r.hosts = hosts
+	if r.version == 0 || !slices.Equal(list.Hosts, r.list.Hosts) {
+		r.hosts = index(list)
+		r.version++
+	}
+	r.list = list
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+func index(list hostlist.List) map[string]hostlist.Host {
+	hosts := make(map[string]hostlist.Host, len(list.Hosts))
+	for _, host := range list.Hosts {
+		hosts[host.Name] = host
+	}
+	return hosts
+}
+
 // Hosts returns the last list by host name. The map must not be changed.
 func (r *Roster) Hosts() map[string]hostlist.Host {
 	r.mu.Lock()
@@ -77,6 +86,14 @@
 	return r.hosts
 }
 
+// Versioned returns the last list by host name with a number that grows
+// whenever the list's content changes. The map must not be changed.
+func (r *Roster) Versioned() (hosts map[string]hostlist.Host, version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts, r.version
+}
+
 // Host returns one host of the last list.
 func (r *Roster) Host(name string) (hostlist.Host, bool) {
 	host, ok := r.Hosts()[name]
