--- a/internal/connection/peer/protocol.go
+++ b/internal/connection/peer/protocol.go
@@ -6,7 +6,7 @@
 //	GET  /peer/log?after=REV                   -> 200 []object.Record, 410 if compacted
 //	GET  /peer/snapshot                        -> 200 SnapshotBody
 //	POST /peer/shares/release  ReleaseRequest  -> 200 ReleaseReply
-//	GET  /peer/burn                            -> 200, the node's histograms
+//	GET  /peer/burn                            -> 200 BurnDigest
 //	GET  /peer/explain?request=ID | ?group=NAME -> 200 []Step
 package peer
 
