--- a/internal/connection/peer/server.go
+++ b/internal/connection/peer/server.go
@@ -28,7 +28,9 @@
 	Log(after int64) ([]object.Record, error)
 	Snapshot() SnapshotBody
 	Release(ctx context.Context, r ReleaseRequest) ReleaseReply
-	Explain(requestID string) []Step
+	ExplainRequest(requestID string) []Step
+	ExplainGroup(group string) []Step
+	Burn() BurnDigest
 }
 
 // NewServer returns the peer listener's handler. Calls without the key are
@@ -42,6 +44,7 @@
 	mux.HandleFunc("GET /peer/snapshot", s.snapshot)
 	mux.HandleFunc("POST /peer/shares/release", s.release)
 	mux.HandleFunc("GET /peer/explain", s.explain)
+	mux.HandleFunc("GET /peer/burn", s.burn)
 	return requireKey(key, mux)
 }
 
@@ -73,10 +76,12 @@
 }
 
 func (s *server) probe(w http.ResponseWriter, r *http.Request) {
-	var probe Probe
-	if decode(w, r, &probe) {
-		reply(w, s.handlers.Probe(probe))
+	probe, err := DecodeProbe(r.Body)
+	if err != nil {
+		refusal.New(refusal.KindBadRequest, http.StatusBadRequest, err.Error()).Write(w)
+		return
 	}
+	writeProbe(w, s.handlers.Probe(probe))
 }
 
 func (s *server) log(w http.ResponseWriter, r *http.Request) {
@@ -103,9 +108,16 @@
 }
 
 func (s *server) explain(w http.ResponseWriter, r *http.Request) {
-	reply(w, s.handlers.Explain(r.URL.Query().Get("request")))
+	query := r.URL.Query()
+	if query.Has("group") {
+		reply(w, s.handlers.ExplainGroup(query.Get("group")))
+		return
+	}
+	reply(w, s.handlers.ExplainRequest(query.Get("request")))
 }
 
+func (s *server) burn(w http.ResponseWriter, _ *http.Request) { reply(w, s.handlers.Burn()) }
+
 func (s *server) generate(w http.ResponseWriter, r *http.Request) {
 	var request HomeRequest
 	if !decode(w, r, &request) {
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -12,7 +12,7 @@
 	NodeRejoined = Event{1006, logrus.InfoLevel, "node reaches the table service or a peer again"}
 )
 
-// Events of configuration, 1100 to 1199.
+// Events of configuration, 1100 to 1149.
 var (
 	ConfigApplied  = Event{1101, logrus.InfoLevel, "configuration revision applied"}
 	ConfigAccepted = Event{1102, logrus.InfoLevel, "configuration change accepted"}
@@ -27,6 +27,11 @@
 	ConfigCompacted = Event{1107, logrus.InfoLevel, "old configuration log entries deleted"}
 )
 
+// Events of the resource API, 1150 to 1199.
+var (
+	OperatorRefused = Event{1150, logrus.WarnLevel, "operator request without a valid token refused"}
+)
+
 // Events of leases, 1200 to 1249.
 var (
 	LeaseStarted       = Event{1201, logrus.InfoLevel, "session started"}
@@ -57,8 +62,39 @@
 
 // Catalogue lists every event in number order.
 var Catalogue = []Event{
+	NodeStarted,
+	NodeReady,
+	NodeStopping,
+	NodeStopped,
+	NodeIsolated,
+	NodeRejoined,
+	ConfigApplied,
+	ConfigAccepted,
+	ConfigLagging,
+	ConfigCaughtUp,
+	ConfigLoaded,
+	ConfigHeadLower,
+	ConfigCompacted,
+	OperatorRefused,
+	LeaseStarted,
+	LeaseRenewalFailed,
+	LeaseLost,
+	LeaseReleased,
+	OwnershipAcquired,
+	OwnershipLost,
+	GroupStep,
+	GroupStepFailed,
+	OrderFailed,
+	OrderStale,
+	SharesReclaimed,
+	SharesVoid,
+	SharesReturned,
+	ClaimsSwept,
+	ClaimNotKept,
+	CrashSuspectAdded,
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, NodeIsolated, NodeRejoined,
 	ConfigApplied, ConfigAccepted, ConfigLagging, ConfigCaughtUp, ConfigLoaded, ConfigHeadLower, ConfigCompacted,
+	OperatorRefused,
 	LeaseStarted, LeaseRenewalFailed, LeaseLost, LeaseReleased, OwnershipAcquired, OwnershipLost,
 	GroupStep, GroupStepFailed, OrderFailed, OrderStale,
 	SharesReclaimed, SharesVoid, SharesReturned, ClaimsSwept, ClaimNotKept, CrashSuspectAdded,
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -105,10 +105,15 @@
 	}
 }
 
+// maxConcurrentLoads bounds the setting concurrent_loads, in groups.
+const maxConcurrentLoads = 1000
+
 func platformKeys() []key {
 	return []key{
 		{section: sectionPlatform, name: "url", required: true, unit: "URL", meaning: "base URL of the table service, host list and object store", parse: parseURL(func(s *Settings) *string { return &s.Platform.URL })},
 		{section: sectionPlatform, name: "call_timeout", fallback: "2s", unit: "duration", meaning: "bound of one call to the platform", parse: parseDuration(func(s *Settings) *time.Duration { return &s.Platform.CallTimeout }, minPeriod, maxPeriod)},
+		{section: sectionPlatform, name: "load_time", fallback: "1m", unit: "duration", meaning: "expected time to load the weights of one replica group", parse: parseDuration(func(s *Settings) *time.Duration { return &s.Platform.LoadTime }, minPeriod, maxPeriod)},
+		{section: sectionPlatform, name: "concurrent_loads", fallback: "4", unit: "groups", meaning: "replica groups of one failure domain that may load weights at the same time", parse: parseInteger(func(s *Settings) *int { return &s.Platform.ConcurrentLoads }, 1, maxConcurrentLoads)},
 	}
 }
 
@@ -126,7 +131,7 @@
 		period("lease_renew", "3s", "period of renewing the session; below lease_ttl", func(t *Timing) *time.Duration { return &t.LeaseRenew }),
 		period("head_poll", "1s", "mean period of reading the configuration head", func(t *Timing) *time.Duration { return &t.HeadPoll }),
 		period("peer_probe", "500ms", "period of probing peers", func(t *Timing) *time.Duration { return &t.PeerProbe }),
-		timeout("peer_timeout", "3s", "how long a silent peer counts as live; above peer_probe", func(t *Timing) *time.Duration { return &t.PeerTimeout }),
+		timeout("peer_timeout", "6s", "how long a silent peer counts as live; above peer_probe", func(t *Timing) *time.Duration { return &t.PeerTimeout }),
 		period("host_list_poll", "1s", "period of reading the host list", func(t *Timing) *time.Duration { return &t.HostListPoll }),
 		period("health_probe", "500ms", "period of probing endpoint hosts", func(t *Timing) *time.Duration { return &t.HealthProbe }),
 		timeout("health_bound", "2s", "age at which an observation of a host no longer counts; above health_probe", func(t *Timing) *time.Duration { return &t.HealthBound }),
--- a/internal/version/configlog/acceptor.go
+++ b/internal/version/configlog/acceptor.go
@@ -27,15 +27,21 @@
 
 // Acceptor implements Log over the table service.
 type Acceptor struct {
-	store table.Store
-	log   *eventlog.Logger
+	store    table.Store
+	log      *eventlog.Logger
+	accepted func(object.Record)
 }
 
 // NewAcceptor returns a Log that accepts proposals in the store.
 func NewAcceptor(store table.Store, log *eventlog.Logger) *Acceptor {
-	return &Acceptor{store: store, log: log}
+	return &Acceptor{store: store, log: log, accepted: func(object.Record) {}}
 }
 
+// OnAccept sets the function that is called with every record accepted through
+// this Acceptor, usually Follower.Offer. Call it before the first Propose. The
+// function must not block.
+func (a *Acceptor) OnAccept(accepted func(object.Record)) { a.accepted = accepted }
+
 // Propose implements Log. It blocks on the store until an answer or ctx ends.
 func (a *Acceptor) Propose(ctx context.Context, p Proposal) (object.Record, error) {
 	var err error
@@ -71,6 +77,7 @@
 	if err == nil {
 		if len(record.Changes) > 0 {
 			a.log.Log(eventlog.ConfigAccepted, eventlog.Fields{"revision": record.Revision, "author": p.Author, "changes": len(record.Changes)})
+			a.accepted(record)
 		}
 		return record, false, nil
 	}
@@ -171,11 +178,11 @@
 // Records returns up to limit accepted revisions after the given one, oldest
 // first. Revisions that were compacted are missing.
 func (a *Acceptor) Records(ctx context.Context, after int64, limit int) ([]object.Record, error) {
-	rows, err := a.store.List(ctx, table.Range{Prefix: table.PrefixLog, From: table.LogKey(after + 1), To: table.LogKey(after + 1 + int64(limit))})
+	rows, err := a.store.List(ctx, table.Range{Prefix: table.PrefixLog, From: table.LogKey(after + 1), Limit: limit})
 	if err != nil {
 		return nil, fmt.Errorf("read the configuration log after revision %d: %w", after, err)
 	}
-	return decodeRecords(rows)
+	return decodeRecords(rows[:min(len(rows), limit)])
 }
 
 // newNonce returns a nonce that no other transaction has.
