Test the death watch and restarts with little slack

Cause: with the smaller load, a reclaim without the session check and taking the parts of an earlier process at once were no longer seen.

--- a/internal/request/share/invariant_test.go
+++ b/internal/request/share/invariant_test.go
@@ -21,6 +21,9 @@
 
 var testCap = Cap{TokensPerSecond: 10_000, BurstTokens: 20_000, InFlight: 200}
 
+// smallBucket leaves little slack between the buckets and the oracle.
+var smallBucket = Cap{TokensPerSecond: 10_000, BurstTokens: 1_000, InFlight: 200}
+
 // startFleet starts n nodes and lets them settle without load.
 func startFleet(t testing.TB, n int, c Cap) (*fleet, []*node) {
 	f := newFleet(t, c)
@@ -189,7 +192,7 @@
 // lostAnswers loses half of the answers while the overload jumps between
 // random nodes, so that a loser wants at once what it has just given.
 func lostAnswers(f *fleet, nodes []*node) {
-	f.setCap(Cap{testCap.TokensPerSecond, testCap.TokensPerSecond / 10, testCap.InFlight})
+	f.setCap(smallBucket)
 	f.set(func() { f.loseEvery = 2 })
 	rnd := rand.New(rand.NewPCG(2, 2))
 	for range 40 {
@@ -224,6 +227,8 @@
 // restart starts a second process of a node beside a paused one, which comes
 // back first without and then with the table service.
 func restart(f *fleet, nodes []*node) {
+	f.setCap(smallBucket)
+	f.load(skew(nodes, 0, overload), 10*time.Second)
 	old := nodes[0]
 	old.pause()
 	old.set(func() { old.noStore = true })
@@ -285,8 +290,9 @@
 // falseDrop lets the host list lose a node that goes on renewing its session,
 // and then one that is cut from the table service only.
 func falseDrop(f *fleet, nodes []*node) {
+	f.setCap(smallBucket)
 	f.unlist("n0")
-	f.load(skew(nodes, 1, overload), 2*reclaimTime)
+	f.load(skew(nodes, 0, 2*overload), 2*reclaimTime)
 	f.list("n0", nodes[0].address)
 	nodes[1].set(func() { nodes[1].noStore = true })
 	f.load(skew(nodes, 0, overload), 2*reclaimTime)
