Let a node with a full bucket keep less rate

Cause: with many nodes each one's short-term estimate of a small demand is noisy, so they hold more than they need. Change: a node whose bucket is above three quarters keeps 0.8 times its estimate instead of 1.03.

--- a/internal/request/share/offer.go
+++ b/internal/request/share/offer.go
@@ -10,6 +10,14 @@
 // is expected to ask again.
 const yieldTime = time.Second
 
+const (
+	// fullBucket is the part of the depth above which a bucket counts as full.
+	fullBucket = 0.75
+	// fullKeep is the rate that a node with a full bucket keeps, as a multiple
+	// of its demand.
+	fullKeep = 0.8
+)
+
 // yield keeps slots of this node empty, so that they can be given up.
 type yield struct {
 	slots int
@@ -25,12 +33,22 @@
 		busy = max(busy, l.slots())
 	}
 	return Holding{
-		Rate:     l.rateUnits(recent.tokensPerSecond * headroom),
+		Rate:     l.rateUnits(recent.tokensPerSecond * l.keepFactor()),
 		Burst:    l.burstWanted(recent),
 		InFlight: slotUnits(busy, l.cap.InFlight),
 	}
 }
 
+// keepFactor returns how much of its demand a node keeps as rate. One whose
+// bucket is nearly full has held more than it needs, whatever the short-term
+// estimate of its demand says.
+func (l *ledger) keepFactor() float64 {
+	if l.level > fullBucket*l.depth() {
+		return fullKeep
+	}
+	return headroom
+}
+
 // spare returns what the node can give up without harm to its own callers:
 // rate and depth beyond its recent demand, and idle slots.
 func (l *ledger) spare(now time.Time) Holding {
