Prove that a call that is told it did not run did not run

Cause: the promise had no test. Found: a request whose every open group had failed it was parked for ever at the home when its caller set no deadline (the test did not end in 100 s). The home now refuses it (no_endpoint), sends queued ones back when the last group that they may use closes, and the entry asks other homes at once and then, after its backoff, the failed groups again within the retry budget.

--- a/internal/process/node/fleet_test.go
+++ b/internal/process/node/fleet_test.go
@@ -5,8 +5,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +22,7 @@
 	"currantladder.example/currantladder/internal/standin/engine"
 	"currantladder.example/currantladder/internal/standin/memnet"
 	"currantladder.example/currantladder/internal/standin/platform"
+	"currantladder.example/currantladder/internal/standin/service"
 	"currantladder.example/currantladder/internal/version/configlog"
 	"currantladder.example/currantladder/internal/version/object"
 )
@@ -27,6 +30,7 @@
 // Names and sizes of the fleet.
 const (
 	testModel     = "m"
+	testService   = "booking"
 	testKey       = "caller-key"
 	testDomain    = "hall-1"
 	testFabric    = "fabric-1"
@@ -46,6 +50,8 @@
 	servers  []*http.Server
 	clients  []*http.Client
 	callers  *http.Client
+	desks    map[string]*service.Service
+	cutter   cutter
 	duties   sync.WaitGroup
 
 	mu       sync.Mutex
@@ -93,7 +99,7 @@
 func inFleet(t *testing.T, nodes, groups int, body func(*fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, engines: map[string]*engine.Engine{}, nodes: map[string]*runningNode{}, conns: map[string][]net.Conn{}, repeat: map[string]int{}}
+		f := &fleet{t: t, engines: map[string]*engine.Engine{}, nodes: map[string]*runningNode{}, conns: map[string][]net.Conn{}, repeat: map[string]int{}, desks: map[string]*service.Service{}}
 		f.callers = f.httpClient()
 		defer f.close()
 		f.platform = platform.New(platform.Options{HostLag: testHostLag})
@@ -102,6 +108,8 @@
 			f.addEngine(fmt.Sprintf("e%d-0", g))
 			f.addEngine(fmt.Sprintf("e%d-1", g))
 		}
+		f.addDesk("desk-0")
+		f.addDesk("desk-1")
 		for n := range nodes {
 			f.startNode(nodeName(n))
 		}
@@ -122,6 +130,9 @@
 func (f *fleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	address = strings.TrimSuffix(address, ":80")
 	conn, err := f.network.Dial(ctx, network, address)
+	if err == nil {
+		conn, err = f.cutter.wrap(conn, address)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -141,6 +152,13 @@
 	f.conns[address] = nil
 }
 
+// dialled returns every address that was dialled.
+func (f *fleet) dialled() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.conns))
+}
+
 func (f *fleet) httpClient() *http.Client {
 	client := &http.Client{Transport: &http.Transport{DialContext: f.dial, DisableCompression: true, MaxIdleConnsPerHost: 256}}
 	f.clients = append(f.clients, client)
@@ -170,6 +188,13 @@
 	f.list(hostlist.Host{Name: name, Address: name, Role: hostlist.RoleEngine, FabricDomain: testFabric, State: hostlist.StateLive})
 }
 
+// addDesk starts an endpoint of the plain service.
+func (f *fleet) addDesk(name string) {
+	f.desks[name] = service.New(service.Options{Host: name})
+	f.serve(name, f.desks[name].Handler())
+	f.list(hostlist.Host{Name: name, Address: name, Role: hostlist.RoleService, State: hostlist.StateLive})
+}
+
 func (f *fleet) list(host hostlist.Host) {
 	host.Region = "north"
 	host.FailureDomain = testDomain
@@ -229,6 +254,11 @@
 			KeyHashes: []string{hashKey(testKey)}, Ranks: []string{"urgent", "batch"}, TokensPerSecond: 1e6, BurstTokens: 1e7, MaxInFlight: 1000, Class: object.AccountSmall,
 		}},
 	}
+	objects = append(objects, &object.Object{Kind: object.KindService, Metadata: object.Metadata{Name: testService}, Spec: &object.ServiceSpec{
+		Hosts:         []string{"desk-0", "desk-1"},
+		Idempotent:    []object.ServiceCall{{Method: http.MethodGet, Path: "/lanes"}},
+		TimeoutMillis: 5_000,
+	}})
 	for name := range f.engines {
 		objects = append(objects, &object.Object{Kind: object.KindHost, Metadata: object.Metadata{Name: name}, Spec: &object.HostSpec{ChecksFencing: true}})
 	}
@@ -284,6 +314,9 @@
 	for _, e := range f.engines {
 		e.Close()
 	}
+	for _, d := range f.desks {
+		d.Close()
+	}
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
--- a/internal/request/dispatch/home.go
+++ b/internal/request/dispatch/home.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -223,15 +224,17 @@
 func (h *Home) openPool(r peer.HomeRequest) (*pool, *refusal.Error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, target := range h.targets[r.Model] {
-		if target.usable() > 0 {
+	why := "this node is not home for a group of it"
+	for key, target := range h.targets[r.Model] {
+		switch {
+		case target.usable() == 0:
+			why = fmt.Sprintf("group %s: %s", target.Group, target.Why)
+		case slices.Contains(r.Avoid, key):
+			why = fmt.Sprintf("group %s has just failed the request", target.Group)
+		default:
 			return h.pools[r.Model], nil
 		}
 	}
-	why := "this node is not home for a group of it"
-	for _, target := range h.targets[r.Model] {
-		why = fmt.Sprintf("group %s: %s", target.Group, target.Why)
-	}
 	refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable,
 		fmt.Sprintf("no replica group of model %q is open here (%s); send the request again later", r.Model, why))
 	return nil, refused.After(openRetryAfter)
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"currantladder.example/currantladder/internal/request/queue"
@@ -33,12 +34,18 @@
 type pool struct {
 	events    chan func(now time.Time)
 	scheduler *queue.Scheduler
-	waiters   map[string]chan signal
+	waiters   map[string]waiter
 	running   int
 	slots     int
 	stats     chan chan Stats
 }
 
+// waiter is a request that is queued or running.
+type waiter struct {
+	signals chan signal
+	avoid   []string
+}
+
 // Stats is the load of one pool.
 type Stats struct {
 	Slots   int
@@ -50,7 +57,7 @@
 	return &pool{
 		events:    make(chan func(time.Time), eventCapacity),
 		scheduler: queue.New(),
-		waiters:   make(map[string]chan signal),
+		waiters:   make(map[string]waiter),
 		stats:     make(chan chan Stats),
 	}
 }
@@ -102,12 +109,8 @@
 
 // notify never blocks: a request gets at most signalCapacity signals.
 func (p *pool) notify(id string, s signal) {
-	waiter := p.waiters[id]
-	if waiter == nil {
-		return
-	}
 	select {
-	case waiter <- s:
+	case p.waiters[id].signals <- s:
 	default:
 	}
 }
@@ -124,15 +127,15 @@
 
 // offer queues the request. The refusal, if any, arrives as a signal.
 func (p *pool) offer(ctx context.Context, r queue.Request) (<-chan signal, bool) {
-	waiter := make(chan signal, signalCapacity)
+	signals := make(chan signal, signalCapacity)
 	ok := p.send(ctx, func(now time.Time) {
 		if refused := p.scheduler.Offer(r, now); refused != nil {
-			waiter <- signal{refusal: refused}
+			signals <- signal{refusal: refused}
 			return
 		}
-		p.waiters[r.ID] = waiter
+		p.waiters[r.ID] = waiter{signals, r.Avoid}
 	})
-	return waiter, ok
+	return signals, ok
 }
 
 func (p *pool) progress(ctx context.Context, id string, tokens int64) {
@@ -171,21 +174,26 @@
 		}
 		p.scheduler.SetRanks(ranks, now)
 		p.scheduler.SetGroups(groups, now)
-		if p.slots == 0 {
-			p.sendBack(now)
-		}
+		p.sendBack(groups, now)
 	})
 }
 
-// sendBack returns every queued request to its entry node, which chooses
-// another home: this one has no group left that takes new work.
-func (p *pool) sendBack(now time.Time) {
-	for id := range p.waiters {
-		if !p.scheduler.Cancel(id, now) {
+// sendBack returns queued requests to their entry nodes, which choose another
+// home: this one has no group left that may take them.
+func (p *pool) sendBack(groups []queue.Group, now time.Time) {
+	for id, w := range p.waiters {
+		if hasGroup(groups, w.avoid) || !p.scheduler.Cancel(id, now) {
 			continue
 		}
-		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "the home node has no open group any more; send the request again later")
+		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "the home node has no open group for the request any more; send the request again later")
 		p.notify(id, signal{refusal: refused.After(openRetryAfter)})
 		delete(p.waiters, id)
 	}
 }
+
+// hasGroup reports whether an open group is not avoided.
+func hasGroup(groups []queue.Group, avoid []string) bool {
+	return slices.ContainsFunc(groups, func(g queue.Group) bool {
+		return g.Slots > 0 && !slices.Contains(avoid, g.Name)
+	})
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -260,20 +260,18 @@
 		j.attempts--
 		return end.Refusal, j.preemptions <= maxPreemptions
 	case peer.EndRefused:
-		return j.refusedByHome(ctx, end.Refusal)
+		return j.refusedByHome(node, end.Refusal)
 	default:
 		return j.groupFailed(end)
 	}
 }
 
 // refusedByHome handles an attempt that did not run: only a missing endpoint
-// is worth another look.
-func (j *journey) refusedByHome(ctx context.Context, refused *refusal.Error) (*refusal.Error, bool) {
+// is worth a look elsewhere.
+func (j *journey) refusedByHome(node string, refused *refusal.Error) (*refusal.Error, bool) {
 	j.attempts--
-	if refused.Kind != refusal.KindNoEndpoint {
-		return refused, false
-	}
-	return j.waitForEndpoint(ctx, refused)
+	j.avoidNodes[node] = true
+	return refused, refused.Kind == refusal.KindNoEndpoint
 }
 
 func (j *journey) groupFailed(end *peer.End) (*refusal.Error, bool) {
@@ -309,7 +307,8 @@
 	return &refusal.Error{Kind: refusal.KindRetriesExhausted, Message: message, Ran: refused.Ran, Status: http.StatusBadGateway, RetryAfter: time.Second}, false
 }
 
-// waitForEndpoint pauses before another look for an open group.
+// waitForEndpoint pauses before another look for an open group, which may be
+// one that failed the request.
 func (j *journey) waitForEndpoint(ctx context.Context, refused *refusal.Error) (*refusal.Error, bool) {
 	now := time.Now()
 	if j.waitingSince.IsZero() {
@@ -325,6 +324,7 @@
 	}
 	j.backoff = min(2*j.backoff, maxBackoff)
 	clear(j.avoidNodes)
+	j.avoidGroups = nil
 	return refused, true
 }
 
