--- a/internal/process/node/caller_test.go
+++ b/internal/process/node/caller_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,20 +133,20 @@
 type pending struct {
 	f       *fleet
 	answers chan answer
-	calls   int
+	calls   atomic.Int64
 }
 
 func (f *fleet) newPending() *pending { return &pending{f: f, answers: make(chan answer, 4096)} }
 
 func (p *pending) start(c completion) {
-	p.calls++
+	p.calls.Add(1)
 	p.f.duties.Go(func() { p.answers <- p.f.call(context.Background(), c) })
 }
 
 // wait returns all answers.
 func (p *pending) wait() []answer {
 	var all []answer
-	for range p.calls {
+	for range p.calls.Load() {
 		all = append(all, <-p.answers)
 	}
 	return all
--- a/internal/process/node/fleet_test.go
+++ b/internal/process/node/fleet_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -15,6 +18,7 @@
 	"testing/synctest"
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/settings"
@@ -62,8 +66,10 @@
 
 // arrival is one generate request that reached an engine.
 type arrival struct {
-	engine string
-	at     time.Time
+	requestID  string
+	group      string
+	generation int64
+	at         time.Time
 }
 
 // repeatingWriter writes every n-th event twice; 0 means none.
@@ -178,8 +184,12 @@
 	handler := e.Handler()
 	f.serve(name, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost && r.URL.Path == "/v1/generate" {
+			var request endpoint.GenerateRequest
+			body, _ := io.ReadAll(r.Body)
+			_ = json.Unmarshal(body, &request)
+			r.Body = io.NopCloser(bytes.NewReader(body))
 			f.mu.Lock()
-			f.arrivals = append(f.arrivals, arrival{name, time.Now()})
+			f.arrivals = append(f.arrivals, arrival{request.RequestID, request.Group, request.Generation, time.Now()})
 			w = &repeatingWriter{ResponseWriter: w, every: f.repeat[name]}
 			f.mu.Unlock()
 		}
