Let the stop test see the wait for other nodes' work

Change: four streams of 8 s from the other nodes, which leave slots free. Measured now: wait for other nodes' work off: 4 streams of the home node are cut and resumed, the test fails; wait for own callers off: streams are cut. With both on: 47 calls each, 10 refused as not run; rolling restart 150 calls, 9 refused; none cut, none resumed.

--- a/internal/process/node/drain_test.go
+++ b/internal/process/node/drain_test.go
@@ -109,7 +109,7 @@
 		for n := range 3 {
 			inFleet(t, 3, 3, func(f *fleet) {
 				calls := f.newPending()
-				f.load(calls, "long", 100*time.Millisecond, time.Second, 200, nodeName((n+1)%3), nodeName((n+2)%3))
+				f.load(calls, "long", 250*time.Millisecond, time.Second, 400, nodeName((n+1)%3), nodeName((n+2)%3))
 				f.load(calls, "own", 100*time.Millisecond, 300*time.Millisecond, 100, nodeName(n))
 				f.duties.Go(func() { f.stopNode(nodeName(n)) })
 				f.load(calls, "short", 100*time.Millisecond, 4*time.Second, 10, nodeName(0), nodeName(1), nodeName(2))
