--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -31,6 +31,8 @@
 	// silenceTimeout is how long an answer may carry neither frame nor
 	// heartbeat before the home counts as gone.
 	silenceTimeout = 2 * time.Second
+	// MaxProbeBytes bounds a probe after decompression.
+	MaxProbeBytes = 4 << 20
 	// MaxBodyBytes bounds a peer answer that is read whole.
 	MaxBodyBytes = 64 << 20
 )
@@ -95,7 +97,12 @@
 		}
 		reader = bytes.NewReader(data)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, reader)
+	return c.rawRequest(ctx, method, address, path, reader)
+}
+
+// rawRequest builds a request with the peer key.
+func (c *Client) rawRequest(ctx context.Context, method, address, path string, body io.Reader) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, body)
 	if err != nil {
 		return nil, err
 	}
@@ -126,9 +133,28 @@
 
 // Probe exchanges digests with a peer.
 func (c *Client) Probe(ctx context.Context, address string, probe Probe) (Probe, error) {
-	var reply Probe
-	err := c.call(ctx, http.MethodPost, address, "/peer/probe", probe, &reply)
-	return reply, err
+	data, err := EncodeProbe(probe)
+	if err != nil {
+		return Probe{}, &LinkError{Address: address, Err: err}
+	}
+	request, err := c.rawRequest(ctx, http.MethodPost, address, "/peer/probe", bytes.NewReader(data))
+	if err != nil {
+		return Probe{}, &LinkError{Address: address, Err: err}
+	}
+	request.Header.Set("Content-Encoding", encodingGzip)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Probe{}, &LinkError{Address: address, Handed: true, Err: err}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Probe{}, &LinkError{Address: address, Handed: true, Err: fmt.Errorf("probe: %s", response.Status)}
+	}
+	reply, err := DecodeProbe(response.Body)
+	if err != nil {
+		return Probe{}, &LinkError{Address: address, Handed: true, Err: err}
+	}
+	return reply, nil
 }
 
 // Log returns the records after a revision that the peer holds.
@@ -169,6 +195,13 @@
 	return steps, err
 }
 
+// Burn returns what the peer has observed of the requests that it answered.
+func (c *Client) Burn(ctx context.Context, address string) (BurnDigest, error) {
+	var digest BurnDigest
+	err := c.call(ctx, http.MethodGet, address, "/peer/burn", nil, &digest)
+	return digest, err
+}
+
 // Generate runs a request at a home node and passes its frames to sink. It
 // blocks until the answer has ended and returns the error of sink or a
 // *LinkError.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -19,6 +19,7 @@
 	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/connection/table"
+	"currantladder.example/currantladder/internal/process/burn"
 	"currantladder.example/currantladder/internal/process/callerapi"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/explain"
@@ -66,9 +67,13 @@
 	suspects *suspect.Tracker
 	home     *dispatch.Home
 	router   *router
+	// planner is used under planMu.
+	planMu   sync.Mutex
+	planner  planner
 	relay    *relay.Relay
 	recorder *explain.Recorder
 	metrics  *metrics.Metrics
+	burn     *burn.Recorder
 	gate     *gate
 
 	// homeWork counts requests that run here for other entry nodes.
@@ -289,6 +294,7 @@
 	n.suspects = suspect.New()
 	n.home = dispatch.NewHome(n.dutiesCtx, n.endpoints, n.reportCrash)
 	n.recorder = explain.NewRecorder(s.Node.Name)
+	n.burn = burn.NewRecorder(s.Node.Name, n.follower)
 	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Recorder: n.recorder}
 	n.gate = newGate(s.Callers.MaxStreams, n.unfit)
 }
@@ -391,7 +397,7 @@
 		Suspects:     suspects{n.suspects},
 		Services:     newServiceEndpoints(n.follower, n.roster),
 		Client:       n.endpoints,
-		Observer:     n.metrics,
+		Observer:     observers{n.metrics, n.burn},
 		MaxBodyBytes: n.settings.Callers.MaxBodyBytes,
 	})
 	peers = peer.NewServer(n.settings.Peers.Key, peerHandlers{n})
