Read the host list again only when it has changed

Ruled out: a longer period (a leaving host must get no new work within seconds).

Change: reads are conditional on the list's ETag; a 304 carries the list's time, so it counts as evidence just as a whole list does. The stand-in compresses the list where the client takes that. A platform that knows neither sends the whole list each time, as before.

TestListAfterChange fails when the tag leaves out a host's state.

--- /dev/null
+++ b/internal/connection/hostlist/capacity_test.go
@@ -0,0 +1,116 @@
+package hostlist_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"currantladder.example/currantladder/internal/capacity"
+	"currantladder.example/currantladder/internal/connection/hostlist"
+	"currantladder.example/currantladder/internal/standin/platform"
+)
+
+// pollPeriod is the default period of reading the list.
+const pollPeriod = time.Second
+
+// servePlatform lists the hosts and nodes of a fleet of n nodes.
+func servePlatform(b *testing.B, n int) (*platform.Platform, *capacity.Listener) {
+	p := platform.New(platform.Options{})
+	for i := range capacity.Hosts * n / capacity.Nodes {
+		region := capacity.Region(i/capacity.GroupMembers, n)
+		p.ChangeHost(platform.HostChange{Host: &hostlist.Host{Name: fmt.Sprintf("worker-%04d", i), Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), Role: hostlist.RoleEngine, Region: fmt.Sprintf("region-%d", region), FailureDomain: fmt.Sprintf("region-%d-domain-1", region), FabricDomain: fmt.Sprintf("region-%d-domain-1-fabric-%d", region, i/40), State: hostlist.StateLive}})
+	}
+	for i := range n {
+		region := capacity.Region(i, n)
+		p.ChangeHost(platform.HostChange{Host: &hostlist.Host{Name: fmt.Sprintf("node-%03d", i), Address: fmt.Sprintf("10.2.%d.%d:7443", i/250, i%250), Role: hostlist.RoleNode, Region: fmt.Sprintf("region-%d", region), FailureDomain: fmt.Sprintf("region-%d-domain-1", region), State: hostlist.StateLive}})
+	}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	listener := &capacity.Listener{Listener: inner}
+	server := &http.Server{Handler: p.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return p, listener
+}
+
+// BenchmarkCapacityHostList reads the list over loopback for a minute's worth
+// of polls, with the day's rate of changes in between, and reports the bytes.
+func BenchmarkCapacityHostList(b *testing.B) {
+	const polls = 600
+	const day = 24 * time.Hour
+	changeEvery := int(day / pollPeriod / capacity.HostChangesPerDay)
+	for _, n := range capacity.Sizes {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			p, listener := servePlatform(b, n)
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			client := hostlist.NewClient("http://"+listener.Addr().String(), &http.Client{Transport: transport})
+			if _, err := client.List(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+			first := listener.Bytes()
+			for b.Loop() {
+				for i := range polls {
+					if i%changeEvery == 0 {
+						p.ChangeHost(platform.HostChange{Host: &hostlist.Host{Name: "node-000", Role: hostlist.RoleNode, Address: fmt.Sprintf("10.3.0.1:%d", i+1), State: hostlist.StateLive}})
+					}
+					if _, err := client.List(context.Background()); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			seconds := float64(b.N) * polls * pollPeriod.Seconds()
+			perSecond := float64(listener.Bytes()-first) / seconds
+			if perSecond > capacity.HostListBytesPerSecond {
+				b.Errorf("a node reads %.0f bytes of the list a second, over %d", perSecond, capacity.HostListBytesPerSecond)
+			}
+			b.ReportMetric(float64(first), "bytes/list")
+			b.ReportMetric(perSecond, "wire-bytes/node/s")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/seconds, "ns/node/s")
+			b.ReportMetric(float64(n)/pollPeriod.Seconds(), "reads/s")
+		})
+	}
+}
+
+// TestListAfterChange checks that reads show every change, and the time of
+// the list, whether or not the service sends the hosts again.
+func TestListAfterChange(t *testing.T) {
+	p := platform.New(platform.Options{})
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	client := hostlist.NewClient(server.URL, server.Client())
+	read := func() hostlist.List {
+		t.Helper()
+		list, err := client.List(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return list
+	}
+	last := read()
+	for _, change := range []platform.HostChange{
+		{Host: &hostlist.Host{Name: "a", State: hostlist.StateLive}},
+		{Host: &hostlist.Host{Name: "b", State: hostlist.StateLive}},
+		{Host: &hostlist.Host{Name: "a", State: hostlist.StateLeaving}},
+		{Drop: "a"},
+	} {
+		p.ChangeHost(change)
+		for range 2 {
+			list := read()
+			if !slices.Equal(list.Hosts, p.Hosts().Hosts) {
+				t.Errorf("after %+v the client reads %+v", change, list.Hosts)
+			}
+			if !list.AsOf.After(last.AsOf) {
+				t.Errorf("the list's time went from %s to %s", last.AsOf, list.AsOf)
+			}
+			last = list
+		}
+	}
+}
--- a/internal/connection/hostlist/client.go
+++ b/internal/connection/hostlist/client.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"time"
 )
 
 // maxListBytes bounds one answer of the host list.
@@ -16,6 +18,14 @@
 type Client struct {
 	url  string
 	http *http.Client
+	// last is the last whole list; nil before the first.
+	last atomic.Pointer[taggedList]
+}
+
+// taggedList is a list with the tag that the service gave it.
+type taggedList struct {
+	list List
+	tag  string
 }
 
 // NewClient returns a client of the list at baseURL + "/hosts". A nil
@@ -27,12 +37,17 @@
 	return &Client{url: strings.TrimSuffix(baseURL, "/") + "/hosts", http: httpClient}
 }
 
-// List reads the list. It blocks until the answer or the end of ctx.
+// List reads the list. It blocks until the answer or the end of ctx. The hosts
+// of the result are shared between calls and must not be changed.
 func (c *Client) List(ctx context.Context) (List, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
 		return List{}, fmt.Errorf("host list: %w", err)
 	}
+	last := c.last.Load()
+	if last != nil && last.tag != "" {
+		request.Header.Set("If-None-Match", last.tag)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return List{}, fmt.Errorf("host list: %w; keep the last list and retry", err)
@@ -42,6 +57,9 @@
 	if err != nil {
 		return List{}, fmt.Errorf("host list: %w; keep the last list and retry", err)
 	}
+	if response.StatusCode == http.StatusNotModified && last != nil {
+		return last.unchanged(response.Header), nil
+	}
 	if response.StatusCode != http.StatusOK {
 		return List{}, fmt.Errorf("host list: status %d; keep the last list and retry", response.StatusCode)
 	}
@@ -49,5 +67,15 @@
 	if err := json.Unmarshal(data, &list); err != nil {
 		return List{}, fmt.Errorf("host list: %w; keep the last list and retry", err)
 	}
+	c.last.Store(&taggedList{list: list, tag: response.Header.Get("ETag")})
 	return list, nil
 }
+
+// unchanged returns the list with the time of a later answer.
+func (l *taggedList) unchanged(header http.Header) List {
+	list := l.list
+	if asOf, err := time.Parse(time.RFC3339Nano, header.Get(HeaderAsOf)); err == nil {
+		list.AsOf = asOf
+	}
+	return list
+}
--- a/internal/connection/hostlist/hostlist.go
+++ b/internal/connection/hostlist/hostlist.go
@@ -1,5 +1,10 @@
 // Package hostlist reads the platform's lagging list of endpoint hosts and
 // entry nodes: GET /hosts -> 200 List.
+//
+// An answer may carry an ETag of the hosts. A read that names it in
+// If-None-Match is answered with 304 while the hosts are the same, and in both
+// cases the header As-Of tells the list's time. A service that knows neither
+// header sends the whole list each time.
 package hostlist
 
 import "time"
@@ -13,6 +18,9 @@
 	StateLeaving State = "leaving"
 )
 
+// HeaderAsOf carries List.AsOf, in the format time.RFC3339Nano.
+const HeaderAsOf = "As-Of"
+
 // Role tells what runs on a host.
 type Role string
 
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -1,12 +1,18 @@
 package platform
 
 import (
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/standin/jsonhttp"
 )
@@ -104,12 +110,43 @@
 	h.entries[change.Host.Name] = entry
 }
 
-func (h *hosts) handleList(w http.ResponseWriter, _ *http.Request) {
+func (h *hosts) handleList(w http.ResponseWriter, r *http.Request) {
 	if h.faults.get().HostsOutage {
 		jsonhttp.Fail(w, http.StatusServiceUnavailable, "outage")
 		return
 	}
-	jsonhttp.Write(w, http.StatusOK, h.list())
+	list := h.list()
+	tag := tagOf(list.Hosts)
+	w.Header().Set("ETag", tag)
+	w.Header().Set(hostlist.HeaderAsOf, list.AsOf.Format(time.RFC3339Nano))
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		jsonhttp.Write(w, http.StatusOK, list)
+		return
+	}
+	writeCompressed(w, list)
+}
+
+// tagOf identifies the content of a list.
+func tagOf(hosts []hostlist.Host) string {
+	digest := xxhash.New()
+	for _, host := range hosts {
+		_, _ = fmt.Fprintf(digest, "%q\n", host)
+	}
+	return fmt.Sprintf("\"%x\"", digest.Sum64())
+}
+
+// writeCompressed answers with a compressed list.
+func writeCompressed(w http.ResponseWriter, list hostlist.List) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	compressor := gzip.NewWriter(w)
+	// A caller that has gone away is the only cause of a failure here.
+	_ = json.NewEncoder(compressor).Encode(list)
+	_ = compressor.Close()
 }
 
 func (h *hosts) handleChange(w http.ResponseWriter, r *http.Request) {
