Read the roster once, at a pace that suits the fleet

Cause: the keeper read all session rows once a TTL and the node's session duty once in 5 s.

Ruled out: reading only rows that changed (every renewal changes its row); one row a region (a write conflict for each renewal).

Change: the keeper alone reads the roster, every TTL but not more often than 0.5 s for each row; the node takes the rows from it. A node counts as live while its row has changed since the read before the last. Seeds are used while the table service has not answered for a TTL.

The price: the nodes of other regions and the preference for duties are up to 165 s old at 330 nodes; an owner's death is still seen from its own row, and members of the region from probes.

--- a/internal/process/lease/keeper.go
+++ b/internal/process/lease/keeper.go
@@ -49,8 +49,12 @@
 	observed    map[string]observation
 	// unowned holds when this node last had no reason to think that a duty
 	// has a live owner.
-	unowned    map[string]time.Time
-	rosterRead bool
+	unowned map[string]time.Time
+	// roster holds the rows as last read, nil before; rosterAt and
+	// rosterBefore are when the last two reads were made.
+	roster       []SessionRow
+	rosterAt     time.Time
+	rosterBefore time.Time
 }
 
 // New returns a keeper that does nothing until Run. ttl is the validity of the
@@ -82,7 +86,7 @@
 			k.log.Log(eventlog.LeaseRenewalFailed, eventlog.Fields{"error": err.Error()})
 			pause = k.renew / retryDivisor
 		} else if now := time.Now(); !now.Before(nextRoster) && k.readRoster(ctx) {
-			nextRoster = now.Add(k.ttl)
+			nextRoster = now.Add(k.rosterPeriod())
 		}
 		if k.isReleased() {
 			return
--- a/internal/process/lease/roster.go
+++ b/internal/process/lease/roster.go
@@ -23,7 +23,7 @@
 func (k *Keeper) Prefers(duty string, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.rosterRead {
+	if k.rosterAt.IsZero() {
 		return false
 	}
 	since, ok := k.unowned[duty]
@@ -42,12 +42,31 @@
 	k.unowned[duty] = time.Now()
 }
 
-// liveLocked returns this node and those whose session row changed lately. The
-// roster is read once a TTL, which adds to the age of what was observed.
+// rosterPerNode is the time between two reads of the roster for each of its
+// rows, so that what a node reads a second does not grow with the fleet.
+const rosterPerNode = 500 * time.Millisecond
+
+// rosterPeriod is the time between two reads of the roster.
+func (k *Keeper) rosterPeriod() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(k.ttl, time.Duration(len(k.roster))*rosterPerNode)
+}
+
+// Roster returns the session rows as last read, in node order, those of lapsed
+// nodes included; nil before the first read. The rows must not be changed.
+func (k *Keeper) Roster() []SessionRow {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.roster
+}
+
+// liveLocked returns this node and those whose session row has changed since
+// the read before the last.
 func (k *Keeper) liveLocked(now time.Time) []string {
 	live := []string{k.node}
 	for node, seen := range k.observed {
-		if node != k.node && now.Sub(seen.since) < 2*k.ttl+k.margin {
+		if node != k.node && (!seen.since.Before(k.rosterBefore) || now.Sub(seen.since) < 2*k.ttl+k.margin) {
 			live = append(live, node)
 		}
 	}
@@ -57,11 +76,14 @@
 // readRoster observes every session and deletes rows of nodes that are long
 // dead. It reports whether the roster could be read.
 func (k *Keeper) readRoster(ctx context.Context) bool {
-	if _, err := k.Sessions(ctx); err != nil {
+	began := time.Now()
+	rows, err := k.Sessions(ctx)
+	if err != nil {
 		return false
 	}
 	k.mu.Lock()
-	k.rosterRead = true
+	k.roster = rows
+	k.rosterBefore, k.rosterAt = k.rosterAt, began
 	var prune []table.Write
 	now := time.Now()
 	for node, seen := range k.observed {
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -14,8 +14,9 @@
 // without any event.
 const replanPeriod = 200 * time.Millisecond
 
-// sessionReadPeriod is the mean time between two reads of the session rows.
-const sessionReadPeriod = 5 * time.Second
+// rosterPeriod is the time between two looks at the roster that the keeper has
+// read.
+const rosterPeriod = time.Second
 
 // planDuty rebuilds the route plan and the gates whenever something changes.
 func (n *Node) planDuty(ctx context.Context) {
@@ -90,12 +91,13 @@
 	return probed
 }
 
-// sessionDuty reads the session rows, which name the peers of all regions.
-func (n *Node) sessionDuty(ctx context.Context) {
-	ticker := time.NewTicker(sessionReadPeriod)
+// rosterDuty passes the session rows, which name the peers of all regions, to
+// membership.
+func (n *Node) rosterDuty(ctx context.Context) {
+	ticker := time.NewTicker(rosterPeriod)
 	defer ticker.Stop()
 	for {
-		n.readSessions(ctx)
+		n.takeRoster(time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -104,20 +106,17 @@
 	}
 }
 
-func (n *Node) readSessions(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Platform.CallTimeout)
-	defer cancel()
-	rows, err := n.keeper.Sessions(ctx)
+// takeRoster adds the seeds while the table service does not answer.
+func (n *Node) takeRoster(now time.Time) {
+	rows := n.keeper.Roster()
 	peers := make(map[string]membership.Peer, len(rows))
 	for _, row := range rows {
 		peers[row.Node] = membership.Peer{Address: row.PeerAddress, Region: row.Region}
 	}
-	if err != nil {
+	if now.Sub(n.keeper.LastContact()) > n.settings.Timing.LeaseTTL {
 		for _, seed := range n.settings.Peers.Seeds {
 			peers[seed] = membership.Peer{Address: seed}
 		}
-		n.members.SetRoster(peers)
-		return
 	}
 	n.mu.Lock()
 	n.sessions = rows
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -407,7 +407,7 @@
 func (n *Node) startDuties() {
 	for _, duty := range []func(context.Context){
 		n.keeper.Run, n.roster.Run, n.health.Run, n.members.Run, n.follower.Run, n.sweeper.Run,
-		n.groups.Run, n.shares.Run, n.claims.Run, n.planDuty, n.sessionDuty,
+		n.groups.Run, n.shares.Run, n.claims.Run, n.planDuty, n.rosterDuty,
 	} {
 		n.duties.Go(func() { duty(n.dutiesCtx) })
 	}
