Keep whole burn buckets without their empty cells

Ruled out: the compressed encoding for whole buckets (1082864 B for 8 series, but one millisecond and a compressor's memory for each, and the package's tests took 30 s).

Change: only the bucket that is being filled has histograms; a whole one keeps the recorded values and their counts.

--- /dev/null
+++ b/internal/connection/health/capacity_test.go
@@ -0,0 +1,109 @@
+package health
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"currantladder.example/currantladder/internal/capacity"
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/hostlist"
+)
+
+// benchProbePeriod is the default period of probing a host.
+const benchProbePeriod = 500 * time.Millisecond
+
+// benchStates serves the states of engine hosts.
+func benchStates(b *testing.B) *capacity.Listener {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	listener := &capacity.Listener{Listener: inner}
+	state := endpoint.State{Host: "worker-0001", BootID: "8f14e45f-ceea-467f-9a7c-6a1f2c3d4e5f", State: endpoint.EngineReady, Group: "advice-017", Generation: 12, Model: "advice-70b-1", ModelVersion: "2026-03", Members: []string{"10.1.0.1:8000", "10.1.0.2:8000", "10.1.0.3:8000", "10.1.0.4:8000"}, Epoch: 31, Slots: 8}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(state)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return listener
+}
+
+// BenchmarkCapacityProbes probes over loopback and reports what the hosts of a
+// home and of a controller take at the probe period.
+func BenchmarkCapacityProbes(b *testing.B) {
+	const probes = 400
+	for _, role := range []struct {
+		name  string
+		hosts int
+	}{
+		{"home", 7 * capacity.GroupMembers},
+		{"controller", (capacity.Hosts + capacity.FailureDomains - 1) / capacity.FailureDomains},
+	} {
+		b.Run(fmt.Sprintf("%s/hosts=%d", role.name, role.hosts), func(b *testing.B) {
+			listener := benchStates(b)
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			probe := HTTPProbe(&http.Client{Transport: transport})
+			host := hostlist.Host{Name: "worker-0001", Address: listener.Addr().String(), Role: hostlist.RoleEngine}
+			for b.Loop() {
+				for range probes {
+					if _, err := probe(context.Background(), host); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			perSecond := float64(role.hosts) / benchProbePeriod.Seconds()
+			each := float64(listener.Bytes()) / float64(b.N*probes)
+			b.ReportMetric(each, "wire-bytes/probe")
+			b.ReportMetric(each*perSecond, "wire-bytes/node/s")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*probes), "ns/probe")
+		})
+	}
+}
+
+// maxProberBytes bounds what a prober holds for the hosts of one node.
+const maxProberBytes = 1 << 20
+
+// BenchmarkCapacityProber enqueues, probes without I/O and records all hosts
+// of one prober, and reports its heap.
+func BenchmarkCapacityProber(b *testing.B) {
+	for _, hosts := range []int{28, 83, capacity.Hosts / capacity.Regions, capacity.Hosts} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			p := NewProber(Options{Period: benchProbePeriod, Timeout: benchProbePeriod}, func(_ context.Context, h hostlist.Host) (endpoint.State, error) {
+				return endpoint.State{Host: h.Name, State: endpoint.EngineReady, Slots: 8}, nil
+			}, tally.NoopScope)
+			var list []hostlist.Host
+			for i := range hosts {
+				list = append(list, hostlist.Host{Name: fmt.Sprintf("worker-%04d", i), Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), Role: hostlist.RoleEngine})
+			}
+			for b.Loop() {
+				p.SetHosts(list)
+				p.enqueue()
+				for range hosts {
+					p.probeOnce(context.Background(), <-p.healthy)
+				}
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			held := float64(after.HeapAlloc) - float64(before.HeapAlloc)
+			runtime.KeepAlive(p)
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*hosts), "ns/host")
+			b.ReportMetric(held, "heap-bytes")
+			if held > maxProberBytes {
+				b.Fatalf("the prober holds %.0f bytes, over %d", held, maxProberBytes)
+			}
+		})
+	}
+}
--- a/internal/process/burn/burn_test.go
+++ b/internal/process/burn/burn_test.go
@@ -261,7 +261,7 @@
 		t.Fatal("the series of the declared rank is missing")
 	}
 	for _, ring := range urgent.rings {
-		for _, b := range ring.buckets {
+		for _, b := range ring.whole {
 			if n := len(b.tally.bad); n > maxCauses+1 {
 				t.Errorf("a bucket holds %d causes, over %d", n, maxCauses)
 			}
--- a/internal/process/burn/recorder.go
+++ b/internal/process/burn/recorder.go
@@ -150,8 +150,13 @@
 		digest.Windows = append(digest.Windows, encodeWindow(windows[i], r.sum(now)))
 	}
 	for _, b := range s.points.live(now) {
-		start := time.Unix(0, b.number*int64(s.points.width))
-		digest.Points = append(digest.Points, peer.BurnPoint{Start: start.Unix(), Good: b.tally.good, Total: b.tally.total})
+		digest.Points = append(digest.Points, s.point(b.number, b.tally.good, b.tally.total))
 	}
+	digest.Points = append(digest.Points, s.point(s.points.number, s.points.open.good, s.points.open.total))
 	return digest
 }
+
+func (s *series) point(number, good, total int64) peer.BurnPoint {
+	start := time.Unix(0, number*int64(s.points.width))
+	return peer.BurnPoint{Start: start.Unix(), Good: good, Total: total}
+}
--- a/internal/process/burn/ring.go
+++ b/internal/process/burn/ring.go
@@ -1,6 +1,8 @@
 package burn
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -104,56 +106,97 @@
 	return into
 }
 
-// clear empties the tally for a new time and keeps its histograms' memory.
-func (t *tally) clear() {
-	t.good, t.total = 0, 0
-	clear(t.bad)
-	clear(t.excluded)
-	for _, h := range []*hdrhistogram.Histogram{t.firstToken, t.interToken} {
-		if h != nil {
-			h.Reset()
+// ring holds the last buckets of one width: one that is being filled, and
+// whole ones without their empty cells. Buckets start at multiples of the
+// width since the Unix epoch, so that those of several nodes add up.
+type ring struct {
+	width time.Duration
+	// number is that of the open bucket; it counts widths since the epoch.
+	number int64
+	open   tally
+	// whole is indexed by number modulo its length.
+	whole []wholeBucket
+}
+
+type wholeBucket struct {
+	number int64
+	// tally has no histograms; firstToken and interToken hold their cells.
+	tally                  tally
+	firstToken, interToken []cell
+}
+
+// cell is one value of a histogram that was recorded, in units of latencyUnit.
+type cell struct{ value, count uint32 }
+
+// cellsOf returns the recorded values of a histogram.
+func cellsOf(h *hdrhistogram.Histogram) []cell {
+	if h == nil {
+		return nil
+	}
+	var cells []cell
+	for _, bar := range h.Distribution() {
+		if bar.Count > 0 {
+			cells = append(cells, cell{uint32(bar.From), uint32(min(bar.Count, math.MaxUint32))})
 		}
 	}
+	return slices.Clip(cells)
 }
 
-// ring holds the last buckets of one width. Buckets start at multiples of the
-// width since the Unix epoch, so that those of several nodes add up.
-type ring struct {
-	width   time.Duration
-	buckets []bucket
+// addTo records the cells in a histogram, which may be nil.
+func addTo(h *hdrhistogram.Histogram, cells []cell) *hdrhistogram.Histogram {
+	if len(cells) > 0 && h == nil {
+		h = newHistogram()
+	}
+	for _, c := range cells {
+		// The value came from a histogram of the same range.
+		_ = h.RecordValues(int64(c.value), int64(c.count))
+	}
+	return h
 }
 
-type bucket struct {
-	// number counts widths since the Unix epoch.
-	number int64
-	tally  tally
+func newWholeBucket(number int64, t tally) wholeBucket {
+	b := wholeBucket{number: number, firstToken: cellsOf(t.firstToken), interToken: cellsOf(t.interToken), tally: t}
+	b.tally.firstToken, b.tally.interToken = nil, nil
+	return b
 }
 
 // newRing returns a ring that covers the window: so many whole buckets and the
 // one that is being filled.
 func newRing(window time.Duration, whole int) *ring {
-	return &ring{width: window / time.Duration(whole), buckets: make([]bucket, whole+1)}
+	return &ring{width: window / time.Duration(whole), whole: make([]wholeBucket, whole)}
 }
 
-func (r *ring) number(now time.Time) int64 { return now.UnixNano() / int64(r.width) }
+func (r *ring) numberAt(now time.Time) int64 { return now.UnixNano() / int64(r.width) }
 
+// add counts an observation. One that comes after the clock went back is
+// counted in the open bucket.
 func (r *ring) add(o observation, now time.Time) {
-	number := r.number(now)
-	b := &r.buckets[number%int64(len(r.buckets))]
-	if b.number != number {
-		b.tally.clear()
-		b.number = number
-	}
-	b.tally.add(o)
-}
-
-// live returns the buckets that are still inside the window, oldest first.
-func (r *ring) live(now time.Time) []*bucket {
-	var live []*bucket
-	last := r.number(now)
-	for number := last - int64(len(r.buckets)) + 1; number <= last; number++ {
-		b := &r.buckets[number%int64(len(r.buckets))]
-		if b.number == number {
+	r.advance(r.numberAt(now))
+	r.open.add(o)
+}
+
+// advance closes the open bucket once a later one begins.
+func (r *ring) advance(number int64) {
+	if number <= r.number {
+		return
+	}
+	if r.number > 0 {
+		r.whole[r.number%int64(len(r.whole))] = newWholeBucket(r.number, r.open)
+	}
+	r.number = number
+	r.open = tally{}
+}
+
+// live returns the whole buckets that are still inside the window, oldest
+// first, and brings the open one up to now.
+func (r *ring) live(now time.Time) []wholeBucket {
+	r.advance(r.numberAt(now))
+	var live []wholeBucket
+	for number := r.number - int64(len(r.whole)); number < r.number; number++ {
+		if number < 0 {
+			continue
+		}
+		if b := r.whole[number%int64(len(r.whole))]; b.number == number && number > 0 {
 			live = append(live, b)
 		}
 	}
@@ -165,6 +208,9 @@
 	var sum tally
 	for _, b := range r.live(now) {
 		sum.merge(b.tally)
+		sum.firstToken = addTo(sum.firstToken, b.firstToken)
+		sum.interToken = addTo(sum.interToken, b.interToken)
 	}
+	sum.merge(r.open)
 	return sum
 }
