--- a/cmd/currantladder/explain.go
+++ b/cmd/currantladder/explain.go
@@ -7,8 +7,12 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/process/operatorapi"
+	"currantladder.example/currantladder/internal/version/object"
 )
 
+// groupAlias is the short form of the kind ReplicaGroup.
+const groupAlias = "group"
+
 // newExplainCommand returns the command that prints recorded decisions.
 func newExplainCommand() command {
 	sub := newOperatorSubcommand("explain", "Print the decisions about an object or a request.")
@@ -21,6 +25,9 @@
 		if err != nil {
 			return err
 		}
+		if kind == groupAlias {
+			kind = string(object.KindReplicaGroup)
+		}
 		var reply operatorapi.ExplainReply
 		path := "/api/explain/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 		if err := c.read(ctx, path, nil, &reply); err != nil {
--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -115,10 +115,11 @@
 }
 
 // SetSelf starts a round with the node's own digest. Every refreshRounds
-// rounds, and whenever the node becomes ready or leaves, it gets a new Seq.
+// rounds, and whenever its readiness or revision changes, it gets a new Seq.
 func (t *Table) SetSelf(digest peer.Digest) {
 	digest.Seq = t.self.Seq
-	urgent := digest.Ready != t.self.Ready || digest.Leaving != t.self.Leaving || digest.Incarnation != t.self.Incarnation
+	urgent := digest.Ready != t.self.Ready || digest.Leaving != t.self.Leaving || digest.Incarnation != t.self.Incarnation ||
+		digest.AppliedRevision != t.self.AppliedRevision
 	if urgent || t.rounds%refreshRounds == 0 {
 		digest.Seq++
 		t.self = digest
--- a/internal/process/node/operators.go
+++ b/internal/process/node/operators.go
@@ -22,6 +22,9 @@
 	var nodes []operatorapi.Node
 	for _, digest := range n.members.Live() {
 		seen[digest.Node] = true
+		if digest.Node == n.settings.Node.Name {
+			digest.AppliedRevision = n.AppliedRevision()
+		}
 		nodes = append(nodes, operatorapi.Node{Name: digest.Node, Status: object.NodeStatus{
 			Region:          digest.Region,
 			FailureDomain:   digest.FailureDomain,
