--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -24,10 +24,10 @@
 	defer ticker.Stop()
 	observed := n.health.Subscribe()
 	defer observed.Close()
-	wasReady := false
+	var logged readiness
 	for {
 		n.replan()
-		wasReady = n.logReadiness(wasReady)
+		logged = n.logReadiness(logged)
 		select {
 		case <-ctx.Done():
 			return
@@ -40,12 +40,24 @@
 	}
 }
 
-func (n *Node) logReadiness(wasReady bool) bool {
-	ready, _ := n.gate.Ready()
-	if ready && !wasReady {
+// readiness is what was last logged of the node's state.
+type readiness struct{ ready, alone bool }
+
+// logReadiness logs when the node becomes ready, isolated or reachable again.
+func (n *Node) logReadiness(before readiness) readiness {
+	var now readiness
+	now.ready, _ = n.gate.Ready()
+	now.alone = n.aloneSince(time.Now()) > n.settings.Timing.Isolation
+	if now.ready && !before.ready {
 		n.log.Log(eventlog.NodeReady, eventlog.Fields{"revision": n.follower.Current().Revision})
 	}
-	return ready
+	if now.alone && !before.alone {
+		n.log.Log(eventlog.NodeIsolated, eventlog.Fields{"isolation": n.settings.Timing.Isolation.String()})
+	}
+	if !now.alone && before.alone {
+		n.log.Log(eventlog.NodeRejoined, nil)
+	}
+	return now
 }
 
 // replan computes homes, probes the hosts of owned groups and sets the gates.
