--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -6,6 +6,7 @@
 
 	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/process/membership"
 	"currantladder.example/currantladder/internal/request/route"
 )
 
@@ -13,8 +14,9 @@
 // without any event.
 const replanPeriod = 200 * time.Millisecond
 
-// sessionReadPeriod is the mean time between two reads of the session rows.
-const sessionReadPeriod = 5 * time.Second
+// rosterPeriod is the time between two looks at the roster that the keeper has
+// read.
+const rosterPeriod = time.Second
 
 // planDuty rebuilds the route plan and the gates whenever something changes.
 func (n *Node) planDuty(ctx context.Context) {
@@ -48,15 +50,18 @@
 
 // replan computes homes, probes the hosts of owned groups and sets the gates.
 func (n *Node) replan() {
+	n.planMu.Lock()
+	defer n.planMu.Unlock()
 	snap := n.follower.Current()
-	hosts := n.roster.Hosts()
-	plan := buildPlan(planInput{
-		snapshot: snap,
-		hosts:    hosts,
-		nodes:    n.members.Live(),
-		roster:   n.sessionNodes(),
-		regions:  n.members.Regions(),
-		self:     n.digest(),
+	hosts, hostsVersion := n.roster.Versioned()
+	plan := n.planner.plan(planInput{
+		snapshot:     snap,
+		hosts:        hosts,
+		hostsVersion: hostsVersion,
+		nodes:        n.members.Live(),
+		roster:       n.sessionNodes(),
+		regions:      n.members.Regions(),
+		self:         n.digest(),
 	})
 	n.router.plan.Store(plan)
 	n.health.SetHosts(n.probedHosts(plan, hosts))
@@ -86,12 +91,13 @@
 	return probed
 }
 
-// sessionDuty reads the session rows, which name the peers of all regions.
-func (n *Node) sessionDuty(ctx context.Context) {
-	ticker := time.NewTicker(sessionReadPeriod)
+// rosterDuty passes the session rows, which name the peers of all regions, to
+// membership.
+func (n *Node) rosterDuty(ctx context.Context) {
+	ticker := time.NewTicker(rosterPeriod)
 	defer ticker.Stop()
 	for {
-		n.readSessions(ctx)
+		n.takeRoster(time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -100,25 +106,22 @@
 	}
 }
 
-func (n *Node) readSessions(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Platform.CallTimeout)
-	defer cancel()
-	rows, err := n.keeper.Sessions(ctx)
-	addresses := make(map[string]string, len(rows))
+// takeRoster adds the seeds while the table service does not answer.
+func (n *Node) takeRoster(now time.Time) {
+	rows := n.keeper.Roster()
+	peers := make([]membership.Peer, 0, len(rows))
 	for _, row := range rows {
-		addresses[row.Node] = row.PeerAddress
+		peers = append(peers, membership.Peer{Node: row.Node, Address: row.PeerAddress, Region: row.Region})
 	}
-	if err != nil {
+	if now.Sub(n.keeper.LastContact()) > n.settings.Timing.LeaseTTL {
 		for _, seed := range n.settings.Peers.Seeds {
-			addresses[seed] = seed
+			peers = append(peers, membership.Peer{Node: seed, Address: seed})
 		}
-		n.members.SetRoster(addresses)
-		return
 	}
 	n.mu.Lock()
 	n.sessions = rows
 	n.mu.Unlock()
-	n.members.SetRoster(addresses)
+	n.members.SetRoster(peers)
 }
 
 // sessionNodes returns the nodes that the session rows name.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -103,7 +103,9 @@
 	attempts    int
 	preemptions int
 	ranUnknown  bool
-	group       string
+	// assigned is true once a home gave the request a slot.
+	assigned bool
+	group    string
 	// waitingSince is when the request began to look for an endpoint.
 	waitingSince time.Time
 	backoff      time.Duration
@@ -188,6 +190,7 @@
 func (j *journey) frame(frame peer.Frame, end **peer.End) error {
 	switch {
 	case frame.Assigned != nil:
+		j.assigned = true
 		j.group = frame.Assigned.Group
 		j.waitingSince = time.Time{}
 		j.backoff = firstBackoff
@@ -226,7 +229,7 @@
 		ResumeIndex: j.assembler.Next(),
 		Delivered:   j.assembler.Text(),
 		Avoid:       j.avoidGroups,
-		Resumed:     j.attempts > 1,
+		Resumed:     j.assigned || j.attempts > 1,
 		Isolate:     j.request.Isolate,
 	}
 	if !j.request.Deadline.IsZero() {
@@ -257,20 +260,18 @@
 		j.attempts--
 		return end.Refusal, j.preemptions <= maxPreemptions
 	case peer.EndRefused:
-		return j.refusedByHome(ctx, end.Refusal)
+		return j.refusedByHome(node, end.Refusal)
 	default:
 		return j.groupFailed(end)
 	}
 }
 
 // refusedByHome handles an attempt that did not run: only a missing endpoint
-// is worth another look.
-func (j *journey) refusedByHome(ctx context.Context, refused *refusal.Error) (*refusal.Error, bool) {
+// is worth a look elsewhere.
+func (j *journey) refusedByHome(node string, refused *refusal.Error) (*refusal.Error, bool) {
 	j.attempts--
-	if refused.Kind != refusal.KindNoEndpoint {
-		return refused, false
-	}
-	return j.waitForEndpoint(ctx, refused)
+	j.avoidNodes[node] = true
+	return refused, refused.Kind == refusal.KindNoEndpoint
 }
 
 func (j *journey) groupFailed(end *peer.End) (*refusal.Error, bool) {
@@ -306,7 +307,8 @@
 	return &refusal.Error{Kind: refusal.KindRetriesExhausted, Message: message, Ran: refused.Ran, Status: http.StatusBadGateway, RetryAfter: time.Second}, false
 }
 
-// waitForEndpoint pauses before another look for an open group.
+// waitForEndpoint pauses before another look for an open group, which may be
+// one that failed the request.
 func (j *journey) waitForEndpoint(ctx context.Context, refused *refusal.Error) (*refusal.Error, bool) {
 	now := time.Now()
 	if j.waitingSince.IsZero() {
@@ -322,6 +324,7 @@
 	}
 	j.backoff = min(2*j.backoff, maxBackoff)
 	clear(j.avoidNodes)
+	j.avoidGroups = nil
 	return refused, true
 }
 
--- a/internal/request/share/moves.go
+++ b/internal/request/share/moves.go
@@ -8,17 +8,27 @@
 
 // How much is asked for and kept.
 const (
-	// needAbove is the use of the own rate above which more is asked for.
-	needAbove = 0.85
-	// askHeadroom is the rate asked for, as a multiple of demand.
-	askHeadroom = 1.25
-	// keepHeadroom is the rate that a loser keeps, as a multiple of demand.
-	keepHeadroom = 1.1
+	// needAbove is the use of the own rate above which more is asked for,
+	// once the bucket is less than half full.
+	needAbove = 0.95
+	// headroom is the rate that a node asks for and keeps, as a multiple of
+	// its demand.
+	headroom = 1.03
+	// slotStep is the number of slots that a node without slots asks for.
+	slotStep = 4
+	// idleDivisor gives the idle slots that a node keeps and asks for, as a
+	// part of those that were busy.
+	idleDivisor = 4
 	// burstRequests is the bucket depth that a node wants, in requests of the
 	// largest recent size.
 	burstRequests = 2
-	// minMoveShare is the smallest rate worth a transaction.
-	minMoveShare = Whole / 1000
+	// burstDivisor gives the depth that a node wants as a part of the depth
+	// in proportion to its rate.
+	burstDivisor = 2
+	// minMoveShare is a part of a cap that is always worth a transaction.
+	minMoveShare = Whole / 200
+	// minMoveDivisor gives what is worth one as a part of what is held.
+	minMoveDivisor = 16
 )
 
 // need returns what the node lacks for its recent demand.
@@ -26,24 +36,46 @@
 	l.refill(now)
 	recent := l.demand.recent(now)
 	var lack Holding
-	if recent.tokensPerSecond > needAbove*l.rate() {
-		lack.Rate = max(0, l.rateUnits(recent.tokensPerSecond*askHeadroom)-l.inForce().Rate)
+	if l.level <= l.depth()/2 && recent.tokensPerSecond > needAbove*l.rate() {
+		lack.Rate = max(0, l.rateUnits(recent.tokensPerSecond*headroom)-l.inForce().Rate)
 	}
-	if recent.largest > 0 {
-		lack.Burst = max(0, l.burstUnits(recent.largest*burstRequests)-l.inForce().Burst)
-	}
-	if recent.refused > 0 || (recent.peak > 0 && recent.peak >= l.slots()) {
-		lack.InFlight = max(0, slotUnits(l.slots()+max(1, recent.refused), l.cap.InFlight)-l.inForce().InFlight)
-	}
-	if lack.Rate < minMoveShare {
+	lack.Burst = max(0, l.burstWanted(recent)-l.inForce().Burst)
+	lack.InFlight = max(0, slotUnits(l.slots()+l.slotsLacking(recent), l.cap.InFlight)-l.inForce().InFlight)
+	if !worthMoving(lack.Rate, l.inForce().Rate) {
 		lack.Rate = 0
 	}
-	if lack.Burst < minMoveShare {
+	if !worthMoving(lack.Burst, l.inForce().Burst) {
 		lack.Burst = 0
 	}
 	return lack
 }
 
+// burstWanted returns the depth for the largest recent requests, and not much
+// less than goes with the rate held.
+func (l *ledger) burstWanted(r recent) Units {
+	if r.largest == 0 {
+		return 0
+	}
+	return max(l.burstUnits(r.largest*burstRequests), l.inForce().Rate/burstDivisor)
+}
+
+// worthMoving reports whether a part is worth a transaction to a node that
+// already holds some.
+func worthMoving(part, held Units) bool {
+	return part >= minMoveShare || part > held/minMoveDivisor
+}
+
+// slotsLacking returns how many slots to ask for.
+func (l *ledger) slotsLacking(r recent) int {
+	if r.refused > 0 {
+		return min(r.refused, l.slots()+slotStep)
+	}
+	if r.peak > 0 && r.peak >= l.slots() {
+		return max(1, r.peak/idleDivisor)
+	}
+	return 0
+}
+
 // baseline returns what the node lacks for an even share between nodes, once
 // it holds less than half of it.
 func (l *ledger) baseline(nodes int) Holding {
@@ -70,57 +102,12 @@
 	return unitsOf(tokens, l.cap.BurstTokens)
 }
 
-// spare returns what the node can give up: rate and depth beyond its recent
-// demand, and idle slots.
-func (l *ledger) spare(now time.Time) Holding {
-	l.refill(now)
-	recent := l.demand.recent(now)
-	held := l.inForce()
-	keep := Holding{
-		Rate:  l.rateUnits(recent.tokensPerSecond * keepHeadroom),
-		Burst: l.burstUnits(recent.largest * burstRequests),
-	}
-	busy := max(l.running, recent.peak)
-	if recent.refused > 0 {
-		busy = max(busy, l.slots())
-	}
-	keep.InFlight = slotUnits(busy, l.cap.InFlight)
-	return held.minus(keep).max(Holding{})
-}
-
-// offer returns what to give for a request. Depth goes along with the rate in
-// proportion.
-func (l *ledger) offer(r peer.ReleaseRequest, now time.Time) Holding {
-	spare := l.spare(now)
-	held := l.inForce()
-	give := Holding{Rate: min(l.rateUnits(r.TokensPerSecond), spare.Rate)}
-	if give.Rate < minMoveShare {
-		give.Rate = 0
-	}
-	if held.Rate > 0 {
-		give.Burst = Units(float64(held.Burst) * float64(give.Rate) / float64(held.Rate))
-	}
-	give.Burst = min(max(give.Burst, l.burstUnits(r.BurstTokens)), spare.Burst)
-	give.InFlight = l.offerSlots(r.InFlight, spare.InFlight)
-	return give
-}
-
-// offerSlots gives whole slots, and with them any remainder that is too small
-// to be a slot here.
-func (l *ledger) offerSlots(asked int, spare Units) Units {
-	idle := slots(spare, l.cap.InFlight)
-	if asked <= 0 {
-		return 0
-	}
-	keep := slotUnits(l.slots()-min(asked, idle), l.cap.InFlight)
-	return min(max(0, l.inForce().InFlight-keep), spare)
-}
-
 // beginRelease lowers what is in force and returns the row to commit.
 func (l *ledger) beginRelease(r peer.ReleaseRequest, give Holding, now time.Time) *pendingRelease {
 	l.refill(now)
 	next := l.row.with(l.nodeOf(), l.holder, l.held.minus(give))
 	next = next.with(r.Gainer, r.Holder, next.of(r.Holder).plus(give))
+	l.yield = yield{}
 	l.pending = &pendingRelease{amount: give, expect: l.version, next: next, begun: now}
 	l.clip()
 	return l.pending
