--- a/internal/connection/peer/protocol.go
+++ b/internal/connection/peer/protocol.go
@@ -11,13 +11,8 @@
 package peer
 
 import (
-	"encoding/binary"
-	"math"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/object"
@@ -60,61 +55,40 @@
 	AgeMillis int64 `json:"ageMillis"`
 }
 
-// Probe carries the sender's own digest, a bounded number of digests of its
-// region, the beats of all its live members and a few region summaries. Between
-// regions it carries the sender's digest and summaries alone.
+// Probe is sent to a peer and answered by another one. The answer carries the
+// digests of the region that are newer than Known, so that each version of a
+// digest reaches a node about once.
 type Probe struct {
-	// Digests holds the sender's own digest first.
+	// Region limits the digests to nodes of the sender's region.
+	Region string `json:"region"`
+	// Known holds the versions that the sender has, by node.
+	Known map[string]DigestVersion `json:"known,omitempty"`
+	// Digests starts with the sender's own.
 	Digests []Digest `json:"digests"`
-	// Revision is the highest configuration revision in force at a member.
-	Revision int64 `json:"revision,omitempty"`
-	// Beats is the result of AppendBeat for each live member.
-	Beats   []byte          `json:"beats,omitempty"`
+	// Regions holds one summary for each region that the sender knows.
 	Regions []RegionSummary `json:"regions,omitempty"`
+	// Suspected names nodes that did not answer the sender's own probe, with
+	// the version that it had of them. The receiver probes them itself.
+	Suspected map[string]DigestVersion `json:"suspected,omitempty"`
 }
 
-// BeatBytes is the length of one beat.
-const BeatBytes = 9
-
-// UnknownLag stands for a lag that is too large for a beat.
-const UnknownLag = math.MaxUint8
-
-// Beat is the news of one member.
-type Beat struct {
-	// Key is the member's BeatKey.
-	Key uint32
-	// Seq is the member's sequence number; its lower 32 bits are carried.
-	Seq int64
-	// Lag is how far the revision in force at the member is behind
-	// Probe.Revision, up to UnknownLag.
-	Lag int64
-}
-
-// AppendBeat appends a beat to those of a probe.
-func AppendBeat(beats []byte, b Beat) []byte {
-	beats = binary.BigEndian.AppendUint32(beats, b.Key)
-	beats = binary.BigEndian.AppendUint32(beats, uint32(b.Seq))
-	return append(beats, uint8(min(max(b.Lag, 0), UnknownLag)))
+// DigestVersion orders the digests of one node.
+type DigestVersion struct {
+	Incarnation int64 `json:"i"`
+	Seq         int64 `json:"s"`
 }
 
-// ReadBeats returns the beats of a probe.
-func ReadBeats(beats []byte) []Beat {
-	read := make([]Beat, 0, len(beats)/BeatBytes)
-	for ; len(beats) >= BeatBytes; beats = beats[BeatBytes:] {
-		read = append(read, Beat{
-			Key: binary.BigEndian.Uint32(beats),
-			Seq: int64(binary.BigEndian.Uint32(beats[4:])),
-			Lag: int64(beats[8]),
-		})
+// Newer reports whether v replaces other.
+func (v DigestVersion) Newer(other DigestVersion) bool {
+	if v.Incarnation != other.Incarnation {
+		return v.Incarnation > other.Incarnation
 	}
-	return read
+	return v.Seq > other.Seq
 }
 
-// BeatKey identifies one process of a node in beats. Two members of a region
-// have the same key once in about four million regions of 47 nodes; a dead one
-// of them would then count as live.
-func (d Digest) BeatKey() uint32 {
-	return uint32(xxhash.Sum64String(d.Node + "\x00" + strconv.FormatInt(d.Incarnation, 10)))
+// Version returns the digest's version.
+func (d Digest) Version() DigestVersion {
+	return DigestVersion{Incarnation: d.Incarnation, Seq: d.Seq}
 }
 
 // RegionSummary tells other regions of one region's nodes.
@@ -189,51 +163,6 @@
 	Message string    `json:"message"`
 }
 
-// BurnDigest is what one node has observed of the requests that it answered.
-type BurnDigest struct {
-	Node   string       `json:"node"`
-	Series []BurnSeries `json:"series"`
-	// Dropped counts samples beyond the bound of series.
-	Dropped int64 `json:"dropped,omitempty"`
-}
-
-// BurnSeries is the part of one rank and account class.
-type BurnSeries struct {
-	Rank    string              `json:"rank"`
-	Class   object.AccountClass `json:"class"`
-	Windows []BurnWindow        `json:"windows"`
-	Points  []BurnPoint         `json:"points,omitempty"`
-}
-
-// BurnWindow sums a sliding window that ends now.
-type BurnWindow struct {
-	Seconds int64 `json:"seconds"`
-	Good    int64 `json:"good"`
-	Total   int64 `json:"total"`
-	// Bad counts the causes of what is in Total and not in Good.
-	Bad []BurnCount `json:"bad,omitempty"`
-	// Excluded counts the causes of what is not in Total.
-	Excluded []BurnCount `json:"excluded,omitempty"`
-	// FirstToken and InterToken are HDR histograms in the compressed V2
-	// encoding; empty where nothing was recorded.
-	FirstToken string `json:"firstToken,omitempty"`
-	InterToken string `json:"interToken,omitempty"`
-}
-
-// BurnCount is the number of requests that ended for one cause.
-type BurnCount struct {
-	Cause string `json:"cause"`
-	Count int64  `json:"count"`
-}
-
-// BurnPoint counts the requests of one time bucket.
-type BurnPoint struct {
-	// Start is the beginning of the bucket, in seconds of the Unix epoch.
-	Start int64 `json:"start"`
-	Good  int64 `json:"good"`
-	Total int64 `json:"total"`
-}
-
 // Frame is one event of a home node's answer. Exactly one field is set.
 type Frame struct {
 	Assigned *Assigned       `json:"assigned,omitempty"`
--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -1,7 +1,7 @@
 // Package membership keeps each node's view of the other entry nodes. Nodes
-// probe a few peers of their region each period and exchange beats, the digests
-// that changed, and summaries of other regions, so that traffic grows with the
-// region and not with the fleet.
+// probe a few peers each period and exchange digests of their region and one
+// summary for each other region, so that traffic grows with the region and not
+// with the fleet.
 package membership
 
 import (
@@ -14,25 +14,39 @@
 	"currantladder.example/currantladder/internal/connection/peer"
 )
 
-// Bounds of one probe.
+// Bounds of what one probe carries.
 const (
-	// changedDigests bounds the digests of other members that changed last.
-	changedDigests = 1
-	// catchUpDigests bounds the digests of members that a peer does not know.
-	catchUpDigests = 16
-	// otherSummaries bounds the summaries of other regions.
-	otherSummaries = 1
-	// maxBeats bounds the beats of a probe.
-	maxBeats = 256
 	// maxLagging bounds the names in a region summary.
 	maxLagging = 3
+	// maxSuspicions bounds the suspected nodes in a probe.
+	maxSuspicions = 16
 )
 
-// Peer is a node to probe. Region is empty where it is not known.
-type Peer struct {
-	Address string
-	Region  string
-}
+// refreshRounds is the number of rounds after which a node issues a new
+// version of its own digest.
+const refreshRounds = 2
+
+// refutingVersions is by how many versions a digest must have advanced since
+// a failed probe to refute it; fewer can still be on their way from before.
+const refutingVersions = 6
+
+// verifyRounds is the least number of rounds between two probes of a member
+// that others suspect.
+const verifyRounds = 4
+
+// successorRounds is the number of rounds between two probes of the member
+// that follows the node in the order of names.
+const successorRounds = 2
+
+// urgentRounds is the number of rounds after a new suspicion in which
+// urgentFanout more peers are probed.
+const (
+	urgentRounds = 3
+	urgentFanout = 2
+)
+
+// remoteRounds is the number of rounds between two probes of another region.
+const remoteRounds = 4
 
 // Table is the state machine of membership: pure, without I/O or clock. It is
 // not safe for concurrent use.
@@ -40,25 +54,47 @@
 	self    peer.Digest
 	timeout time.Duration
 	members map[string]*member
-	// byKey finds members by the keys of beats.
-	byKey   map[uint32]*member
 	regions map[string]regionState
-	roster  map[string]Peer // by node name
-	random  *rand.Rand
-	// round counts calls of Targets.
-	round int
-	// last is the member whose digest went out last in turn.
-	last string
+	roster  []Peer
+	// order is a shuffled list of addresses of the own region still to probe
+	// before it is shuffled anew.
+	order  []string
+	random *rand.Rand
+	rounds int64
+	// urgentUntil is the round until which more peers are probed, to spread a
+	// new suspicion.
+	urgentUntil int64
+}
+
+// Peer is a node that is known from the session rows or the settings. An empty
+// Region means that it is not known.
+type Peer struct {
+	Node    string
+	Address string
+	Region  string
 }
 
 type member struct {
 	digest peer.Digest
-	// seq is the highest sequence number heard, by digest or beat.
-	seq int64
-	// heard is when seq last advanced.
+	// heard is when the digest last advanced.
 	heard time.Time
-	// changed is when the digest's content last changed.
-	changed time.Time
+	// suspected is the version at which a probe of this node failed. Contact
+	// with the node itself, or a much newer digest, refutes it.
+	suspected peer.DigestVersion
+	// verify asks for a probe in the next round.
+	verify bool
+	// verified is the round of the last such probe.
+	verified int64
+}
+
+// isSuspected reports whether a probe of the member failed and nothing has
+// refuted it. Digests that were on their way when the member died do not.
+func (m *member) isSuspected() bool {
+	if m.suspected == (peer.DigestVersion{}) {
+		return false
+	}
+	refuting := peer.DigestVersion{Incarnation: m.suspected.Incarnation, Seq: m.suspected.Seq + refutingVersions}
+	return refuting.Newer(m.digest.Version())
 }
 
 type regionState struct {
@@ -67,214 +103,158 @@
 }
 
 // NewTable returns a table for the node that self describes. A member whose
-// sequence number has not advanced for timeout no longer counts as live.
+// digest has not advanced for timeout no longer counts as live.
 func NewTable(self peer.Digest, timeout time.Duration, seed uint64) *Table {
-	t := &Table{
+	return &Table{
 		self:    self,
 		timeout: timeout,
 		members: make(map[string]*member),
-		byKey:   make(map[uint32]*member),
 		regions: make(map[string]regionState),
-		roster:  make(map[string]Peer),
 		random:  rand.New(rand.NewPCG(seed, seed)),
 	}
-	// Nodes that start together spread their rounds.
-	t.round = t.random.IntN(remoteRounds)
-	return t
 }
 
-// SetSelf replaces the node's own digest; its Seq is set to the next one.
+// SetSelf starts a round with the node's own digest. Every refreshRounds
+// rounds, and whenever the node becomes ready or leaves, it gets a new Seq.
 func (t *Table) SetSelf(digest peer.Digest) {
-	digest.Seq = t.self.Seq + 1
-	t.self = digest
+	digest.Seq = t.self.Seq
+	urgent := digest.Ready != t.self.Ready || digest.Leaving != t.self.Leaving || digest.Incarnation != t.self.Incarnation
+	if urgent || t.rounds%refreshRounds == 0 {
+		digest.Seq++
+		t.self = digest
+	}
+	t.rounds++
 }
 
-// SetRoster replaces the peers known from session rows or settings, by name.
-func (t *Table) SetRoster(peers map[string]Peer) { t.roster = peers }
+// SetRoster replaces the peers known from session rows or settings.
+func (t *Table) SetRoster(peers []Peer) { t.roster = peers }
 
-// Merge takes a peer's probe.
-func (t *Table) Merge(probe peer.Probe, now time.Time) {
+// Merge takes a peer's probe. It reports whether members wait to be verified.
+func (t *Table) Merge(probe peer.Probe, now time.Time) bool {
 	for _, digest := range probe.Digests {
 		t.mergeDigest(digest, now)
 	}
-	for _, beat := range peer.ReadBeats(probe.Beats) {
-		if known := t.byKey[beat.Key]; known != nil {
-			known.hear(beat.Seq, now)
-			known.apply(beat, probe.Revision)
-		}
-	}
+	t.contacted(probe)
 	for _, summary := range probe.Regions {
 		t.mergeRegion(summary, now)
 	}
-}
-
-// hear notes that the member's process has reached the sequence number.
-func (m *member) hear(seq int64, now time.Time) {
-	if seq > m.seq {
-		m.seq = seq
-		m.heard = now
+	suspicious := false
+	for node, version := range probe.Suspected {
+		suspicious = t.heardSuspicion(node, version) || suspicious
 	}
+	return suspicious
 }
 
-// apply notes the revision in force at the member, which never falls while its
-// process runs.
-func (m *member) apply(beat peer.Beat, highest int64) {
-	if beat.Lag < peer.UnknownLag {
-		m.digest.AppliedRevision = max(m.digest.AppliedRevision, highest-beat.Lag)
+// heardSuspicion asks for a probe of a member that another node suspects,
+// unless the member has advanced far since or was verified lately.
+func (t *Table) heardSuspicion(node string, version peer.DigestVersion) bool {
+	m := t.members[node]
+	if m == nil || m.isSuspected() || t.rounds-m.verified < verifyRounds {
+		return false
 	}
+	version.Seq += refutingVersions
+	m.verify = version.Newer(m.digest.Version())
+	return m.verify
 }
 
-func (t *Table) mergeDigest(digest peer.Digest, now time.Time) {
-	if digest.Node == t.self.Node || digest.Region != t.self.Region {
+// contacted clears the suspicion of the probe's sender.
+func (t *Table) contacted(probe peer.Probe) {
+	if len(probe.Digests) == 0 {
 		return
 	}
-	known := t.members[digest.Node]
-	switch {
-	case known == nil || digest.Incarnation > known.digest.Incarnation:
-		t.forget(digest.Node)
-		known = &member{digest: digest, seq: digest.Seq, heard: now, changed: now}
-		t.members[digest.Node] = known
-		t.byKey[digest.BeatKey()] = known
-	case digest.Incarnation == known.digest.Incarnation && digest.Seq > known.digest.Seq:
-		known.changed = later(known.changed, t.changeTime(digest, known.digest, now))
-		digest.AppliedRevision = max(digest.AppliedRevision, known.digest.AppliedRevision)
-		known.digest = digest
-		known.hear(digest.Seq, now)
+	if m := t.members[probe.Digests[0].Node]; m != nil {
+		m.suspected = peer.DigestVersion{}
 	}
 }
 
-func (t *Table) forget(node string) {
-	if known := t.members[node]; known != nil {
-		delete(t.byKey, known.digest.BeatKey())
-		delete(t.members, node)
+// Suspect records that a probe of the address failed. The member does not
+// count as live until a newer digest arrives.
+func (t *Table) Suspect(address string) {
+	for _, m := range t.members {
+		if m.digest.Address == address && !m.isSuspected() {
+			m.suspected = m.digest.Version()
+			t.urgentUntil = t.rounds + urgentRounds
+		}
 	}
 }
 
-// changeTime returns when the content of two digests of one process came to
-// differ; zero where it does not. A change of load alone yields to others,
-// which count as later by the timeout. Revisions travel with beats.
-func (t *Table) changeTime(a, b peer.Digest, now time.Time) time.Time {
-	switch {
-	case a.Address != b.Address || a.Ready != b.Ready || a.Leaving != b.Leaving || !slices.Equal(a.Suspects, b.Suspects):
-		return now.Add(t.timeout)
-	case !slices.Equal(a.Load, b.Load):
-		return now
-	default:
-		return time.Time{}
+// suspicions returns the suspected members, up to a bound.
+func (t *Table) suspicions() map[string]peer.DigestVersion {
+	suspected := make(map[string]peer.DigestVersion)
+	for node, m := range t.members {
+		if m.isSuspected() && len(suspected) < maxSuspicions {
+			suspected[node] = m.suspected
+		}
 	}
+	return suspected
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+func (t *Table) mergeDigest(digest peer.Digest, now time.Time) {
+	if digest.Node == t.self.Node || digest.Region != t.self.Region {
+		return
+	}
+	known := t.members[digest.Node]
+	if known == nil {
+		t.members[digest.Node] = &member{digest: digest, heard: now}
+		return
+	}
+	if digest.Version().Newer(known.digest.Version()) {
+		known.digest = digest
+		known.heard = now
 	}
-	return b
 }
 
+// mergeRegion takes a newer summary, unless it was made by a node that sees
+// fewer nodes of its region while the present one is fresh.
 func (t *Table) mergeRegion(summary peer.RegionSummary, now time.Time) {
 	if summary.Region == t.self.Region {
 		return
 	}
 	made := now.Add(-time.Duration(summary.AgeMillis) * time.Millisecond)
-	if made.After(t.regions[summary.Region].made) {
+	known := t.regions[summary.Region]
+	narrower := summary.Nodes < known.summary.Nodes && now.Sub(known.made) < t.timeout
+	if made.After(known.made) && !narrower {
 		t.regions[summary.Region] = regionState{summary: summary, made: made}
 	}
 }
 
-// Outgoing returns what the node tells a peer of its own region: its own
-// digest, the beats of all live members, the digests that changed last, that
-// of one member in turn, and a summary of another region.
-func (t *Table) Outgoing(now time.Time) peer.Probe {
-	probe := t.news(now)
-	if live := t.liveMembers(now); len(live) > changedDigests {
-		probe.Digests = append(probe.Digests, t.inTurn(live))
+// Request returns the probe that a round sends to a peer.
+func (t *Table) Request(now time.Time) peer.Probe {
+	probe := peer.Probe{
+		Region:    t.self.Region,
+		Known:     make(map[string]peer.DigestVersion, len(t.members)),
+		Digests:   []peer.Digest{t.self},
+		Regions:   t.summaries(now),
+		Suspected: t.suspicions(),
 	}
-	probe.Regions = t.drawRegions(now)
-	return probe
-}
-
-// news returns what probes and replies inside a region have in common.
-func (t *Table) news(now time.Time) peer.Probe {
-	live := t.liveMembers(now)
-	slices.SortFunc(live, func(a, b *member) int {
-		return cmp.Or(b.changed.Compare(a.changed), cmp.Compare(a.digest.Node, b.digest.Node))
-	})
-	probe := peer.Probe{Digests: []peer.Digest{t.self}}
-	for _, m := range live[:min(len(live), changedDigests)] {
-		probe.Digests = append(probe.Digests, m.digest)
-	}
-	t.addBeats(&probe, live[:min(len(live), maxBeats)])
-	return probe
-}
-
-func (t *Table) addBeats(probe *peer.Probe, live []*member) {
-	probe.Revision = t.self.AppliedRevision
-	for _, m := range live {
-		probe.Revision = max(probe.Revision, m.digest.AppliedRevision)
-	}
-	for _, m := range live {
-		beat := peer.Beat{Key: m.digest.BeatKey(), Seq: m.seq, Lag: probe.Revision - m.digest.AppliedRevision}
-		probe.Beats = peer.AppendBeat(probe.Beats, beat)
-	}
-}
-
-// Answer returns the reply to a probe. A peer of the region gets digests of
-// members that its beats lack; one of another region gets summaries alone.
-func (t *Table) Answer(probe peer.Probe, now time.Time) peer.Probe {
-	if len(probe.Digests) > 0 && probe.Digests[0].Region != t.self.Region {
-		return t.OutgoingRemote(now)
+	for node, m := range t.members {
+		probe.Known[node] = m.digest.Version()
 	}
-	reply := t.news(now)
-	reply.Digests = append(reply.Digests, t.lacking(probe, now)...)
-	return reply
+	return probe
 }
 
-// lacking returns digests of live members that the probe does not know.
-func (t *Table) lacking(probe peer.Probe, now time.Time) []peer.Digest {
-	known := make(map[uint32]bool, len(probe.Beats)/peer.BeatBytes+1)
-	for _, beat := range peer.ReadBeats(probe.Beats) {
-		known[beat.Key] = true
+// Reply returns the answer to a peer's probe: what the peer lacks.
+func (t *Table) Reply(probe peer.Probe, now time.Time) peer.Probe {
+	reply := peer.Probe{Region: t.self.Region, Digests: []peer.Digest{t.self}, Regions: t.summaries(now), Suspected: t.suspicions()}
+	if probe.Region != t.self.Region {
+		return reply
 	}
-	for _, digest := range probe.Digests {
-		known[digest.BeatKey()] = true
-	}
-	var digests []peer.Digest
 	for _, m := range t.liveMembers(now) {
-		if len(digests) < catchUpDigests && !known[m.digest.BeatKey()] {
-			digests = append(digests, m.digest)
+		if m.digest.Version().Newer(probe.Known[m.digest.Node]) {
+			reply.Digests = append(reply.Digests, m.digest)
 		}
 	}
-	return digests
-}
-
-// OutgoingRemote returns what the node tells a peer of another region.
-func (t *Table) OutgoingRemote(now time.Time) peer.Probe {
-	return peer.Probe{Digests: []peer.Digest{t.self}, Regions: append(t.drawRegions(now), t.ownSummary(now))}
-}
-
-// inTurn returns the digest of each live member, one after the other.
-func (t *Table) inTurn(live []*member) peer.Digest {
-	byName := slices.SortedFunc(slices.Values(live), func(a, b *member) int { return cmp.Compare(a.digest.Node, b.digest.Node) })
-	i, found := slices.BinarySearchFunc(byName, t.last, func(m *member, name string) int { return cmp.Compare(m.digest.Node, name) })
-	if found {
-		i++
-	}
-	chosen := byName[i%len(byName)].digest
-	t.last = chosen.Node
-	return chosen
+	return reply
 }
 
-// drawRegions returns the summaries of a few other regions.
-func (t *Table) drawRegions(now time.Time) []peer.RegionSummary {
-	names := slices.Sorted(maps.Keys(t.regions))
-	t.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	var summaries []peer.RegionSummary
-	for _, name := range names[:min(len(names), otherSummaries)] {
-		known := t.regions[name]
-		summary := known.summary
-		summary.AgeMillis = now.Sub(known.made).Milliseconds()
+func (t *Table) summaries(now time.Time) []peer.RegionSummary {
+	summaries := []peer.RegionSummary{t.ownSummary(now)}
+	for _, region := range t.regions {
+		summary := region.summary
+		summary.AgeMillis = now.Sub(region.made).Milliseconds()
 		summaries = append(summaries, summary)
 	}
+	slices.SortFunc(summaries, func(a, b peer.RegionSummary) int { return cmp.Compare(a.Region, b.Region) })
 	return summaries
 }
 
@@ -311,19 +291,10 @@
 	}
 }
 
-// silence is how long a member may be silent and still counts as live. In a
-// large region, news of a member takes longer to reach everyone.
-func (t *Table) silence() time.Duration {
-	if len(t.members) > smallRegion {
-		return largeSilence * t.timeout
-	}
-	return t.timeout
-}
-
 func (t *Table) liveMembers(now time.Time) []*member {
 	live := make([]*member, 0, len(t.members))
 	for _, m := range t.members {
-		if now.Sub(m.heard) < t.silence() {
+		if now.Sub(m.heard) < t.timeout && !m.isSuspected() {
 			live = append(live, m)
 		}
 	}
@@ -359,7 +330,114 @@
 	if m := t.members[node]; m != nil {
 		return m.digest.Address
 	}
-	return t.roster[node].Address
+	for _, p := range t.roster {
+		if p.Node == node {
+			return p.Address
+		}
+	}
+	return ""
+}
+
+// Targets returns the addresses to probe in this round: fanout peers of the
+// own region in a shuffled turn, and now and then one of another region.
+func (t *Table) Targets(fanout int) []string {
+	if t.rounds < t.urgentUntil {
+		fanout += urgentFanout
+	}
+	var targets []string
+	if t.rounds%successorRounds == 0 {
+		if successor := t.successor(); successor != "" {
+			targets = append(targets, successor)
+			fanout--
+		}
+	}
+	for range fanout {
+		if len(t.order) == 0 {
+			t.order = t.shuffle(t.regionAddresses())
+		}
+		if len(t.order) == 0 {
+			break
+		}
+		targets = append(targets, t.order[0])
+		t.order = t.order[1:]
+	}
+	if t.rounds%remoteRounds == 0 {
+		remote := t.shuffle(t.remoteAddresses())
+		targets = append(targets, remote[:min(1, len(remote))]...)
+	}
+	return targets
+}
+
+// successor returns the address of the next unsuspected member in the order
+// of names, so that each node has one that probes it regularly.
+func (t *Table) successor() string {
+	var first, next *member
+	for _, m := range t.members {
+		if m.isSuspected() {
+			continue
+		}
+		if first == nil || m.digest.Node < first.digest.Node {
+			first = m
+		}
+		if m.digest.Node > t.self.Node && (next == nil || m.digest.Node < next.digest.Node) {
+			next = m
+		}
+	}
+	switch {
+	case next != nil:
+		return next.digest.Address
+	case first != nil:
+		return first.digest.Address
+	default:
+		return ""
+	}
+}
+
+// Verifications returns the addresses of members that another node suspects,
+// to be probed at once.
+func (t *Table) Verifications() []string {
+	var addresses []string
+	for _, m := range t.members {
+		if m.verify {
+			m.verify = false
+			m.verified = t.rounds
+			addresses = append(addresses, m.digest.Address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// regionAddresses returns the peers of the own region and those whose region
+// is not known.
+func (t *Table) regionAddresses() []string {
+	addresses := make(map[string]bool)
+	for _, m := range t.members {
+		addresses[m.digest.Address] = true
+	}
+	for _, p := range t.roster {
+		if p.Region == t.self.Region || p.Region == "" {
+			addresses[p.Address] = true
+		}
+	}
+	delete(addresses, t.self.Address)
+	delete(addresses, "")
+	return slices.Sorted(maps.Keys(addresses))
+}
+
+func (t *Table) remoteAddresses() []string {
+	var addresses []string
+	for _, p := range t.roster {
+		if p.Region != t.self.Region && p.Region != "" {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
+func (t *Table) shuffle(addresses []string) []string {
+	t.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
 }
 
 // Forget removes members that have been silent for long.
@@ -367,7 +445,7 @@
 	const forgetFactor = 20
 	for node, m := range t.members {
 		if now.Sub(m.heard) > forgetFactor*t.timeout {
-			t.forget(node)
+			delete(t.members, node)
 		}
 	}
 }
