Find the holders of shares in one pass

Cause: looking for dead holders compared every part of every share row with all names found so far, and every holder with the whole host list.

Change: sets in place of searches.

--- a/internal/request/share/deathwatch.go
+++ b/internal/request/share/deathwatch.go
@@ -40,8 +40,9 @@
 // now. Only the candidates, which hold shares, are watched.
 func (d *deathWatch) observeList(list hostlist.List, sent time.Time, candidates []string, now time.Time) {
 	watched := map[string]*absence{}
+	listed := nodeNames(list)
 	for _, node := range candidates {
-		if names(list, node, "") {
+		if listed[node] {
 			continue
 		}
 		a := d.nodes[node]
@@ -57,6 +58,17 @@
 	d.nodes = watched
 }
 
+// nodeNames returns the entry nodes that the list names.
+func nodeNames(list hostlist.List) map[string]bool {
+	listed := make(map[string]bool)
+	for _, h := range list.Hosts {
+		if h.Role == hostlist.RoleNode {
+			listed[h.Name] = true
+		}
+	}
+	return listed
+}
+
 // unlisted returns the nodes whose session rows must be watched.
 func (d *deathWatch) unlisted() []string {
 	var nodes []string
--- a/internal/request/share/reclaim.go
+++ b/internal/request/share/reclaim.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -44,15 +45,14 @@
 
 // otherHolders lists the other nodes that hold shares.
 func (m *Manager) otherHolders() []string {
-	var nodes []string
+	nodes := make(map[string]bool)
 	for _, l := range m.ledgers {
 		for _, p := range l.row.Parts {
-			if p.Node != m.options.Node && !slices.Contains(nodes, p.Node) {
-				nodes = append(nodes, p.Node)
-			}
+			nodes[p.Node] = true
 		}
 	}
-	return nodes
+	delete(nodes, m.options.Node)
+	return slices.Collect(maps.Keys(nodes))
 }
 
 func (m *Manager) watchSession(ctx context.Context, node string) {
