Pace the reads of share rows by their size and the fleet's

The write budget of the fleet was divided by the nodes of the region alone, which are a seventh of it: 702 moves a second instead of 100.

Ruled out: no periodic reads (the shares of a dead node would be freed only where somebody moves that row); smaller parts alone (at most 3 times less).

Change: periodic reads take at most 20 kB/s on average; a row that lacks, as after a void or for a new account, is still read within 3 s, and a move reads its own row. Writes are divided by the nodes of all regions.

The shares of a dead node are freed after up to 16 minutes at that size.

--- a/internal/request/share/capacity_test.go
+++ b/internal/request/share/capacity_test.go
@@ -110,7 +110,7 @@
 			for b.Loop() {
 				bm.watchList()
 			}
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/bm.pace().Seconds(), "ns/node/s")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/bm.pace(0).Seconds(), "ns/node/s")
 		})
 	}
 }
@@ -121,14 +121,20 @@
 		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
 			bm := newBenchManager(b, n)
 			bm.store.Reset()
+			size := 0
 			for b.Loop() {
-				bm.readAll(context.Background())
+				size = bm.readAll(context.Background())
 			}
-			period := bm.pace().Seconds()
+			period := bm.pace(size).Seconds()
 			usage := bm.store.Usage()
 			perNode := float64(usage.Bytes) / float64(b.N) / period
 			reads := float64(usage.Reads) / float64(b.N) / period * float64(n)
-			b.Logf("a node reads %.0f bytes of share rows a second", perNode)
+			if n == capacity.Nodes && perNode > capacity.ShareBytesPerSecond {
+				b.Errorf("a node reads %.0f bytes of share rows a second, over %d", perNode, capacity.ShareBytesPerSecond)
+			}
+			if reads > capacity.TableReadsPerSecond/2 {
+				b.Errorf("the fleet reads share rows %.0f times a second", reads)
+			}
 			b.ReportMetric(perNode, "wire-bytes/node/s")
 			b.ReportMetric(reads, "fleet-reads/s")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/period, "ns/node/s")
--- a/internal/request/share/duty.go
+++ b/internal/request/share/duty.go
@@ -149,14 +149,18 @@
 }
 
 // readLoop reads all share rows periodically, soon after the start and after
-// the presence became valid.
+// the presence became valid, and whenever a row that is needed was not read.
 func (m *Manager) readLoop(ctx context.Context) {
+	var next time.Time
 	for {
 		pause := tickPeriod
 		if m.mayRead() {
-			m.readAll(ctx)
+			pause = jitter(readPeriod)
+			if now := time.Now(); !now.Before(next) || m.lacksRows() {
+				size := m.readAll(ctx)
+				next = now.Add(jitter(m.pace(size)))
+			}
 			m.reclaim(ctx)
-			pause = jitter(m.pace())
 		}
 		timer := time.NewTimer(pause)
 		select {
@@ -174,25 +178,50 @@
 	return m.admitting()
 }
 
+// lacksRows reports whether an account's row must be read before its share is
+// used.
+func (m *Manager) lacksRows() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.ledgers {
+		if l.stale {
+			return true
+		}
+	}
+	return false
+}
+
 // pace sets the node's part of the fleet's write budget and returns the mean
-// period of reading the rows.
-func (m *Manager) pace() time.Duration {
-	nodes := max(len(m.options.Live()), 1)
+// period of reading the rows, whose size in bytes is given.
+func (m *Manager) pace(size int) time.Duration {
+	nodes := m.fleetSize()
 	writes := min(max(float64(fleetWrites)/float64(nodes), minNodeWrites), maxNodeWrites)
 	m.writes.SetLimit(rate.Limit(writes))
-	return max(readPeriod, time.Duration(float64(nodes)/fleetReads*float64(time.Second)))
+	bySize := time.Duration(float64(size) / nodeReadBytes * float64(time.Second))
+	return max(readPeriod, bySize, time.Duration(float64(nodes)/fleetReads*float64(time.Second)))
+}
+
+// fleetSize returns the number of nodes of all regions.
+func (m *Manager) fleetSize() int {
+	nodes := max(len(m.options.Live()), 1)
+	if m.options.FleetSize != nil {
+		nodes = max(nodes, m.options.FleetSize())
+	}
+	return nodes
 }
 
-func (m *Manager) readAll(ctx context.Context) {
+// readAll reads all share rows and returns their size in bytes.
+func (m *Manager) readAll(ctx context.Context) (size int) {
 	ctx, cancel := callContext(ctx)
 	defer cancel()
 	sent := time.Now()
 	rows, err := m.options.Store.List(ctx, table.Range{Prefix: table.PrefixShare})
 	if err != nil {
-		return
+		return 0
 	}
 	present := map[string]bool{}
 	for _, row := range rows {
+		size += len(row.Value)
 		account := strings.TrimPrefix(row.Key, table.PrefixShare)
 		present[account] = true
 		_ = m.takeRow(account, row, sent)
@@ -202,6 +231,7 @@
 			_ = m.takeRow(account, table.Row{}, sent)
 		}
 	}
+	return size
 }
 
 // accounts lists the accounts that have a ledger here.
--- a/internal/request/share/manager.go
+++ b/internal/request/share/manager.go
@@ -42,9 +42,12 @@
 	View    configlog.View
 	Peers   PeerClient
 	// Live returns the names of live nodes, this one included.
-	Live    func() []string
-	Session func() Session
-	Hosts   func() HostView
+	Live func() []string
+	// FleetSize returns the number of nodes of all regions; nil where Live
+	// names them all.
+	FleetSize func() int
+	Session   func() Session
+	Hosts     func() HostView
 	// Void is how long the node may go without proof that it is known to be
 	// live before it gives up its shares.
 	Void time.Duration
@@ -82,6 +85,9 @@
 	listGap = 10 * time.Second
 	// fleetReads is the number of periodic reads a second of all nodes.
 	fleetReads = 100
+	// nodeReadBytes bounds the share rows that a node reads in one second, on
+	// average. Rows that a move needs are read besides.
+	nodeReadBytes = 20_000
 )
 
 // Manager holds this process's shares of all accounts. It implements Limiter
