--- a/internal/process/membership/membership_test.go
+++ b/internal/process/membership/membership_test.go
@@ -31,8 +31,9 @@
 	self   map[string]peer.Digest
 	cut    map[string]bool
 	// bytes counts the encoded size of all messages where count is set.
-	count bool
-	bytes int
+	count    bool
+	bytes    int
+	messages int
 }
 
 // newFleet returns nodes of the given regions. Every node knows the addresses
@@ -115,6 +116,7 @@
 		panic(err)
 	}
 	f.bytes += len(data)
+	f.messages++
 }
 
 func (f *fleet) live(name string) []string {
