Let a request wait briefly for a part of its cap to move here

Ruled out: larger even shares; 330 nodes cannot hold eight slots each a part. Change: a limiter in front of the share manager waits up to 300 ms, polls without I/O, counts demand once, and bounds waiters to 64 an account.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -271,6 +271,10 @@
 	sweepPeriod = 10 * time.Minute
 )
 
+// capWait is how long a request may wait for a part of its account's cap to
+// move to this node.
+const capWait = 300 * time.Millisecond
+
 // shareMargin covers the lag of the host list and the drift of clocks.
 const shareMargin = 2 * time.Second
 
@@ -392,7 +396,7 @@
 	callers = callerapi.New(callerapi.Deps{
 		View:         n.follower,
 		Gate:         n.gate,
-		Limiter:      n.shares,
+		Limiter:      share.NewWaitingLimiter(n.shares, capWait),
 		Claims:       n.claims,
 		Relay:        n.relay,
 		Suspects:     suspects{n.suspects},
--- a/internal/request/share/ledger.go
+++ b/internal/request/share/ledger.go
@@ -128,12 +128,20 @@
 	maxRetryAfter = 30 * time.Second
 )
 
-// admit takes the cost and one slot, or refuses.
+// admit counts the demand and takes the cost and one slot, or refuses.
 func (l *ledger) admit(cost float64, now time.Time) verdict {
-	l.refill(now)
 	l.demand.ask(cost, now)
-	if l.running >= l.openSlots(now) {
+	v := l.take(cost, now)
+	if v.slot {
 		l.demand.slotRefused(now)
+	}
+	return v
+}
+
+// take takes the cost and one slot, or refuses.
+func (l *ledger) take(cost float64, now time.Time) verdict {
+	l.refill(now)
+	if l.running >= l.openSlots(now) {
 		return verdict{wait: minRetryAfter, slot: true}
 	}
 	if l.level < cost {
--- a/internal/request/share/types.go
+++ b/internal/request/share/types.go
@@ -19,7 +19,7 @@
 }
 
 // Limiter admits requests against this node's shares. It is safe for
-// concurrent use and never blocks on I/O.
+// concurrent use and never waits for I/O.
 type Limiter interface {
 	// Admit takes costTokens and one in-flight slot of the account, or
 	// refuses with KindCapExceeded and a Retry-After hint.
