--- a/internal/process/membership/bench_test.go
+++ b/internal/process/membership/bench_test.go
@@ -4,34 +4,46 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"currantladder.example/currantladder/internal/capacity"
 )
 
-// byteBudget is the traffic that control may cause at a node, in bytes a
-// second.
-const byteBudget = 10_000
+// headerBytes is the size of the HTTP headers of one message.
+const headerBytes = 120
 
 // BenchmarkCapacityMembership measures the encoded bytes a second that one
-// node sends for probes and replies, and as many that it receives, in fleets
-// of growing size: seven regions, one home line for each node.
+// node sends and receives for probes and replies in fleets of growing size:
+// seven regions, one home line for each node. No live node may be taken for
+// dead.
 func BenchmarkCapacityMembership(b *testing.B) {
-	const regions = 7
 	const warmUp, measured = 10 * time.Second, 20 * time.Second
-	for _, nodes := range []int{7, 33, 100, 330} {
+	for _, nodes := range capacity.Sizes {
 		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
 			names := make([]string, nodes)
+			inRegion := make(map[string]int)
 			for i := range names {
-				names[i] = fmt.Sprintf("region-%d", i%regions)
+				names[i] = fmt.Sprintf("region-%d", i%capacity.Regions)
+				inRegion[names[i]]++
 			}
-			for range b.N {
-				f := newFleet(names, 1)
+			var f *fleet
+			for b.Loop() {
+				f = newFleet(names, 1)
 				f.run(warmUp)
 				f.count = true
 				f.run(measured)
-				sent := float64(f.bytes) / measured.Seconds() / float64(nodes)
-				b.ReportMetric(sent, "B-sent/s/node")
-				if sent > byteBudget {
-					b.Fatalf("a node sends %.0f bytes a second, budget %d", sent, byteBudget)
-				}
+			}
+			missed := 0
+			for i, name := range f.names {
+				missed += inRegion[names[i]] - len(f.live(name))
+			}
+			rounds := float64(nodes) * float64((warmUp+measured)/testPeriod)
+			perNode := 2 * float64(f.bytes+headerBytes*f.messages) / measured.Seconds() / float64(nodes)
+			b.ReportMetric(float64(f.bytes)/float64(f.messages), "bytes/message")
+			b.ReportMetric(perNode, "wire-bytes/node/s")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/rounds, "ns/node/round")
+			b.ReportMetric(float64(missed), "live-taken-for-dead")
+			if perNode > capacity.MembershipBytesPerSecond || missed > 0 {
+				b.Fatalf("a node sends and receives %.0f bytes a second, bound %d; %d live nodes are taken for dead", perNode, capacity.MembershipBytesPerSecond, missed)
 			}
 		})
 	}
--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -14,8 +14,9 @@
 // without any event.
 const replanPeriod = 200 * time.Millisecond
 
-// sessionReadPeriod is the mean time between two reads of the session rows.
-const sessionReadPeriod = 5 * time.Second
+// rosterPeriod is the time between two looks at the roster that the keeper has
+// read.
+const rosterPeriod = time.Second
 
 // planDuty rebuilds the route plan and the gates whenever something changes.
 func (n *Node) planDuty(ctx context.Context) {
@@ -23,10 +24,10 @@
 	defer ticker.Stop()
 	observed := n.health.Subscribe()
 	defer observed.Close()
-	wasReady := false
+	var logged readiness
 	for {
 		n.replan()
-		wasReady = n.logReadiness(wasReady)
+		logged = n.logReadiness(logged)
 		select {
 		case <-ctx.Done():
 			return
@@ -39,12 +40,24 @@
 	}
 }
 
-func (n *Node) logReadiness(wasReady bool) bool {
-	ready, _ := n.gate.Ready()
-	if ready && !wasReady {
+// readiness is what was last logged of the node's state.
+type readiness struct{ ready, alone bool }
+
+// logReadiness logs when the node becomes ready, isolated or reachable again.
+func (n *Node) logReadiness(before readiness) readiness {
+	var now readiness
+	now.ready, _ = n.gate.Ready()
+	now.alone = n.aloneSince(time.Now()) > n.settings.Timing.Isolation
+	if now.ready && !before.ready {
 		n.log.Log(eventlog.NodeReady, eventlog.Fields{"revision": n.follower.Current().Revision})
 	}
-	return ready
+	if now.alone && !before.alone {
+		n.log.Log(eventlog.NodeIsolated, eventlog.Fields{"isolation": n.settings.Timing.Isolation.String()})
+	}
+	if !now.alone && before.alone {
+		n.log.Log(eventlog.NodeRejoined, nil)
+	}
+	return now
 }
 
 // replan computes homes, probes the hosts of owned groups and sets the gates.
@@ -90,12 +103,13 @@
 	return probed
 }
 
-// sessionDuty reads the session rows, which name the peers of all regions.
-func (n *Node) sessionDuty(ctx context.Context) {
-	ticker := time.NewTicker(sessionReadPeriod)
+// rosterDuty passes the session rows, which name the peers of all regions, to
+// membership.
+func (n *Node) rosterDuty(ctx context.Context) {
+	ticker := time.NewTicker(rosterPeriod)
 	defer ticker.Stop()
 	for {
-		n.readSessions(ctx)
+		n.takeRoster()
 		select {
 		case <-ctx.Done():
 			return
@@ -104,40 +118,24 @@
 	}
 }
 
-func (n *Node) readSessions(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Platform.CallTimeout)
-	defer cancel()
-	rows, err := n.keeper.Sessions(ctx)
-	if err != nil {
-		n.useSeeds()
-		return
-	}
+// takeRoster uses the seeds of the settings until the rows were read once.
+func (n *Node) takeRoster() {
+	rows := n.keeper.Roster()
 	peers := make([]membership.Peer, 0, len(rows))
 	for _, row := range rows {
 		peers = append(peers, membership.Peer{Node: row.Node, Address: row.PeerAddress, Region: row.Region})
 	}
+	if len(rows) == 0 {
+		for _, seed := range n.settings.Peers.Seeds {
+			peers = append(peers, membership.Peer{Node: seed, Address: seed})
+		}
+	}
 	n.mu.Lock()
 	n.sessions = rows
 	n.mu.Unlock()
 	n.members.SetRoster(peers)
 }
 
-// useSeeds takes the peers from the settings while the session rows cannot be
-// read, unless they were read before.
-func (n *Node) useSeeds() {
-	n.mu.Lock()
-	known := len(n.sessions) > 0
-	n.mu.Unlock()
-	if known {
-		return
-	}
-	var peers []membership.Peer
-	for _, seed := range n.settings.Peers.Seeds {
-		peers = append(peers, membership.Peer{Node: seed, Address: seed})
-	}
-	n.members.SetRoster(peers)
-}
-
 // sessionNodes returns the nodes that the session rows name.
 func (n *Node) sessionNodes() []route.Node {
 	n.mu.Lock()
