Search each host list once for this process

Cause: every admission searched the whole host list. Change: the result is kept with the moment that the list was asked for.

--- a/internal/request/share/manager.go
+++ b/internal/request/share/manager.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -98,6 +99,8 @@
 	writes  *rate.Limiter
 	asks    *rate.Limiter
 	jobs    chan job
+	// sighting is of the host list that was searched last.
+	sighting atomic.Pointer[sighting]
 
 	mu       sync.Mutex
 	ledgers  map[string]*ledger
@@ -228,11 +231,23 @@
 	m.options.Log.Log(eventlog.SharesVoid, eventlog.Fields{"proven": m.presence.proven})
 }
 
+// sighting tells whether the host list that was asked for at sent names this
+// process.
+type sighting struct {
+	sent  time.Time
+	named bool
+}
+
 // listedAt returns the moment before the last host list was asked for that
-// names this process, or zero.
+// names this process, or zero. Each list is searched once.
 func (m *Manager) listedAt() time.Time {
 	view := m.options.Hosts()
-	if names(view.List, m.options.Node, m.options.Address) {
+	seen := m.sighting.Load()
+	if seen == nil || !seen.sent.Equal(view.Sent) {
+		seen = &sighting{view.Sent, names(view.List, m.options.Node, m.options.Address)}
+		m.sighting.Store(seen)
+	}
+	if seen.named {
 		return view.Sent
 	}
 	return time.Time{}
