--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -388,7 +388,9 @@
 		loss.FailureDomain = placement.FailureDomain
 		loss.FabricDomain = placement.FabricDomain
 	}
-	n.suspects.Lost(loss, time.Now())
+	for _, fingerprint := range n.suspects.Lost(loss, time.Now()) {
+		n.log.Log(eventlog.CrashSuspectAdded, eventlog.Fields{"fingerprint": fingerprint, "group": group})
+	}
 }
 
 // handlers returns the handler of each listener.
--- a/internal/request/suspect/tracker.go
+++ b/internal/request/suspect/tracker.go
@@ -82,8 +82,9 @@
 func New() *Tracker { return &Tracker{remote: map[string]map[uint64]line{}} }
 
 // Lost takes the loss of an endpoint, also one that was running nothing. The
-// home node that had assigned the requests reports it, once.
-func (t *Tracker) Lost(l Loss, now time.Time) {
+// home node that had assigned the requests reports it, once. It returns the
+// requests of the loss that are refused from now on.
+func (t *Tracker) Lost(l Loss, now time.Time) []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
@@ -95,6 +96,13 @@
 		t.losses = t.losses[1:]
 	}
 	t.losses = append(t.losses, loss{l, now, weight})
+	var refused []uint64
+	for _, fingerprint := range l.InFlight {
+		if t.weight(fingerprint, now) >= Limit {
+			refused = append(refused, fingerprint)
+		}
+	}
+	return refused
 }
 
 // Finished takes a request that ran to its end: it does not crash endpoints,
@@ -127,13 +135,19 @@
 func (t *Tracker) Verdict(fingerprint uint64, now time.Time) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	weight := t.weight(fingerprint, now)
+	return Verdict{Weight: weight, Isolate: weight > 0, Refuse: weight >= Limit}
+}
+
+// weight sums the suspicion of all nodes. The caller holds mu.
+func (t *Tracker) weight(fingerprint uint64, now time.Time) float64 {
 	weight, _ := t.local(fingerprint, now)
 	for _, lines := range t.remote {
 		if l, ok := lines[fingerprint]; ok && now.Sub(l.last) < Expiry {
 			weight += l.weight
 		}
 	}
-	return Verdict{Weight: weight, Isolate: weight > 0, Refuse: weight >= Limit}
+	return weight
 }
 
 // HoldUntil returns the time before which the final error of the request must
--- a/internal/request/suspect/tracker_test.go
+++ b/internal/request/suspect/tracker_test.go
@@ -121,8 +121,12 @@
 
 func TestSuspicionExpires(t *testing.T) {
 	tracker, now := New(), time.Unix(0, 0)
-	tracker.Lost(Loss{Endpoint: "a", InFlight: []uint64{1}}, now)
-	tracker.Lost(Loss{Endpoint: "b", InFlight: []uint64{1}}, now)
+	if refused := tracker.Lost(Loss{Endpoint: "a", InFlight: []uint64{1}}, now); len(refused) != 0 {
+		t.Fatalf("refused after one loss: %v", refused)
+	}
+	if refused := tracker.Lost(Loss{Endpoint: "b", InFlight: []uint64{1}}, now); len(refused) != 1 {
+		t.Errorf("the loss that reached the limit reported %v", refused)
+	}
 	if !tracker.Verdict(1, now).Refuse {
 		t.Fatal("not refused after two losses alone")
 	}
