Count nodes that may lag in InForce, also of other regions

Cause: nodes of other regions, and nodes that this one cannot hear, were left out of InForce, which then was true too early. Ruled out: waiting for all session rows; a dead node's row stays for long. Change: a node with a live session that the platform lists counts as live; its revision is its region's lowest, or unknown.

--- a/internal/process/lease/roster.go
+++ b/internal/process/lease/roster.go
@@ -114,3 +114,11 @@
 }
 
 func weight(duty, node string) uint64 { return xxhash.Sum64String(duty + "\x00" + node) }
+
+// LiveSessions returns the nodes whose session row has changed lately, this
+// node included.
+func (k *Keeper) LiveSessions(now time.Time) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.liveLocked(now)
+}
--- a/internal/process/node/operators.go
+++ b/internal/process/node/operators.go
@@ -7,47 +7,9 @@
 	"strings"
 
 	"currantladder.example/currantladder/internal/connection/peer"
-	"currantladder.example/currantladder/internal/process/operatorapi"
 	"currantladder.example/currantladder/internal/version/object"
 )
 
-// nodeList implements operatorapi.Nodes.
-type nodeList struct{ node *Node }
-
-// Nodes implements operatorapi.Nodes: the live nodes of this region and the
-// nodes whose session row was read but which were not heard of.
-func (l nodeList) Nodes() []operatorapi.Node {
-	n := l.node
-	seen := make(map[string]bool)
-	var nodes []operatorapi.Node
-	for _, digest := range n.members.Live() {
-		seen[digest.Node] = true
-		if digest.Node == n.settings.Node.Name {
-			digest.AppliedRevision = n.AppliedRevision()
-		}
-		nodes = append(nodes, operatorapi.Node{Name: digest.Node, Status: object.NodeStatus{
-			Region:          digest.Region,
-			FailureDomain:   digest.FailureDomain,
-			PeerAddress:     digest.Address,
-			AppliedRevision: digest.AppliedRevision,
-			Live:            true,
-		}})
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, row := range n.sessions {
-		if seen[row.Node] {
-			continue
-		}
-		nodes = append(nodes, operatorapi.Node{Name: row.Node, Status: object.NodeStatus{
-			Region:        row.Region,
-			FailureDomain: row.FailureDomain,
-			PeerAddress:   row.PeerAddress,
-		}})
-	}
-	return nodes
-}
-
 // explainer implements operatorapi.Explainer.
 type explainer struct{ node *Node }
 
