Count a node with a live session as live for InForce

Cause: a node that this node does not hear of counted as dead after the peer timeout, so InForce turned true while that node, cut off from this one only, could serve under an older revision. Ruled out: waiting for the node's digest only, which a cut between two nodes keeps away for ever; the session tells whether the node is alive. Change: lease.Keeper.Live tells the nodes with a live session; such a node without a digest is listed as live with revision 0. Cost: after a crash InForce stays false until the session has lapsed.

--- a/internal/process/lease/roster.go
+++ b/internal/process/lease/roster.go
@@ -61,6 +61,14 @@
 	return k.roster
 }
 
+// Live returns the nodes whose session counts as live at this moment, this
+// node included.
+func (k *Keeper) Live(now time.Time) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.liveLocked(now)
+}
+
 // liveLocked returns this node and those whose session row has changed since
 // the read before the last.
 func (k *Keeper) liveLocked(now time.Time) []string {
--- a/internal/process/node/operators.go
+++ b/internal/process/node/operators.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/process/operatorapi"
@@ -14,8 +15,10 @@
 // nodeList implements operatorapi.Nodes.
 type nodeList struct{ node *Node }
 
-// Nodes implements operatorapi.Nodes: the live nodes of this region and the
-// nodes whose session row was read but which were not heard of.
+// Nodes implements operatorapi.Nodes: the nodes that this node hears of, and
+// those whose session row was read. A node that is not heard of but whose
+// session is live counts as live with an unknown revision, so that no object
+// is told to be in force while such a node may serve without it.
 func (l nodeList) Nodes() []operatorapi.Node {
 	n := l.node
 	seen := make(map[string]bool)
@@ -33,6 +36,7 @@
 			Live:            true,
 		}})
 	}
+	live := n.keeper.Live(time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, row := range n.sessions {
@@ -43,6 +47,7 @@
 			Region:        row.Region,
 			FailureDomain: row.FailureDomain,
 			PeerAddress:   row.PeerAddress,
+			Live:          slices.Contains(live, row.Node),
 		}})
 	}
 	return nodes
