--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -96,13 +96,17 @@
 	return addresses
 }
 
-// Log implements configlog.PeerSource.
+// Log implements configlog.PeerSource: the first answer with records. A peer
+// that is behind itself has none.
 func (s peerSource) Log(ctx context.Context, after int64) ([]object.Record, error) {
-	err := errors.New("no peer is known")
+	err := errors.New("no peer has newer records")
 	for _, address := range s.addresses() {
-		var records []object.Record
-		records, err = s.client.Log(ctx, address, after)
-		if err == nil {
+		records, callErr := s.client.Log(ctx, address, after)
+		if callErr != nil {
+			err = callErr
+			continue
+		}
+		if len(records) > 0 {
 			return records, nil
 		}
 	}
