Put accepted records in force at the accepting node at once

Cause: nothing called Acceptor.OnAccept, so a record accepted just before a store outage stayed unknown to the nodes until the outage ended. Change: the node wires the acceptor to its follower.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -234,6 +234,7 @@
 	source := peerSource{members: n.members, client: n.peers, seeds: s.Peers.Seeds, self: s.Node.Name}
 	n.acceptor = configlog.NewAcceptor(n.store, n.log)
 	n.follower = configlog.NewFollower(n.store, source, s.Timing.HeadPoll, n.log)
+	n.acceptor.OnAccept(n.follower.Offer)
 	n.sweeper = configlog.NewSweeper(n.store, keptRevisions, sweepPeriod, n.log)
 	probeClient := n.httpClient()
 	policy := placement.DefaultPolicy(s.Platform.LoadTime, s.Platform.ConcurrentLoads)
