Read the head only while nothing has changed

Cause: a follower listed the log after every read of the head, also when the head had not moved: two reads a poll. Change: an equal head ends the poll.

--- a/internal/version/configlog/fleet_test.go
+++ b/internal/version/configlog/fleet_test.go
@@ -202,3 +202,6 @@
 	}
 	return n.fleet.platform.Table.Commit(ctx, txn)
 }
+
+// detached returns a node of the fleet that reaches nobody.
+func (f *fleet) detached() *fleetNode { return &fleetNode{fleet: f, cut: true} }
--- a/internal/version/configlog/follower.go
+++ b/internal/version/configlog/follower.go
@@ -249,6 +249,9 @@
 		return err
 	}
 	current := f.Current().Revision
+	if head == current {
+		return nil
+	}
 	if head < current {
 		return f.checkLowerHead(ctx, head)
 	}
