Check starts without the store and restarts in the invariant test

Cause: a node that never became ready in an outage went unnoticed, and the check for lower revisions began anew with every restart. Change: both starts must be ready within the bound, and a node name's revision is followed over restarts.

--- a/internal/version/configlog/invariant_test.go
+++ b/internal/version/configlog/invariant_test.go
@@ -93,6 +93,8 @@
 	refused map[string]bool
 	// bounded are the reads of nodes that must not lag.
 	bounded []boundedRead
+	// last is the revision that each node read last, over its restarts.
+	last map[string]int64
 }
 
 // boundedRead is a read of a node that reaches the store or a peer.
@@ -164,11 +166,10 @@
 // read records what a node has in force until it stops, and checks each change
 // for a lower revision.
 func (r *recorder) read(n *fleetNode) {
-	last := int64(0)
 	for {
 		changed := n.follower.Changed()
 		if n.follower.Ready() {
-			last = r.readOnce(n, last)
+			r.readOnce(n)
 		}
 		select {
 		case <-changed:
@@ -179,19 +180,19 @@
 	}
 }
 
-func (r *recorder) readOnce(n *fleetNode, last int64) int64 {
+func (r *recorder) readOnce(n *fleetNode) {
 	read := readConfig(n.follower.Current())
-	if read.revision < last {
-		r.t.Errorf("%s went back from revision %d to %d at %s", n.name, last, read.revision, time.Since(r.begin))
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if last := r.last[n.name]; read.revision < last {
+		r.t.Errorf("%s went back from revision %d to %d at %s", n.name, last, read.revision, time.Since(r.begin))
+	}
+	r.last[n.name] = read.revision
 	now := r.now()
 	r.history = append(r.history, porcupine.Operation{Input: operation{read: read}, Call: now, Return: now})
 	if since, connected := n.upToDateSince(); connected && time.Since(since) > inForceBound {
 		r.bounded = append(r.bounded, boundedRead{node: n.name, at: now, revision: read.revision})
 	}
-	return read.revision
 }
 
 // settle turns the proposals with an unknown outcome into what the log says.
@@ -234,7 +235,7 @@
 func TestInvariantConfigMonotone(t *testing.T) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			r := &recorder{t: t, open: make(map[string]porcupine.Operation), refused: make(map[string]bool)}
+			r := &recorder{t: t, open: make(map[string]porcupine.Operation), refused: make(map[string]bool), last: make(map[string]int64)}
 			synctest.Test(t, func(t *testing.T) { raceUnderFaults(t, r, seed) })
 			accepted := 0
 			for _, op := range r.history {
@@ -295,9 +296,13 @@
 	synctest.Wait()
 	f.platform.SetFaults(platform.Faults{Outage: true})
 	time.Sleep(time.Minute)
-	watch(f.start(ctx, "node-5"))
+	started := watch(f.start(ctx, "node-5"))
 	f.remove(nodes[2])
-	watch(f.start(ctx, "node-2"))
+	restarted := watch(f.start(ctx, "node-2"))
+	time.Sleep(inForceBound)
+	if !started.follower.Ready() || !restarted.follower.Ready() {
+		t.Errorf("without the store, after %s: started node ready %t, restarted node ready %t, want both", inForceBound, started.follower.Ready(), restarted.follower.Ready())
+	}
 	time.Sleep(2 * time.Minute)
 	f.platform.SetFaults(platform.Faults{LoseEvery: 4})
 	stale.setCut(false)
