--- a/internal/version/configlog/fleet_test.go
+++ b/internal/version/configlog/fleet_test.go
@@ -53,9 +53,9 @@
 }
 
 // start runs a node until its stop function is called or ctx ends.
-func (f *fleet) start(ctx context.Context, name string) *fleetNode {
+func (f *fleet) start(ctx context.Context, name string, cut bool) *fleetNode {
 	ctx, stop := context.WithCancel(ctx)
-	n := &fleetNode{fleet: f, name: name, stop: stop, stopped: ctx.Done(), healed: time.Now()}
+	n := &fleetNode{fleet: f, name: name, stop: stop, stopped: ctx.Done(), cut: cut, healed: time.Now()}
 	n.acceptor = NewAcceptor(n, eventlog.Discard())
 	n.follower = NewFollower(n, n, fleetPoll, eventlog.Discard())
 	n.acceptor.OnAccept(n.follower.Offer)
--- a/internal/version/configlog/invariant_test.go
+++ b/internal/version/configlog/invariant_test.go
@@ -265,7 +265,7 @@
 	}
 	var nodes []*fleetNode
 	for i := range 5 {
-		nodes = append(nodes, watch(f.start(ctx, fmt.Sprint("node-", i))))
+		nodes = append(nodes, watch(f.start(ctx, fmt.Sprint("node-", i), false)))
 	}
 	logged := make(map[string]int64)
 	f.running.Go(func() { collectLog(ctx, f.platform.Table, logged) })
@@ -287,7 +287,7 @@
 	f.platform.SetFaults(platform.Faults{DelayMillis: 1000, LoseEvery: 5})
 	time.Sleep(2 * time.Minute)
 	f.remove(nodes[1])
-	watch(f.start(ctx, "node-1"))
+	watch(f.start(ctx, "node-1", false))
 	time.Sleep(20 * time.Second)
 	f.platform.SetFaults(platform.Faults{})
 	time.Sleep(20 * time.Second)
@@ -296,14 +296,19 @@
 	synctest.Wait()
 	f.platform.SetFaults(platform.Faults{Outage: true})
 	time.Sleep(time.Minute)
-	started := watch(f.start(ctx, "node-5"))
+	started := watch(f.start(ctx, "node-5", false))
 	f.remove(nodes[2])
-	restarted := watch(f.start(ctx, "node-2"))
+	alone := watch(f.start(ctx, "node-6", true))
+	restarted := watch(f.start(ctx, "node-2", false))
 	time.Sleep(inForceBound)
 	if !started.follower.Ready() || !restarted.follower.Ready() {
 		t.Errorf("without the store, after %s: started node ready %t, restarted node ready %t, want both", inForceBound, started.follower.Ready(), restarted.follower.Ready())
 	}
 	time.Sleep(2 * time.Minute)
+	if alone.follower.Ready() {
+		t.Error("a node that reached neither the store nor a peer became ready")
+	}
+	alone.setCut(false)
 	f.platform.SetFaults(platform.Faults{LoseEvery: 4})
 	stale.setCut(false)
 	time.Sleep(30 * time.Second)
