--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -24,10 +24,10 @@
 	defer ticker.Stop()
 	observed := n.health.Subscribe()
 	defer observed.Close()
-	wasReady := false
+	var logged readiness
 	for {
 		n.replan()
-		wasReady = n.logReadiness(wasReady)
+		logged = n.logReadiness(logged)
 		select {
 		case <-ctx.Done():
 			return
@@ -40,12 +40,24 @@
 	}
 }
 
-func (n *Node) logReadiness(wasReady bool) bool {
-	ready, _ := n.gate.Ready()
-	if ready && !wasReady {
+// readiness is what was last logged of the node's state.
+type readiness struct{ ready, alone bool }
+
+// logReadiness logs when the node becomes ready, isolated or reachable again.
+func (n *Node) logReadiness(before readiness) readiness {
+	var now readiness
+	now.ready, _ = n.gate.Ready()
+	now.alone = n.aloneSince(time.Now()) > n.settings.Timing.Isolation
+	if now.ready && !before.ready {
 		n.log.Log(eventlog.NodeReady, eventlog.Fields{"revision": n.follower.Current().Revision})
 	}
-	return ready
+	if now.alone && !before.alone {
+		n.log.Log(eventlog.NodeIsolated, eventlog.Fields{"isolation": n.settings.Timing.Isolation.String()})
+	}
+	if !now.alone && before.alone {
+		n.log.Log(eventlog.NodeRejoined, nil)
+	}
+	return now
 }
 
 // replan computes homes, probes the hosts of owned groups and sets the gates.
@@ -97,7 +109,7 @@
 	ticker := time.NewTicker(rosterPeriod)
 	defer ticker.Stop()
 	for {
-		n.takeRoster(time.Now())
+		n.takeRoster()
 		select {
 		case <-ctx.Done():
 			return
@@ -106,14 +118,14 @@
 	}
 }
 
-// takeRoster adds the seeds while the table service does not answer.
-func (n *Node) takeRoster(now time.Time) {
+// takeRoster uses the seeds of the settings until the rows were read once.
+func (n *Node) takeRoster() {
 	rows := n.keeper.Roster()
 	peers := make([]membership.Peer, 0, len(rows))
 	for _, row := range rows {
 		peers = append(peers, membership.Peer{Node: row.Node, Address: row.PeerAddress, Region: row.Region})
 	}
-	if now.Sub(n.keeper.LastContact()) > n.settings.Timing.LeaseTTL {
+	if len(rows) == 0 {
 		for _, seed := range n.settings.Peers.Seeds {
 			peers = append(peers, membership.Peer{Node: seed, Address: seed})
 		}
