Split the follower and run the watch command in the script

Cause: follower.go had grown to 390 lines; watch was the only operator command without a run. Change: the steps from one revision to the next are in advance.go; the script watches while objects change. No change of behaviour.

--- a/internal/version/configlog/follower.go
+++ b/internal/version/configlog/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,57 +110,6 @@
 // false where some of them are no longer kept: read the objects instead.
 func (f *Follower) Records(after int64) ([]object.Record, bool) { return f.history.after(after) }
 
-// Learn tells the follower of a head at a peer. A higher one is read soon.
-func (f *Follower) Learn(revision int64) {
-	for {
-		known := f.learned.Load()
-		if revision <= known || f.learned.CompareAndSwap(known, revision) {
-			break
-		}
-	}
-	if !f.behindPeers() {
-		return
-	}
-	signal(f.wakeStore)
-	signal(f.wakePeers)
-}
-
-func signal(wake chan<- struct{}) {
-	select {
-	case wake <- struct{}{}:
-	default:
-	}
-}
-
-// Offer hands over a record that was accepted through this node. It is put in
-// force as soon as its predecessors are, so that it spreads to the peers even
-// if the store fails right after the acceptance.
-func (f *Follower) Offer(record object.Record) {
-	f.mu.Lock()
-	if len(f.offered) < offeredCapacity {
-		f.offered[record.Revision] = record
-	}
-	f.applyOffered()
-	f.mu.Unlock()
-	f.Learn(record.Revision)
-}
-
-// applyOffered applies the offered records that are next, and drops those that
-// were overtaken. The caller holds mu.
-func (f *Follower) applyOffered() {
-	if !f.Ready() {
-		return
-	}
-	for {
-		record, ok := f.offered[f.Current().Revision+1]
-		if !ok {
-			break
-		}
-		f.applyOne(record)
-	}
-	maps.DeleteFunc(f.offered, func(revision int64, _ object.Record) bool { return revision <= f.Current().Revision })
-}
-
 // Run loads the configuration and follows it until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil && !f.Ready() {
@@ -322,46 +270,6 @@
 	return nil
 }
 
-// apply puts records in force that follow the current revision one by one.
-// Lower ones are skipped; after a gap nothing more is applied.
-func (f *Follower) apply(records []object.Record) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, record := range records {
-		if record.Revision == f.Current().Revision+1 {
-			f.applyOne(record)
-		}
-	}
-	f.applyOffered()
-}
-
-// applyOne puts the next record in force. The caller holds mu.
-func (f *Follower) applyOne(record object.Record) {
-	f.history.add(record)
-	f.put(f.Current().Apply(record))
-	f.log.Log(eventlog.ConfigApplied, eventlog.Fields{"revision": record.Revision, "author": record.Author})
-}
-
-// adopt puts a whole snapshot in force, provided that it is higher.
-func (f *Follower) adopt(next *snapshot.Snapshot) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if next.Revision > f.Current().Revision {
-		f.history.reset(next.Revision)
-		f.put(next)
-		f.log.Log(eventlog.ConfigLoaded, eventlog.Fields{"revision": next.Revision})
-	}
-	f.applyOffered()
-}
-
-// put publishes the snapshot and wakes those who wait for a change. The caller
-// holds mu.
-func (f *Follower) put(next *snapshot.Snapshot) {
-	f.current.Store(next)
-	close(f.changed)
-	f.changed = make(chan struct{})
-}
-
 // checkLowerHead logs a head below the revision in force, unless the revision
 // was accepted between the read of the head and now.
 func (f *Follower) checkLowerHead(ctx context.Context, seen int64) error {
