--- a/internal/process/lease/roster.go
+++ b/internal/process/lease/roster.go
@@ -61,6 +61,14 @@
 	return k.roster
 }
 
+// Live returns the nodes whose session counts as live at this moment, this
+// node included.
+func (k *Keeper) Live(now time.Time) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.liveLocked(now)
+}
+
 // liveLocked returns this node and those whose session row has changed since
 // the read before the last.
 func (k *Keeper) liveLocked(now time.Time) []string {
@@ -114,11 +122,3 @@
 }
 
 func weight(duty, node string) uint64 { return xxhash.Sum64String(duty + "\x00" + node) }
-
-// LiveSessions returns the nodes whose session row has changed lately, this
-// node included.
-func (k *Keeper) LiveSessions(now time.Time) []string {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.liveLocked(now)
-}
--- a/internal/process/node/nodelist.go
+++ b/internal/process/node/nodelist.go
@@ -26,7 +26,7 @@
 		digests:  n.members.Live(),
 		regions:  n.members.Regions(),
 		sessions: sessions,
-		leased:   n.keeper.LiveSessions(time.Now()),
+		leased:   n.keeper.Live(time.Now()),
 		hosts:    n.roster.Hosts(),
 	}
 	return seen.nodes()
