Rest between replacements of slow members

Cause: a leader that answers slowly because of its role used up spare after spare: 6 replacements in ten minutes (bound 2). Free hosts are compared with one another, so that one that has recovered is a first-choice spare again. An order that had been carried out is no longer logged as a step.

--- a/internal/version/groupcontrol/execute.go
+++ b/internal/version/groupcontrol/execute.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"slices"
 	"sync"
 	"time"
 
-	"crypto/rand"
-
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/connection/health"
 	"currantladder.example/currantladder/internal/connection/table"
@@ -112,31 +111,34 @@
 		return nil
 	}
 	errs := make([]error, len(orders))
-	c.concurrently(len(orders), func(i int) { errs[i] = c.sendOrder(ctx, orders[i]) })
-	c.record(step)
+	sent := make([]bool, len(orders))
+	c.concurrently(len(orders), func(i int) { sent[i], errs[i] = c.sendOrder(ctx, orders[i]) })
+	if slices.Contains(sent, true) {
+		c.record(step)
+	}
 	return errors.Join(errs...)
 }
 
 // sendOrder reads the state back before the order, so that one that was
-// carried out is not sent again. The deadline is set before the ownership is
+// carried out is not sent again; it reports whether it was sent. The deadline is set before the ownership is
 // checked: a process that is paused in between finds its order timed out.
-func (c *Controller) sendOrder(ctx context.Context, o placement.HostOrder) error {
+func (c *Controller) sendOrder(ctx context.Context, o placement.HostOrder) (sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.OrderTimeout)
 	defer cancel()
 	host, ok := c.options.Hosts.Hosts()[o.Host]
 	if !ok {
-		return fmt.Errorf("order to host %s: it is gone from the host list", o.Host)
+		return false, fmt.Errorf("order to host %s: it is gone from the host list", o.Host)
 	}
 	before, err := c.options.Orders.State(ctx, host.Address)
 	if err != nil {
-		return fmt.Errorf("order to host %s: read state: %w", o.Host, err)
+		return false, fmt.Errorf("order to host %s: read state: %w", o.Host, err)
 	}
 	if carriedOut(before, o.Order) {
-		return nil
+		return false, nil
 	}
 	held, ok := c.options.Leases.Owned(c.duty, time.Now())
 	if !ok || held.Epoch != o.Order.Epoch {
-		return errNotOwned
+		return false, errNotOwned
 	}
 	_, err = c.options.Orders.Send(ctx, host.Address, o.Order)
 	var stale *endpoint.StaleOrderError
@@ -146,7 +148,7 @@
 	case err != nil:
 		c.options.Events.Log(eventlog.OrderFailed, eventlog.Fields{"host": o.Host, "error": err.Error()})
 	}
-	return err
+	return true, err
 }
 
 // carriedOut reports whether the state is what the order asks for.
--- a/internal/version/groupcontrol/input.go
+++ b/internal/version/groupcontrol/input.go
@@ -128,7 +128,8 @@
 		errors.Is(seen.Err, io.ErrUnexpectedEOF)
 }
 
-// observeLatency feeds the straggler detector with the groups that serve.
+// observeLatency feeds the straggler detector with the groups that serve and
+// with the free hosts.
 func (c *Controller) observeLatency(groups []placement.Group, hosts []placement.Host, now time.Time) {
 	for _, g := range groups {
 		if g.Placement == nil || g.Placement.Phase != object.PhaseServing {
@@ -141,6 +142,13 @@
 		}
 		c.detector.Observe(samples, now)
 	}
+	var free []placement.Sample
+	for _, h := range hosts {
+		if h.Claim.Group == "" {
+			free = append(free, placement.Sample{Host: h.Name, Latency: c.prober.Observation(h.Name).Latency})
+		}
+	}
+	c.detector.Observe(free, now)
 	for i := range hosts {
 		hosts[i].SlowSince = c.detector.SlowSince(hosts[i].Name)
 	}
--- a/internal/version/placement/plan_test.go
+++ b/internal/version/placement/plan_test.go
@@ -146,6 +146,18 @@
 	}
 }
 
+// TestPlanKeepsBusyLeader: a leader that is slow because of its role is not
+// replaced more than once in five minutes.
+func TestPlanKeepsBusyLeader(t *testing.T) {
+	w := newSimWorld(Plan, 1, 10)
+	w.slowLeader = "g0"
+	w.run(nil)
+	const most = 2
+	if n := w.kinds[KindReplace]; n > most {
+		t.Errorf("%d replacements, want at most %d", n, most)
+	}
+}
+
 // TestPlanReloadsMembersThatReturnLate: without a spare, members that return
 // long after the group broke load in place.
 func TestPlanReloadsMembersThatReturnLate(t *testing.T) {
--- a/internal/version/placement/prepare.go
+++ b/internal/version/placement/prepare.go
@@ -197,12 +197,13 @@
 // replaceSlow loads replacements for slow members while the group serves.
 func (p *planner) replaceSlow(g *Group, slow []vacancy, staged map[int]*Host) {
 	open := positionsWithout(positionsOf(slow), staged)
+	rested := p.in.Now.Sub(g.Placement.Changed) >= p.in.Policy.StragglerPause
 	switch {
 	case len(open) == 0 && p.allReady(g, staged):
 		p.replace(g, staged, false, p.describe(slow)+" and its replacement is ready")
 	case len(open) == 0:
 		p.loadStaged(g, staged)
-	case p.fastSpares(g.Placement.FabricDomain) >= len(open) && p.mayLoad(g.Name):
+	case rested && p.fastSpares(g.Placement.FabricDomain) >= len(open) && p.mayLoad(g.Name):
 		hosts := p.takeSpares(g.Placement.FabricDomain, len(open))
 		p.stage(g, slow, open, hosts, nil, Step{Kind: KindPrepare})
 	}
--- a/internal/version/placement/sim_test.go
+++ b/internal/version/placement/sim_test.go
@@ -43,6 +43,7 @@
 	policy     Policy
 	plan       func(*Input) []Step
 	detector   *Detector
+	slowLeader string  // group whose leader answers slowly, whichever host it is
 	lost       float64 // seconds of service lost, weighted by worth, over all groups
 	stranded   float64 // accelerator-seconds claimed by closed groups
 	kinds      map[Kind]int
@@ -126,9 +127,9 @@
 			continue
 		}
 		var samples []Sample
-		for _, m := range g.Placement.Members {
+		for i, m := range g.Placement.Members {
 			latency := time.Millisecond
-			if w.byName[m].slow {
+			if w.byName[m].slow || i == 0 && g.Name == w.slowLeader {
 				latency = time.Second
 			}
 			samples = append(samples, Sample{m, latency})
--- a/internal/version/placement/straggler.go
+++ b/internal/version/placement/straggler.go
@@ -26,13 +26,15 @@
 // NewDetector returns a detector without observations.
 func NewDetector() *Detector { return &Detector{since: map[string]time.Time{}} }
 
-// Observe takes the present latencies of one group.
+// Observe takes the present latencies of one group, or of all free hosts. A
+// host without peers to compare it with keeps its verdict.
 func (d *Detector) Observe(samples []Sample, now time.Time) {
 	for i, s := range samples {
 		peers := peerMedian(samples, i)
 		slow := peers > 0 && s.Latency > slowFloor && s.Latency > slowFactor*peers
 		_, known := d.since[s.Host]
 		switch {
+		case peers == 0:
 		case slow && !known:
 			d.since[s.Host] = now
 		case !slow:
--- a/internal/version/placement/types.go
+++ b/internal/version/placement/types.go
@@ -91,6 +91,10 @@
 	Drain time.Duration
 	// StragglerAfter is how long a member must be slow to count as missing.
 	StragglerAfter time.Duration
+	// StragglerPause is how long a placement must be unchanged before a slow
+	// member is replaced, so that a leader that is slow under load does not
+	// use up spare after spare.
+	StragglerPause time.Duration
 	// StuckLoads is the number of load times after which a member that is
 	// not ready counts as missing.
 	StuckLoads int
@@ -115,6 +119,7 @@
 		Grace:           time.Second,
 		Drain:           15 * time.Second,
 		StragglerAfter:  20 * time.Second,
+		StragglerPause:  5 * time.Minute,
 		StuckLoads:      3,
 		Silent:          ReturnModel{Chance: 0.6, Mean: 15 * time.Second},
 		Dark:            ReturnModel{Chance: 0.8, Mean: 2 * time.Minute},
