--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -271,23 +271,28 @@
 	sweepPeriod = 10 * time.Minute
 )
 
+// capWait is how long a request may wait for a part of its account's cap to
+// move to this node.
+const capWait = 300 * time.Millisecond
+
 // shareMargin covers the lag of the host list and the drift of clocks.
 const shareMargin = 2 * time.Second
 
 func (n *Node) buildRequestPath() {
 	s := n.settings
 	n.shares = share.NewManager(share.Options{
-		Node:    s.Node.Name,
-		Address: n.Addresses().Peers,
-		Store:   n.store,
-		View:    n.follower,
-		Peers:   shareClient{members: n.members, client: n.peers},
-		Live:    n.liveNodes,
-		Session: n.shareSession,
-		Hosts:   n.hostView,
-		Void:    s.Timing.ShareVoid,
-		Margin:  shareMargin,
-		Log:     n.log,
+		Node:      s.Node.Name,
+		Address:   n.Addresses().Peers,
+		Store:     n.store,
+		View:      n.follower,
+		Peers:     shareClient{members: n.members, client: n.peers},
+		Live:      n.liveNodes,
+		FleetSize: func() int { return len(n.keeper.Roster()) },
+		Session:   n.shareSession,
+		Hosts:     n.hostView,
+		Void:      s.Timing.ShareVoid,
+		Margin:    shareMargin,
+		Log:       n.log,
 	})
 	n.claims = claim.New(n.store, claim.Options{})
 	n.budget = &retryBudget{budget: retry.NewBudget(), view: n.follower}
@@ -391,7 +396,7 @@
 	callers = callerapi.New(callerapi.Deps{
 		View:         n.follower,
 		Gate:         n.gate,
-		Limiter:      n.shares,
+		Limiter:      share.NewWaitingLimiter(n.shares, capWait),
 		Claims:       n.claims,
 		Relay:        n.relay,
 		Suspects:     suspects{n.suspects},
