Hold floors for any floors and loads from a cold start

Speeds of ranks were taken from the first prompts alone, so a rank that had just begun looked faster than it was.

--- a/internal/request/queue/floor.go
+++ b/internal/request/queue/floor.go
@@ -15,6 +15,9 @@
 	// maxCatchUp bounds, as a multiple of its floor, the part of the running
 	// work that a rank gets to make up for a shortfall.
 	maxCatchUp = 2
+	// speedPrior is the running time whose weight the mean speed of all
+	// ranks has in the speed of one.
+	speedPrior = 5 * time.Second
 )
 
 func compareRanks(a, b *rankState) int {
@@ -85,17 +88,15 @@
 }
 
 // speed returns the expected rate of one running request of a rank, in
-// tokens a second.
+// tokens a second: what the window shows, drawn to the mean of all ranks
+// where it shows little.
 func (s *Scheduler) speed(r *rankState) float64 {
-	if speed := r.speed(); speed > 0 {
-		return speed
+	mean := 1.0
+	if s.busy.sum > 0 && s.total.sum > 0 {
+		mean = float64(s.total.sum) / time.Duration(s.busy.sum).Seconds()
 	}
-	for _, other := range s.ranks {
-		if speed := other.speed(); speed > 0 {
-			return speed
-		}
-	}
-	return 1
+	prior := speedPrior.Seconds()
+	return (float64(r.window.sum) + mean*prior) / (time.Duration(r.busy.sum).Seconds() + prior)
 }
 
 // runningShare returns the part of the throughput that a rank has after
--- a/internal/request/queue/rank.go
+++ b/internal/request/queue/rank.go
@@ -222,15 +222,6 @@
 	}
 }
 
-// speed is the mean number of tokens a second of one running request over
-// the window; 0 where none is known.
-func (r *rankState) speed() float64 {
-	if r.busy.sum <= 0 {
-		return 0
-	}
-	return float64(r.window.sum) / time.Duration(r.busy.sum).Seconds()
-}
-
 // finish settles a running item and removes it.
 func (r *rankState) finish(it *item, now time.Time) {
 	r.running.Remove(it.runElement)
--- a/internal/request/queue/scheduler.go
+++ b/internal/request/queue/scheduler.go
@@ -27,7 +27,8 @@
 	evicted    []Expiry
 	preempting []*item // cancelled runs whose slots are still taken
 	victims    preemptionCounts
-	total      window
+	total      window    // of tokens
+	busy       window    // of running time, in nanoseconds
 	now        time.Time // of the last event
 }
 
@@ -138,6 +139,7 @@
 		return
 	}
 	s.total.add(tokens, it.accounted, now)
+	s.busy.add(int64(now.Sub(it.accounted)), it.accounted, now)
 	it.rank.use(it, tokens, now)
 }
 
