--- a/internal/connection/peer/protocol.go
+++ b/internal/connection/peer/protocol.go
@@ -2,17 +2,19 @@
 // shared peer key as bearer token.
 //
 //	POST /peer/probe           Probe           -> 200 Probe
-//	POST /peer/generate        HomeRequest     -> 200 SSE of endpoint.Chunk
+//	POST /peer/generate        HomeRequest     -> 200 SSE of Frame
 //	GET  /peer/log?after=REV                   -> 200 []object.Record, 410 if compacted
 //	GET  /peer/snapshot                        -> 200 SnapshotBody
 //	POST /peer/shares/release  ReleaseRequest  -> 200 ReleaseReply
-//	GET  /peer/burn                            -> 200, the node's histograms
-//	GET  /peer/explain?request=ID              -> 200 []Step, 404
+//	GET  /peer/burn                            -> 200 BurnDigest
+//	GET  /peer/explain?request=ID | ?group=NAME -> 200 []Step
 package peer
 
 import (
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/object"
 )
 
@@ -53,9 +55,55 @@
 	AgeMillis int64 `json:"ageMillis"`
 }
 
-// Probe carries a bounded number of digests; the first is the sender's own.
+// Probe is sent to a peer and answered by another one. The answer carries the
+// digests of the region that are newer than Known, so that each version of a
+// digest reaches a node about once.
 type Probe struct {
+	// Region limits the digests to nodes of the sender's region.
+	Region string `json:"region"`
+	// Known holds the versions that the sender has, by node.
+	Known map[string]DigestVersion `json:"known,omitempty"`
+	// Digests starts with the sender's own.
 	Digests []Digest `json:"digests"`
+	// Regions holds one summary for each region that the sender knows.
+	Regions []RegionSummary `json:"regions,omitempty"`
+	// Suspected names nodes that did not answer the sender's own probe, with
+	// the version that it had of them. The receiver probes them itself.
+	Suspected map[string]DigestVersion `json:"suspected,omitempty"`
+}
+
+// DigestVersion orders the digests of one node.
+type DigestVersion struct {
+	Incarnation int64 `json:"i"`
+	Seq         int64 `json:"s"`
+}
+
+// Newer reports whether v replaces other.
+func (v DigestVersion) Newer(other DigestVersion) bool {
+	if v.Incarnation != other.Incarnation {
+		return v.Incarnation > other.Incarnation
+	}
+	return v.Seq > other.Seq
+}
+
+// Version returns the digest's version.
+func (d Digest) Version() DigestVersion {
+	return DigestVersion{Incarnation: d.Incarnation, Seq: d.Seq}
+}
+
+// RegionSummary tells other regions of one region's nodes.
+type RegionSummary struct {
+	Region string `json:"region"`
+	// AgeMillis is the time since the summary was made.
+	AgeMillis int64 `json:"ageMillis"`
+	// Nodes counts live nodes.
+	Nodes int `json:"nodes"`
+	// MinApplied is the lowest configuration revision in force at a live node.
+	MinApplied int64 `json:"minApplied"`
+	// Lagging names, up to a bound, live nodes that are at MinApplied while
+	// another node is ahead.
+	Lagging []string   `json:"lagging,omitempty"`
+	Load    []PoolLoad `json:"load,omitempty"`
 }
 
 // HomeRequest hands a request from its entry node to a home node.
@@ -74,16 +122,27 @@
 	ResumeIndex     int      `json:"resumeIndex,omitempty"`
 	Delivered       string   `json:"delivered,omitempty"`
 	Avoid           []string `json:"avoid,omitempty"`
+	// Resumed is true for a request that was already queued or started
+	// elsewhere.
+	Resumed bool `json:"resumed,omitempty"`
 	// Isolate asks for a group that runs nothing else, for a crash suspect.
 	Isolate bool `json:"isolate,omitempty"`
 }
 
 // ReleaseRequest asks a node to give up part of its share of a cap.
 type ReleaseRequest struct {
-	Account         string  `json:"account"`
-	Gainer          string  `json:"gainer"`
+	Account string `json:"account"`
+	Gainer  string `json:"gainer"`
+	// Holder identifies the gainer's process; the part moves to it alone.
+	Holder          string  `json:"holder"`
 	TokensPerSecond float64 `json:"tokensPerSecond"`
-	InFlight        int     `json:"inFlight"`
+	// BurstTokens is the bucket depth that the gainer needs beyond what moves
+	// along with the rate.
+	BurstTokens float64 `json:"burstTokens,omitempty"`
+	InFlight    int     `json:"inFlight"`
+	// Needed is true where the gainer's callers already ask for it. A node
+	// above its even share then gives even what its own callers could use.
+	Needed bool `json:"needed,omitempty"`
 }
 
 // ReleaseReply tells what was moved in the share row; zeros where nothing was.
@@ -106,3 +165,39 @@
 	Reason  string    `json:"reason"`
 	Message string    `json:"message"`
 }
+
+// Frame is one event of a home node's answer. Exactly one field is set.
+type Frame struct {
+	Assigned *Assigned       `json:"assigned,omitempty"`
+	Chunk    *endpoint.Chunk `json:"chunk,omitempty"`
+	End      *End            `json:"end,omitempty"`
+}
+
+// Assigned tells that the request got a slot.
+type Assigned struct {
+	Group      string `json:"group"`
+	WaitMillis int64  `json:"waitMillis"`
+}
+
+// EndCause tells why a home node stopped before the answer was whole.
+type EndCause string
+
+// Causes of an early end.
+const (
+	// EndRefused: the home refused the request; it did not run there.
+	EndRefused EndCause = "refused"
+	// EndFailed: the group failed; the entry may resume elsewhere.
+	EndFailed EndCause = "failed"
+	// EndPreempted: urgent work took the slot; the entry offers the rest of
+	// the request again, which costs no attempt.
+	EndPreempted EndCause = "preempted"
+)
+
+// End is the last frame of an answer that is not whole.
+type End struct {
+	Cause   EndCause       `json:"cause"`
+	Group   string         `json:"group,omitempty"`
+	Refusal *refusal.Error `json:"refusal"`
+	// Crashed is true when the group's endpoint died with the request.
+	Crashed bool `json:"crashed,omitempty"`
+}
