--- a/internal/request/route/choice_bench_test.go
+++ b/internal/request/route/choice_bench_test.go
@@ -149,9 +149,10 @@
 	homes  []*queue.Scheduler
 	caches []map[string]*blockCache
 	load   []int
-	// views holds, for each entry node, the load of each home as reported,
-	// plus what that entry node has sent since.
-	views [trialHomes][]route.HomeLoad
+	// reports is the load of each home as last reported; recent is what each
+	// entry node has sent since.
+	reports []route.HomeLoad
+	recent  [trialHomes]route.Recent
 	// index is what late and lossy cache events tell of each home.
 	index    []*blockCache
 	requests map[string]*trialRequest
@@ -179,11 +180,7 @@
 		t.homes = append(t.homes, s)
 		t.caches = append(t.caches, caches)
 		t.index = append(t.index, newBlockCache())
-	}
-	for entry := range t.views {
-		for home := range trialHomes {
-			t.views[entry] = append(t.views[entry], route.HomeLoad{Node: fmt.Sprintf("node-%d", home), Slots: trialGroupsPerHome * trialSlots})
-		}
+		t.reports = append(t.reports, route.HomeLoad{Node: fmt.Sprintf("node-%d", home), Slots: trialGroupsPerHome * trialSlots})
 	}
 	return t
 }
@@ -228,9 +225,11 @@
 
 func (t *trial) arrive(r *trialRequest, now time.Time) {
 	r.arrived = now
-	view := t.views[t.rng.IntN(len(t.views))]
+	recent := &t.recent[t.rng.IntN(len(t.recent))]
+	view := slices.Clone(t.reports)
+	recent.Adjust("model", view, len(t.recent))
 	r.home = t.choose(t, view, r.prefix, t.rng.Uint64())
-	view[r.home].Queued += len(t.views)
+	recent.Sent("model", t.reports[r.home])
 	t.requests[r.id] = r
 	t.at(now.Add(trialHop), func(now time.Time) {
 		t.load[r.home]++
@@ -274,10 +273,9 @@
 	for home, load := range t.load {
 		sum += load
 		queued := t.homes[home].Queued()
-		for entry := range t.views {
-			t.views[entry][home].Running = load - queued
-			t.views[entry][home].Queued = queued
-		}
+		t.reports[home].Running = load - queued
+		t.reports[home].Queued = queued
+		t.reports[home].Report++
 	}
 	if sum > 0 {
 		t.imbalance += float64(slices.Max(t.load)) * trialHomes / float64(sum)
--- a/internal/request/route/choose.go
+++ b/internal/request/route/choose.go
@@ -13,11 +13,11 @@
 // to the next one.
 const AffinitySlack = 0.2
 
-// HomeLoad is the load of one home as last reported. An entry node adds to
-// Queued, for each request that it has sent there since, the number of entry
-// nodes: the others choose by the same report.
+// HomeLoad is the load of one home as last reported, with what Recent adds.
 type HomeLoad struct {
 	Node string
+	// Report numbers the home's reports.
+	Report int64
 	// Slots is the number of concurrent streams of the home's groups.
 	Slots int
 	// Running and Queued count requests.
