--- a/internal/process/node/duties.go
+++ b/internal/process/node/duties.go
@@ -109,7 +109,7 @@
 	ticker := time.NewTicker(rosterPeriod)
 	defer ticker.Stop()
 	for {
-		n.takeRoster(time.Now())
+		n.takeRoster()
 		select {
 		case <-ctx.Done():
 			return
@@ -118,14 +118,14 @@
 	}
 }
 
-// takeRoster adds the seeds while the table service does not answer.
-func (n *Node) takeRoster(now time.Time) {
+// takeRoster uses the seeds of the settings until the rows were read once.
+func (n *Node) takeRoster() {
 	rows := n.keeper.Roster()
 	peers := make([]membership.Peer, 0, len(rows))
 	for _, row := range rows {
 		peers = append(peers, membership.Peer{Node: row.Node, Address: row.PeerAddress, Region: row.Region})
 	}
-	if now.Sub(n.keeper.LastContact()) > n.settings.Timing.LeaseTTL {
+	if len(rows) == 0 {
 		for _, seed := range n.settings.Peers.Seeds {
 			peers = append(peers, membership.Peer{Node: seed, Address: seed})
 		}
