Count recent requests where a node chooses homes

The node's router adjusts the reported load by what it sent since, and counts the nodes of its region that choose by the same reports. Homes without reports are left as they are.

--- a/internal/process/node/plan.go
+++ b/internal/process/node/plan.go
@@ -41,6 +41,9 @@
 	models map[string]modelPlan
 	// owned names the groups that this node is home for, by model.
 	owned map[string][]string
+	// entryNodes is the number of nodes of this node's region that choose by
+	// the same load reports.
+	entryNodes int
 }
 
 // modelPlan lists the homes of one model, this node's region first, then
@@ -81,7 +84,7 @@
 		p.groups = groupsByModel(in)
 		p.homes = make(map[homesKey][]route.Home)
 	}
-	plan := &routePlan{models: make(map[string]modelPlan), owned: make(map[string][]string)}
+	plan := &routePlan{models: make(map[string]modelPlan), owned: make(map[string][]string), entryNodes: p.entryNodes(in.self.Region)}
 	for model := range p.groups {
 		plan.models[model] = p.modelPlan(in, model)
 		for _, home := range p.homesOf(in, model, in.self.Region) {
@@ -93,6 +96,16 @@
 	return plan
 }
 
+func (p *planner) entryNodes(region string) int {
+	count := 0
+	for _, node := range p.inputs.candidates {
+		if node.Region == region {
+			count++
+		}
+	}
+	return count
+}
+
 // homesOf returns the homes of a model in a region. In the node's own region
 // they are live nodes, in others the nodes of the roster.
 func (p *planner) homesOf(in planInput, model, region string) []route.Home {
@@ -198,7 +211,7 @@
 			}
 			for _, line := range digest.Load {
 				if line.Model == model && line.Slots > 0 {
-					loads[i] = route.HomeLoad{Node: digest.Node, Slots: line.Slots, Running: line.Running, Queued: line.Queued}
+					loads[i] = route.HomeLoad{Node: digest.Node, Report: digest.Seq, Slots: line.Slots, Running: line.Running, Queued: line.Queued}
 				}
 			}
 		}
@@ -215,7 +228,10 @@
 }
 
 // router implements relay.Router over the current plan.
-type router struct{ plan atomic.Pointer[routePlan] }
+type router struct {
+	plan   atomic.Pointer[routePlan]
+	recent route.Recent
+}
 
 // ChooseHome implements relay.Router.
 func (r *router) ChooseHome(model string, prefix []uint64, avoid map[string]bool) (string, bool) {
@@ -225,8 +241,10 @@
 	}
 	for _, homes := range plan.models[model].regions {
 		usable := slices.DeleteFunc(slices.Clone(homes), func(h route.HomeLoad) bool { return avoid[h.Node] })
+		r.recent.Adjust(model, usable, plan.entryNodes)
 		draw := uint64(time.Now().UnixNano())
 		if i := route.Choose(usable, prefix, xxhash.Sum64(draws(draw))); i >= 0 {
+			r.recent.Sent(model, usable[i])
 			return usable[i].Node, true
 		}
 	}
--- a/internal/request/route/choose.go
+++ b/internal/request/route/choose.go
@@ -16,7 +16,7 @@
 // HomeLoad is the load of one home as last reported, with what Recent adds.
 type HomeLoad struct {
 	Node string
-	// Report numbers the home's reports.
+	// Report numbers the home's reports from 1; 0 before the first.
 	Report int64
 	// Slots is the number of concurrent streams of the home's groups.
 	Slots int
--- a/internal/request/route/recent.go
+++ b/internal/request/route/recent.go
@@ -17,8 +17,11 @@
 }
 
 // Sent notes a request of the model that was sent to a home, chosen by this
-// load.
+// load. A home that has not reported is not counted.
 func (r *Recent) Sent(model string, home HomeLoad) {
+	if home.Report == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.sent == nil {
@@ -41,7 +44,7 @@
 	defer r.mu.Unlock()
 	for i, home := range homes {
 		count := r.sent[recentKey{model, home.Node}]
-		if count.report == home.Report {
+		if home.Report != 0 && count.report == home.Report {
 			homes[i].Queued += count.requests * max(entryNodes, 1)
 		}
 	}
