Run crash suspects apart and refuse them at every node

Cause: HomeRequest.Isolate was not honoured, nothing held the final error of a suspect back or cleared a suspicion, and neither was tested. Change: dispatch keeps crash suspects beside the scheduler. The home judges a request before it is queued and again before it starts. A group whose endpoint broke a stream takes no new work for 1 s, and its other breaks in that time are the same death. The relay holds final errors back for suspect.AnnounceDelay, judges a suspect that crashed alone before another try, and clears suspicions of whole answers. Found and mended by the tests: - the status and Retry-After of a refusal were lost between nodes, so that every refusal by another home ended in a panic (status 0) and a cut connection instead of 429 with ran: no. peer.End carries both now. - a stalled engine counted as a crash and made its streams suspect. - work sent to an endpoint that had just died counted as further deaths and branded innocents.

--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -257,6 +257,9 @@
 		if err := json.Unmarshal(data, &frame); err != nil {
 			return &LinkError{Address: address, Handed: true, Err: fmt.Errorf("frame is not valid JSON: %w", err)}
 		}
+		if frame.End != nil {
+			frame.End.restore()
+		}
 		if err := sink(frame); err != nil {
 			return err
 		}
--- a/internal/connection/peer/protocol.go
+++ b/internal/connection/peer/protocol.go
@@ -11,6 +11,7 @@
 package peer
 
 import (
+	"net/http"
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
@@ -195,6 +196,41 @@
 	Cause   EndCause       `json:"cause"`
 	Group   string         `json:"group,omitempty"`
 	Refusal *refusal.Error `json:"refusal"`
+	// Status and RetryAfterMillis are the parts of Refusal that callers get
+	// as headers, and that its JSON form leaves out.
+	Status           int   `json:"status"`
+	RetryAfterMillis int64 `json:"retryAfterMillis,omitempty"`
 	// Crashed is true when the group's endpoint died with the request.
 	Crashed bool `json:"crashed,omitempty"`
 }
+
+// NewEnd returns the end of an answer that a refusal explains.
+func NewEnd(cause EndCause, group string, refused *refusal.Error) *End {
+	return &End{
+		Cause:            cause,
+		Group:            group,
+		Refusal:          refused,
+		Status:           refused.Status,
+		RetryAfterMillis: refused.RetryAfter.Milliseconds(),
+	}
+}
+
+// restore fills in what the JSON form of the refusal leaves out. An end that
+// does not say what happened becomes an incomplete answer.
+func (e *End) restore() {
+	if !e.complete() {
+		e.Refusal = refusal.Unknown(refusal.KindIncomplete, http.StatusBadGateway, "the home node ended the answer without a reason; send the request again")
+		return
+	}
+	e.Refusal.Status = e.Status
+	e.Refusal.RetryAfter = time.Duration(max(e.RetryAfterMillis, 0)) * time.Millisecond
+}
+
+// complete reports whether the end carries a usable refusal.
+func (e *End) complete() bool {
+	const lowest, highest = http.StatusBadRequest, 599
+	if e.Refusal == nil || e.Refusal.Kind == "" || e.Status < lowest || e.Status > highest {
+		return false
+	}
+	return e.Refusal.Ran == refusal.RanNo || e.Refusal.Ran == refusal.RanUnknown
+}
--- a/internal/process/callerapi/completions.go
+++ b/internal/process/callerapi/completions.go
@@ -87,7 +87,7 @@
 	request := s.relayRequest(current, body, maxTokens)
 	refuse, isolate := s.deps.Suspects.Judge(request.Fingerprint, current.received)
 	if refuse {
-		return refusal.New(refusal.KindCrashSuspect, http.StatusUnprocessableEntity, "this request was in flight at several endpoints that died and is refused for now; change the request or send it later")
+		return refusal.Suspect()
 	}
 	request.Isolate = isolate
 	admission, refused := s.deps.Limiter.Admit(current.account.Name, request.CostTokens, current.received)
--- a/internal/process/node/adapters.go
+++ b/internal/process/node/adapters.go
@@ -27,7 +27,8 @@
 	return b.budget.Allow(retry.Attempt{Rank: rank, Policy: policy, Made: attempts, Idempotent: true}, now)
 }
 
-// suspects implements callerapi.Suspects.
+// suspects implements callerapi.Suspects, relay.Suspects and
+// dispatch.Suspects.
 type suspects struct{ tracker *suspect.Tracker }
 
 // Judge implements callerapi.Suspects.
@@ -36,6 +37,12 @@
 	return verdict.Refuse, verdict.Isolate
 }
 
+// HoldUntil implements relay.Suspects.
+func (s suspects) HoldUntil(fingerprint uint64) time.Time { return s.tracker.HoldUntil(fingerprint) }
+
+// Finished implements relay.Suspects and dispatch.Suspects.
+func (s suspects) Finished(fingerprint uint64) { s.tracker.Finished(fingerprint) }
+
 // Fingerprint implements callerapi.Suspects.
 func (suspects) Fingerprint(model, prompt string, maxTokens int) uint64 {
 	return suspect.Fingerprint(model, prompt, maxTokens)
--- a/internal/process/node/capacity_test.go
+++ b/internal/process/node/capacity_test.go
@@ -17,6 +17,7 @@
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/request/dispatch"
 	"currantladder.example/currantladder/internal/request/route"
+	"currantladder.example/currantladder/internal/request/suspect"
 	"currantladder.example/currantladder/internal/version/object"
 	"currantladder.example/currantladder/internal/version/snapshot"
 )
@@ -159,7 +160,7 @@
 	for _, owned := range []int{groupsPerHome, 2 * groupsPerHome, len(groups) / capacity.Regions} {
 		b.Run(fmt.Sprintf("groups=%d", owned), func(b *testing.B) {
 			ctx, cancel := context.WithCancel(context.Background())
-			home := dispatch.NewHome(ctx, endpoint.NewClient(), nil)
+			home := dispatch.NewHome(ctx, endpoint.NewClient(), suspects{suspect.New()}, nil)
 			defer home.Wait()
 			defer cancel()
 			plan := &routePlan{owned: map[string][]string{"advice-70b-0": groups[:owned]}}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -292,10 +292,10 @@
 	n.claims = claim.New(n.store, claim.Options{})
 	n.budget = &retryBudget{budget: retry.NewBudget(), view: n.follower}
 	n.suspects = suspect.New()
-	n.home = dispatch.NewHome(n.dutiesCtx, n.endpoints, n.reportCrash)
+	n.home = dispatch.NewHome(n.dutiesCtx, n.endpoints, suspects{n.suspects}, n.reportCrash)
 	n.recorder = explain.NewRecorder(s.Node.Name)
 	n.burn = burn.NewRecorder(s.Node.Name, n.follower)
-	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Recorder: n.recorder}
+	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Suspects: suspects{n.suspects}, Recorder: n.recorder}
 	n.gate = newGate(s.Callers.MaxStreams, n.unfit)
 }
 
--- a/internal/request/dispatch/home.go
+++ b/internal/request/dispatch/home.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -66,17 +67,34 @@
 // fingerprints of all requests that were in flight there.
 type CrashReporter func(group string, fingerprints []uint64)
 
+// Suspects judges requests that may crash the endpoints that run them.
+type Suspects interface {
+	// Judge reports whether the fingerprint is refused, and whether it must
+	// run apart from other work.
+	Judge(fingerprint uint64, now time.Time) (refuse, isolate bool)
+	// Finished drops the suspicion against a request that ran to its end.
+	Finished(fingerprint uint64)
+}
+
+// crashPause is how long a group takes no new work after its endpoint broke a
+// stream, and breaks of its other streams belong to the same death. By its end
+// the group's gate has closed if the endpoint is dead.
+const crashPause = 1 * time.Second
+
 // Home runs requests on the groups that this node is home for. It is safe for
 // concurrent use.
 type Home struct {
-	ctx    context.Context
-	client *endpoint.Client
-	crash  CrashReporter
+	ctx      context.Context
+	client   *endpoint.Client
+	suspects Suspects
+	crash    CrashReporter
 
 	mu       sync.Mutex
 	pools    map[string]*pool
 	targets  map[string]map[string]Target // model -> key -> target
 	inFlight map[string]map[string]*run   // key -> request ID -> run
+	// crashed holds when the endpoint of a group last broke a stream.
+	crashed  map[string]time.Time
 	priority map[string]int
 	duties   sync.WaitGroup
 }
@@ -86,8 +104,6 @@
 	group       string
 	fingerprint uint64
 	cancel      context.CancelCauseFunc
-	// reported is true once a crash report has counted the run.
-	reported bool
 }
 
 // errGateClosed cancels the streams of a group whose gate closed.
@@ -97,11 +113,13 @@
 var errPreempted = errors.New("preempted by urgent work")
 
 // NewHome returns a home whose duties end with ctx.
-func NewHome(ctx context.Context, client *endpoint.Client, crash CrashReporter) *Home {
+func NewHome(ctx context.Context, client *endpoint.Client, suspects Suspects, crash CrashReporter) *Home {
 	return &Home{
 		ctx:      ctx,
 		client:   client,
+		suspects: suspects,
 		crash:    crash,
+		crashed:  make(map[string]time.Time),
 		pools:    make(map[string]*pool),
 		targets:  make(map[string]map[string]Target),
 		inFlight: make(map[string]map[string]*run),
@@ -124,9 +142,11 @@
 	for model := range targets {
 		h.poolLocked(model)
 	}
+	now := time.Now()
+	maps.DeleteFunc(h.crashed, func(_ string, at time.Time) bool { return now.Sub(at) >= crashPause })
 	for model, p := range h.pools {
 		h.targets[model] = indexTargets(targets[model])
-		p.configure(h.ctx, ranks, slotsOf(targets[model]))
+		p.configure(h.ctx, ranks, h.slotsLocked(targets[model]))
 	}
 	h.cancelClosedLocked()
 }
@@ -139,14 +159,24 @@
 	return byKey
 }
 
-func slotsOf(targets []Target) []queue.Group {
+// slotsLocked returns the groups with their slots for new work.
+func (h *Home) slotsLocked(targets []Target) []queue.Group {
 	groups := make([]queue.Group, 0, len(targets))
 	for _, target := range targets {
-		groups = append(groups, queue.Group{Name: target.key(), Slots: target.usable()})
+		groups = append(groups, queue.Group{Name: target.key(), Slots: h.usableLocked(target)})
 	}
 	return groups
 }
 
+// usableLocked returns the slots of a group for new work; none while its
+// endpoint may be dead.
+func (h *Home) usableLocked(target Target) int {
+	if at, crashed := h.crashed[target.key()]; crashed && time.Since(at) < crashPause {
+		return 0
+	}
+	return target.usable()
+}
+
 // cancelClosedLocked cancels the runs of groups whose gate closed or whose
 // generation changed. Groups that moved to another home run to their end.
 func (h *Home) cancelClosedLocked() {
@@ -200,34 +230,65 @@
 // Serve runs one request and passes its frames to sink. It returns after the
 // terminal chunk or an End frame was passed, or with the error of sink.
 func (h *Home) Serve(ctx context.Context, r peer.HomeRequest, sink Sink) error {
-	p, refused := h.openPool(r)
-	if refused != nil {
-		return sink(endFrame(peer.EndRefused, "", refused, false))
-	}
 	offered := time.Now()
-	signals, ok := p.offer(ctx, queueRequest(r, offered))
-	if !ok {
-		return ctx.Err()
-	}
-	select {
-	case <-ctx.Done():
-		p.cancel(h.ctx, r.RequestID)
-		return ctx.Err()
-	case s := <-signals:
-		if s.refusal != nil {
-			return sink(endFrame(peer.EndRefused, "", s.refusal, false))
+	for {
+		refuse, isolate := h.suspects.Judge(r.Fingerprint, time.Now())
+		if refuse {
+			return sink(endFrame(peer.EndRefused, "", refusal.Suspect(), false))
+		}
+		r.Isolate = r.Isolate || isolate
+		p, refused := h.openPool(r)
+		if refused != nil {
+			return sink(endFrame(peer.EndRefused, "", refused, false))
+		}
+		signals, ok := h.enqueue(ctx, p, r, offered)
+		if !ok {
+			return ctx.Err()
+		}
+		select {
+		case <-ctx.Done():
+			p.cancel(h.ctx, r.RequestID)
+			return ctx.Err()
+		case s := <-signals:
+			switch {
+			case s.refusal != nil:
+				return sink(endFrame(peer.EndRefused, "", s.refusal, false))
+			case !h.turnedSuspect(r):
+				return h.runAssigned(ctx, p, r, s.group, signals, offered, sink)
+			}
+			// The request was sent beside others while it waited and is
+			// suspected since then: it is judged again.
+			p.finish(h.ctx, r.RequestID, 0)
 		}
-		return h.runAssigned(ctx, p, r, s.group, signals, offered, sink)
 	}
 }
 
+// turnedSuspect reports whether a request is now suspect that was not when it
+// was queued.
+func (h *Home) turnedSuspect(r peer.HomeRequest) bool {
+	refuse, isolate := h.suspects.Judge(r.Fingerprint, time.Now())
+	return refuse || (isolate && !r.Isolate)
+}
+
+// enqueue queues the request beside others, or for a group of its own.
+func (h *Home) enqueue(ctx context.Context, p *pool, r peer.HomeRequest, offered time.Time) (<-chan signal, bool) {
+	request := queueRequest(r, offered)
+	if !r.Isolate {
+		return p.offer(ctx, request)
+	}
+	h.mu.Lock()
+	priority := h.priority[r.Rank]
+	h.mu.Unlock()
+	return p.isolate(ctx, request, priority)
+}
+
 func (h *Home) openPool(r peer.HomeRequest) (*pool, *refusal.Error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	why := "this node is not home for a group of it"
 	for key, target := range h.targets[r.Model] {
 		switch {
-		case target.usable() == 0:
+		case h.usableLocked(target) == 0:
 			why = fmt.Sprintf("group %s: %s", target.Group, target.Why)
 		case slices.Contains(r.Avoid, key):
 			why = fmt.Sprintf("group %s has just failed the request", target.Group)
@@ -278,7 +339,10 @@
 	err := h.stream(runCtx, p, r, target, assembler, sink)
 	crashed := err != nil && ctx.Err() == nil && isCrash(runCtx, err)
 	if crashed {
-		h.reportCrash(target.Group, key, r.RequestID)
+		h.reportCrash(p, r.Model, target)
+	}
+	if assembler.Whole() {
+		h.suspects.Finished(r.Fingerprint)
 	}
 	h.unregister(key, r.RequestID)
 	p.finish(h.ctx, r.RequestID, int64(assembler.Next()-r.ResumeIndex))
@@ -308,7 +372,9 @@
 }
 
 func endFrame(cause peer.EndCause, group string, refused *refusal.Error, crashed bool) peer.Frame {
-	return peer.Frame{End: &peer.End{Cause: cause, Group: group, Refusal: refused, Crashed: crashed}}
+	end := peer.NewEnd(cause, group, refused)
+	end.Crashed = crashed
+	return peer.Frame{End: end}
 }
 
 // watchPreemption cancels the run when the scheduler takes its slot back. The
@@ -332,7 +398,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	target := h.targets[r.Model][key]
-	if target.usable() == 0 {
+	if h.usableLocked(target) == 0 {
 		return target, false
 	}
 	if h.inFlight[key] == nil {
@@ -363,14 +429,14 @@
 	defer watchdog.stop()
 	stream, err := h.client.Generate(watchdog.ctx, target.Address, h.generateRequest(r, target))
 	if err != nil {
-		return err
+		return watchdog.explain(err)
 	}
 	defer stream.Close()
 	reported := assembler.Next()
 	for !assembler.Whole() {
 		chunk, err := stream.Next()
 		if err != nil {
-			return chunkError(err)
+			return watchdog.explain(chunkError(err))
 		}
 		watchdog.reset(nextChunkTimeout)
 		if err := assembler.Accept(chunk); err != nil {
@@ -412,9 +478,9 @@
 }
 
 // isCrash reports whether the engine broke the connection by itself: not a
-// refusal, not a cancelled run, not a mismatched chunk.
+// refusal, not a cancelled run, not a stall, not a mismatched chunk.
 func isCrash(runCtx context.Context, err error) bool {
-	if runCtx.Err() != nil {
+	if runCtx.Err() != nil || errors.Is(err, errStalled) {
 		return false
 	}
 	var call *endpoint.CallError
@@ -425,21 +491,22 @@
 }
 
 // reportCrash reports every request in flight at the group, once for each
-// death: the streams that break after the first one are already counted.
-func (h *Home) reportCrash(group, key, requestID string) {
+// death: streams that break soon after the first one are already counted. The
+// group takes no new work for crashPause.
+func (h *Home) reportCrash(p *pool, model string, target Target) {
 	h.mu.Lock()
-	runs := h.inFlight[key]
-	if own := runs[requestID]; own == nil || own.reported {
-		h.mu.Unlock()
+	defer h.mu.Unlock()
+	key := target.key()
+	if at, known := h.crashed[key]; known && time.Since(at) < crashPause {
 		return
 	}
+	h.crashed[key] = time.Now()
 	var fingerprints []uint64
-	for _, r := range runs {
-		r.reported = true
+	for _, r := range h.inFlight[key] {
 		fingerprints = append(fingerprints, r.fingerprint)
 	}
-	h.mu.Unlock()
 	if h.crash != nil {
-		h.crash(group, fingerprints)
+		h.crash(target.Group, fingerprints)
 	}
+	p.regroup(h.ctx, h.slotsLocked(slices.Collect(maps.Values(h.targets[model]))))
 }
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -34,10 +34,13 @@
 type pool struct {
 	events    chan func(now time.Time)
 	scheduler *queue.Scheduler
+	isolation *isolation
 	waiters   map[string]waiter
-	running   int
-	slots     int
-	stats     chan chan Stats
+	// assigned is the group of each running request.
+	assigned map[string]string
+	running  int
+	slots    int
+	stats    chan chan Stats
 }
 
 // waiter is a request that is queued or running.
@@ -57,6 +60,8 @@
 	return &pool{
 		events:    make(chan func(time.Time), eventCapacity),
 		scheduler: queue.New(),
+		isolation: newIsolation(),
+		assigned:  make(map[string]string),
 		waiters:   make(map[string]waiter),
 		stats:     make(chan chan Stats),
 	}
@@ -73,7 +78,7 @@
 		case event := <-p.events:
 			event(time.Now())
 		case reply := <-p.stats:
-			reply <- Stats{Slots: p.slots, Running: p.running, Queued: p.scheduler.Queued()}
+			reply <- Stats{Slots: p.slots, Running: p.running, Queued: p.scheduler.Queued() + len(p.isolation.waiting)}
 			continue
 		case <-timer.C:
 		}
@@ -85,6 +90,9 @@
 func (p *pool) rearm(timer *time.Timer) {
 	now := time.Now()
 	wake := p.scheduler.NextWake(now)
+	if at := p.isolation.nextWake(); !at.IsZero() && (wake.IsZero() || at.Before(wake)) {
+		wake = at
+	}
 	if wake.IsZero() {
 		timer.Stop()
 		return
@@ -93,20 +101,41 @@
 }
 
 func (p *pool) carryOut(now time.Time) {
+	for _, s := range p.isolation.next(now) {
+		p.assign(s.id, s.group)
+	}
+	if groups, changed := p.isolation.shared(); changed {
+		p.scheduler.SetGroups(groups, now)
+	}
 	decisions := p.scheduler.Next(now)
 	for _, expiry := range decisions.Expire {
 		p.notify(expiry.RequestID, signal{refusal: expiry.Refusal})
 		delete(p.waiters, expiry.RequestID)
 	}
 	for _, assignment := range decisions.Assign {
-		p.running++
-		p.notify(assignment.RequestID, signal{group: assignment.Group})
+		p.isolation.started(assignment.Group)
+		p.assign(assignment.RequestID, assignment.Group)
 	}
 	for _, id := range decisions.Preempt {
 		p.notify(id, signal{preempt: true})
 	}
 }
 
+// assign tells a request that it runs now.
+func (p *pool) assign(id, group string) {
+	p.running++
+	p.assigned[id] = group
+	p.notify(id, signal{group: group})
+}
+
+// release takes a request that ran out of the books.
+func (p *pool) release(id string, tokens int64, now time.Time) {
+	p.running--
+	p.isolation.ended(id, p.assigned[id])
+	delete(p.assigned, id)
+	p.scheduler.Finish(id, tokens, now)
+}
+
 // notify never blocks: a request gets at most signalCapacity signals.
 func (p *pool) notify(id string, s signal) {
 	select {
@@ -145,8 +174,7 @@
 func (p *pool) finish(ctx context.Context, id string, tokens int64) {
 	p.send(ctx, func(now time.Time) {
 		delete(p.waiters, id)
-		p.running--
-		p.scheduler.Finish(id, tokens, now)
+		p.release(id, tokens, now)
 	})
 }
 
@@ -158,22 +186,45 @@
 			return
 		}
 		delete(p.waiters, id)
-		if p.scheduler.Cancel(id, now) {
+		if !p.withdraw(id, now) {
+			p.release(id, 0, now)
+		}
+	})
+}
+
+// withdraw removes a request that waits and reports whether it did.
+func (p *pool) withdraw(id string, now time.Time) bool {
+	return p.isolation.cancel(id) || p.scheduler.Cancel(id, now)
+}
+
+// isolate queues the request for a group that runs nothing else.
+func (p *pool) isolate(ctx context.Context, r queue.Request, priority int) (<-chan signal, bool) {
+	signals := make(chan signal, signalCapacity)
+	ok := p.send(ctx, func(now time.Time) {
+		w := &isolated{id: r.ID, priority: priority, avoid: r.Avoid, since: now}
+		if !p.isolation.offer(w, r.Resumed) {
+			refused := refusal.New(refusal.KindOverloaded, http.StatusTooManyRequests, "too many requests that may have crashed endpoints wait to run apart; send the request again later")
+			signals <- signal{refusal: refused.After(openRetryAfter)}
 			return
 		}
-		p.running--
-		p.scheduler.Finish(id, 0, now)
+		p.waiters[r.ID] = waiter{signals, r.Avoid}
 	})
+	return signals, ok
 }
 
 func (p *pool) configure(ctx context.Context, ranks []queue.Rank, groups []queue.Group) {
+	p.send(ctx, func(now time.Time) { p.scheduler.SetRanks(ranks, now) })
+	p.regroup(ctx, groups)
+}
+
+// regroup replaces the groups and their slots.
+func (p *pool) regroup(ctx context.Context, groups []queue.Group) {
 	p.send(ctx, func(now time.Time) {
 		p.slots = 0
 		for _, group := range groups {
 			p.slots += group.Slots
 		}
-		p.scheduler.SetRanks(ranks, now)
-		p.scheduler.SetGroups(groups, now)
+		p.isolation.setGroups(groups)
 		p.sendBack(groups, now)
 	})
 }
@@ -182,7 +233,7 @@
 // home: this one has no group left that may take them.
 func (p *pool) sendBack(groups []queue.Group, now time.Time) {
 	for id, w := range p.waiters {
-		if hasGroup(groups, w.avoid) || !p.scheduler.Cancel(id, now) {
+		if hasGroup(groups, w.avoid) || !p.withdraw(id, now) {
 			continue
 		}
 		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "the home node has no open group for the request any more; send the request again later")
--- a/internal/request/dispatch/watchdog.go
+++ b/internal/request/dispatch/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -31,3 +32,11 @@
 	w.timer.Stop()
 	w.cancel(nil)
 }
+
+// explain names the stall where it is the cause of an error.
+func (w *watchdog) explain(err error) error {
+	if errors.Is(context.Cause(w.ctx), errStalled) {
+		return fmt.Errorf("%w: %w", errStalled, err)
+	}
+	return err
+}
--- a/internal/request/refusal/refusal.go
+++ b/internal/request/refusal/refusal.go
@@ -73,6 +73,11 @@
 	return &Error{Kind: kind, Message: message, Ran: RanUnknown, Status: status}
 }
 
+// Suspect returns the refusal of a request that has crashed endpoints.
+func Suspect() *Error {
+	return New(KindCrashSuspect, http.StatusUnprocessableEntity, "this request was in flight at several endpoints that died and is refused for now; change the request or send it later")
+}
+
 // After returns a copy with a Retry-After hint.
 func (e *Error) After(d time.Duration) *Error {
 	copied := *e
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -15,6 +15,7 @@
 	"currantladder.example/currantladder/internal/request/answer"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/request/route"
+	"currantladder.example/currantladder/internal/request/suspect"
 )
 
 // Bounds of one request's way.
@@ -78,6 +79,18 @@
 	Retry(rank string, attempts int, now time.Time) bool
 }
 
+// Suspects knows the requests that may crash the endpoints that run them.
+type Suspects interface {
+	// Judge reports whether the fingerprint is refused, and whether it must
+	// run apart from other work.
+	Judge(fingerprint uint64, now time.Time) (refuse, isolate bool)
+	// HoldUntil returns the time before which the final error of a suspect
+	// must not reach its caller; zero where there is none.
+	HoldUntil(fingerprint uint64) time.Time
+	// Finished drops the suspicion against a request that ran to its end.
+	Finished(fingerprint uint64)
+}
+
 // Recorder keeps the decisions on the way of a request.
 type Recorder interface {
 	Record(requestID, reason, message string)
@@ -88,6 +101,7 @@
 	Homes    Homes
 	Router   Router
 	Budget   RetryBudget
+	Suspects Suspects
 	Recorder Recorder
 }
 
@@ -106,6 +120,8 @@
 	// assigned is true once a home gave the request a slot.
 	assigned bool
 	group    string
+	// crashed is when an endpoint last died with the request.
+	crashed time.Time
 	// waitingSince is when the request began to look for an endpoint.
 	waitingSince time.Time
 	backoff      time.Duration
@@ -135,9 +151,11 @@
 	for {
 		refused, again := j.step(ctx)
 		if j.assembler.Whole() {
+			r.Suspects.Finished(request.Fingerprint)
 			return j.result(), nil
 		}
 		if !again {
+			j.holdBack()
 			return j.result(), j.final(refused)
 		}
 	}
@@ -163,6 +181,16 @@
 	return &copied
 }
 
+// holdBack waits until every node knows of the suspicion against the request,
+// so that its caller cannot send it again before. It outlasts the deadline.
+func (j *journey) holdBack() {
+	until := j.relay.Suspects.HoldUntil(j.request.Fingerprint)
+	if !j.crashed.IsZero() && j.crashed.Add(suspect.AnnounceDelay).After(until) {
+		until = j.crashed.Add(suspect.AnnounceDelay)
+	}
+	time.Sleep(time.Until(until))
+}
+
 func (j *journey) record(reason, message string) {
 	j.relay.Recorder.Record(j.request.ID, reason, message)
 }
@@ -276,8 +304,19 @@
 
 func (j *journey) groupFailed(end *peer.End) (*refusal.Error, bool) {
 	j.avoidGroups = append(j.avoidGroups, end.Group)
-	if end.Crashed {
-		j.request.Isolate = true
+	if !end.Crashed {
+		return j.retry(end.Refusal)
+	}
+	j.crashed = time.Now()
+	alone := j.request.Isolate
+	j.request.Isolate = true
+	if alone {
+		// The next attempt waits for what other nodes know: a loss of many
+		// endpoints at once is not the request's fault.
+		j.holdBack()
+		if refuse, _ := j.relay.Suspects.Judge(j.request.Fingerprint, time.Now()); refuse {
+			return refusal.Suspect(), false
+		}
 	}
 	return j.retry(end.Refusal)
 }
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -180,6 +180,18 @@
 // Retry implements RetryBudget.
 func (m maxAttempts) Retry(_ string, attempts int, _ time.Time) bool { return attempts < int(m) }
 
+// noSuspects suspects nothing.
+type noSuspects struct{}
+
+// Judge implements Suspects.
+func (noSuspects) Judge(uint64, time.Time) (refuse, isolate bool) { return false, false }
+
+// HoldUntil implements Suspects.
+func (noSuspects) HoldUntil(uint64) time.Time { return time.Time{} }
+
+// Finished implements Suspects.
+func (noSuspects) Finished(uint64) {}
+
 type noRecorder struct{}
 
 // Record implements Recorder.
@@ -189,7 +201,7 @@
 // promise, or "".
 func run(ctx context.Context, scripts []attemptScript) string {
 	homes := &scriptedHomes{scripts: scripts}
-	r := &Relay{Homes: homes, Router: fixedRouter{}, Budget: maxAttempts(4), Recorder: noRecorder{}}
+	r := &Relay{Homes: homes, Router: fixedRouter{}, Budget: maxAttempts(4), Suspects: noSuspects{}, Recorder: noRecorder{}}
 	var delivered strings.Builder
 	result, refused := r.Run(ctx, Request{ID: testRequest, Rank: "r", Model: "m", MaxTokens: testTokens}, func(token string) error {
 		delivered.WriteString(token)
