--- /dev/null
+++ b/internal/request/dispatch/serve.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/request/answer"
+	"currantladder.example/currantladder/internal/request/queue"
+	"currantladder.example/currantladder/internal/request/refusal"
+	"currantladder.example/currantladder/internal/request/route"
+)
+
+// openRetryAfter is the hint to callers while no group of a model is open.
+const openRetryAfter = 2 * time.Second
+
+// errPreempted cancels a stream whose slot goes to urgent work.
+var errPreempted = errors.New("preempted by urgent work")
+
+// Serve runs one request and passes its frames to sink. It returns after the
+// terminal chunk or an End frame was passed, or with the error of sink.
+func (h *Home) Serve(ctx context.Context, r peer.HomeRequest, sink Sink) error {
+	offered := time.Now()
+	for {
+		refuse, isolate := h.suspects.Judge(r.Fingerprint, time.Now())
+		if refuse {
+			return sink(endFrame(peer.EndRefused, "", refusal.Suspect(), false))
+		}
+		r.Isolate = r.Isolate || isolate
+		p, refused := h.openPool(r)
+		if refused != nil {
+			return sink(endFrame(peer.EndRefused, "", refused, false))
+		}
+		signals, ok := h.enqueue(ctx, p, r, offered)
+		if !ok {
+			return ctx.Err()
+		}
+		select {
+		case <-ctx.Done():
+			p.cancel(h.ctx, r.RequestID)
+			return ctx.Err()
+		case s := <-signals:
+			switch {
+			case s.refusal != nil:
+				return sink(endFrame(peer.EndRefused, "", s.refusal, false))
+			case !h.turnedSuspect(r):
+				return h.runAssigned(ctx, p, r, s.group, signals, offered, sink)
+			}
+			// The request was sent beside others while it waited and is
+			// suspected since then: it is judged again.
+			p.finish(h.ctx, r.RequestID, 0)
+		}
+	}
+}
+
+// turnedSuspect reports whether a request is now suspect that was not when it
+// was queued.
+func (h *Home) turnedSuspect(r peer.HomeRequest) bool {
+	refuse, isolate := h.suspects.Judge(r.Fingerprint, time.Now())
+	return refuse || (isolate && !r.Isolate)
+}
+
+// enqueue queues the request beside others, or for a group of its own.
+func (h *Home) enqueue(ctx context.Context, p *pool, r peer.HomeRequest, offered time.Time) (<-chan signal, bool) {
+	request := queueRequest(r, offered)
+	if !r.Isolate {
+		return p.offer(ctx, request)
+	}
+	h.mu.Lock()
+	priority := h.priority[r.Rank]
+	h.mu.Unlock()
+	return p.isolate(ctx, request, priority)
+}
+
+func (h *Home) openPool(r peer.HomeRequest) (*pool, *refusal.Error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	why := "this node is not home for a group of it"
+	for key, target := range h.targets[r.Model] {
+		switch {
+		case h.usableLocked(target) == 0:
+			why = fmt.Sprintf("group %s: %s", target.Group, target.Why)
+		case slices.Contains(r.Avoid, key):
+			why = fmt.Sprintf("group %s has just failed the request", target.Group)
+		default:
+			return h.pools[r.Model], nil
+		}
+	}
+	refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable,
+		fmt.Sprintf("no replica group of model %q is open here (%s); send the request again later", r.Model, why))
+	return nil, refused.After(openRetryAfter)
+}
+
+func queueRequest(r peer.HomeRequest, now time.Time) queue.Request {
+	request := queue.Request{
+		ID:         r.RequestID,
+		Account:    r.Account,
+		Rank:       r.Rank,
+		CostTokens: r.CostTokens,
+		Prefix:     route.PrefixBlocks(r.Prompt),
+		Resumed:    r.Resumed,
+		Avoid:      r.Avoid,
+	}
+	if r.RemainingMillis > 0 {
+		request.Deadline = now.Add(time.Duration(r.RemainingMillis) * time.Millisecond)
+	}
+	return request
+}
+
+// runAssigned runs the request on the group that the scheduler chose.
+func (h *Home) runAssigned(ctx context.Context, p *pool, r peer.HomeRequest, key string, signals <-chan signal, offered time.Time, sink Sink) error {
+	runCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	target, open := h.register(r, key, cancel)
+	if !open {
+		p.finish(h.ctx, r.RequestID, 0)
+		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "replica group "+key+" closed before the request started; send it again")
+		return sink(endFrame(peer.EndRefused, key, refused, false))
+	}
+	stop := watchPreemption(runCtx, signals, cancel)
+	defer stop()
+	wait := time.Since(offered)
+	if err := sink(peer.Frame{Assigned: &peer.Assigned{Group: key, WaitMillis: wait.Milliseconds()}}); err != nil {
+		h.unregister(key, r.RequestID)
+		p.finish(h.ctx, r.RequestID, 0)
+		return err
+	}
+	assembler := answer.New(r.RequestID, r.ResumeIndex, "")
+	err := h.stream(runCtx, p, r, target, assembler, sink)
+	crashed := err != nil && ctx.Err() == nil && isCrash(runCtx, err)
+	if crashed {
+		h.reportCrash(p, r.Model, target)
+	}
+	if assembler.Whole() {
+		h.suspects.Finished(r.Fingerprint)
+	}
+	h.unregister(key, r.RequestID)
+	p.finish(h.ctx, r.RequestID, int64(assembler.Next()-r.ResumeIndex))
+	var broken *sinkError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &broken):
+		return broken.err
+	case ctx.Err() != nil:
+		return ctx.Err()
+	}
+	return sink(h.failedFrame(runCtx, key, err, crashed))
+}
+
+func (h *Home) failedFrame(runCtx context.Context, group string, err error, crashed bool) peer.Frame {
+	if errors.Is(context.Cause(runCtx), errPreempted) {
+		refused := refusal.Unknown(refusal.KindOverloaded, http.StatusServiceUnavailable, "the request was preempted by urgent work; send it again")
+		return endFrame(peer.EndPreempted, group, refused, false)
+	}
+	message := fmt.Sprintf("replica group %s failed: %v; send the request again", group, err)
+	refused := refusal.Unknown(refusal.KindIncomplete, http.StatusBadGateway, message)
+	if !endpoint.WasHanded(err) {
+		refused.Ran = refusal.RanNo
+	}
+	return endFrame(peer.EndFailed, group, refused, crashed)
+}
+
+func endFrame(cause peer.EndCause, group string, refused *refusal.Error, crashed bool) peer.Frame {
+	end := peer.NewEnd(cause, group, refused)
+	end.Crashed = crashed
+	return peer.Frame{End: end}
+}
+
+// watchPreemption cancels the run when the scheduler takes its slot back. The
+// returned function ends the watch.
+func watchPreemption(ctx context.Context, signals <-chan signal, cancel context.CancelCauseFunc) func() {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case s := <-signals:
+			if s.preempt {
+				cancel(errPreempted)
+			}
+		case <-ctx.Done():
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
+func (h *Home) register(r peer.HomeRequest, key string, cancel context.CancelCauseFunc) (Target, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	target := h.targets[r.Model][key]
+	if h.usableLocked(target) == 0 {
+		return target, false
+	}
+	if h.inFlight[key] == nil {
+		h.inFlight[key] = make(map[string]*run)
+	}
+	h.inFlight[key][r.RequestID] = &run{group: target.Group, fingerprint: r.Fingerprint, cancel: cancel}
+	return target, true
+}
+
+func (h *Home) unregister(key, requestID string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.inFlight[key], requestID)
+	if len(h.inFlight[key]) == 0 {
+		delete(h.inFlight, key)
+	}
+}
