--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -277,17 +277,18 @@
 func (n *Node) buildRequestPath() {
 	s := n.settings
 	n.shares = share.NewManager(share.Options{
-		Node:    s.Node.Name,
-		Address: n.Addresses().Peers,
-		Store:   n.store,
-		View:    n.follower,
-		Peers:   shareClient{members: n.members, client: n.peers},
-		Live:    n.liveNodes,
-		Session: n.shareSession,
-		Hosts:   n.hostView,
-		Void:    s.Timing.ShareVoid,
-		Margin:  shareMargin,
-		Log:     n.log,
+		Node:      s.Node.Name,
+		Address:   n.Addresses().Peers,
+		Store:     n.store,
+		View:      n.follower,
+		Peers:     shareClient{members: n.members, client: n.peers},
+		Live:      n.liveNodes,
+		FleetSize: func() int { return len(n.keeper.Roster()) },
+		Session:   n.shareSession,
+		Hosts:     n.hostView,
+		Void:      s.Timing.ShareVoid,
+		Margin:    shareMargin,
+		Log:       n.log,
 	})
 	n.claims = claim.New(n.store, claim.Options{})
 	n.budget = &retryBudget{budget: retry.NewBudget(), view: n.follower}
@@ -451,7 +452,7 @@
 func (n *Node) startDuties() {
 	for _, duty := range []func(context.Context){
 		n.keeper.Run, n.roster.Run, n.health.Run, n.members.Run, n.follower.Run, n.sweeper.Run,
-		n.groups.Run, n.shares.Run, n.claims.Run, n.planDuty, n.sessionDuty,
+		n.groups.Run, n.shares.Run, n.claims.Run, n.planDuty, n.rosterDuty,
 	} {
 		n.duties.Go(func() { duty(n.dutiesCtx) })
 	}
