--- /dev/null
+++ b/internal/process/callerapi/harness_test.go
@@ -0,0 +1,162 @@
+package callerapi_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/process/callerapi"
+	"currantladder.example/currantladder/internal/request/claim"
+	"currantladder.example/currantladder/internal/request/dispatch"
+	"currantladder.example/currantladder/internal/request/queue"
+	"currantladder.example/currantladder/internal/request/refusal"
+	"currantladder.example/currantladder/internal/request/relay"
+	"currantladder.example/currantladder/internal/request/share"
+	"currantladder.example/currantladder/internal/request/suspect"
+	"currantladder.example/currantladder/internal/version/object"
+	"currantladder.example/currantladder/internal/version/snapshot"
+)
+
+const (
+	testKey      = "caller-key"
+	testModel    = "m"
+	testGroup    = "g"
+	maxBodyBytes = 64 << 10
+)
+
+// path is the request path of one node that is its own home, over one engine
+// and one service endpoint.
+type path struct {
+	handler http.Handler
+	home    *dispatch.Home
+	// touched counts requests that were admitted, claimed or sent to an
+	// endpoint.
+	touched atomic.Int64
+}
+
+// newPath returns a path whose duties end with ctx.
+func newPath(ctx context.Context, client *endpoint.Client, engine, service string, slots int) *path {
+	p := &path{}
+	tracker := suspects{suspect.New()}
+	p.home = dispatch.NewHome(ctx, client, tracker, nil)
+	p.home.Configure(
+		[]queue.Rank{{Name: "urgent", FirstTokenTarget: time.Minute, QueueBound: 1000}},
+		map[string][]dispatch.Target{testModel: {{Group: testGroup, Generation: 1, Address: engine, Slots: slots}}},
+	)
+	p.handler = callerapi.New(callerapi.Deps{
+		View:         fixedView{newSnapshot()},
+		Gate:         openGate{},
+		Limiter:      p,
+		Claims:       p,
+		Relay:        &relay.Relay{Homes: p, Router: ownHome{}, Budget: noRetries{}, Suspects: tracker, Recorder: noRecorder{}},
+		Suspects:     tracker,
+		Services:     onlyService{service},
+		Client:       client,
+		Observer:     noObserver{},
+		MaxBodyBytes: maxBodyBytes,
+	})
+	return p
+}
+
+func newSnapshot() *snapshot.Snapshot {
+	sum := sha256.Sum256([]byte(testKey))
+	rank := func(priority int) *object.RankSpec {
+		return &object.RankSpec{Priority: priority, FirstTokenTargetMillis: 60_000, InterTokenTargetMillis: 27, QueueBound: 1000, MaxAttempts: 1, Objective: 0.9}
+	}
+	objects := []*object.Object{
+		{Kind: object.KindRank, Metadata: object.Metadata{Name: "urgent"}, Spec: rank(0)},
+		{Kind: object.KindRank, Metadata: object.Metadata{Name: "batch"}, Spec: rank(1)},
+		{Kind: object.KindReplicaGroup, Metadata: object.Metadata{Name: testGroup}, Spec: &object.ReplicaGroupSpec{Model: testModel, Members: 1}},
+		{Kind: object.KindService, Metadata: object.Metadata{Name: "booking"}, Spec: &object.ServiceSpec{Hosts: []string{"desk"}, TimeoutMillis: 1000}},
+		{Kind: object.KindClientAccount, Metadata: object.Metadata{Name: "district"}, Spec: &object.ClientAccountSpec{
+			KeyHashes: []string{hex.EncodeToString(sum[:])}, Ranks: []string{"urgent"}, TokensPerSecond: 1, BurstTokens: 1, MaxInFlight: 1, Class: object.AccountSmall,
+		}},
+	}
+	return snapshot.New(1, objects, nil)
+}
+
+// Run implements relay.Homes.
+func (p *path) Run(ctx context.Context, _ string, r peer.HomeRequest, sink func(peer.Frame) error) error {
+	p.touched.Add(1)
+	return p.home.Serve(ctx, r, sink)
+}
+
+// Admit implements share.Limiter.
+func (p *path) Admit(string, int64, time.Time) (share.Admission, *refusal.Error) {
+	p.touched.Add(1)
+	return settled{}, nil
+}
+
+// Begin implements claim.Claims.
+func (p *path) Begin(_ context.Context, call claim.Call) (claim.Outcome, *refusal.Error) {
+	p.touched.Add(1)
+	return claim.Outcome{Ticket: &claim.Ticket{Call: call}}, nil
+}
+
+// Record implements claim.Claims.
+func (*path) Record(context.Context, *claim.Ticket, claim.Answer) error { return nil }
+
+// Abandon implements claim.Claims.
+func (*path) Abandon(context.Context, *claim.Ticket) error { return nil }
+
+type settled struct{}
+
+func (settled) Settle(int64) {}
+
+type fixedView struct{ snapshot *snapshot.Snapshot }
+
+func (v fixedView) Current() *snapshot.Snapshot { return v.snapshot }
+
+func (fixedView) Changed() <-chan struct{} { return nil }
+
+type openGate struct{}
+
+func (openGate) Enter() (func(), *refusal.Error) { return func() {}, nil }
+
+func (openGate) Ready() (bool, string) { return true, "" }
+
+type ownHome struct{}
+
+func (ownHome) ChooseHome(string, []uint64, map[string]bool) (string, bool) { return "self", true }
+
+type noRetries struct{}
+
+func (noRetries) First(string, time.Time) {}
+
+func (noRetries) Retry(string, int, time.Time) bool { return false }
+
+type noRecorder struct{}
+
+func (noRecorder) Record(string, string, string) {}
+
+type noObserver struct{}
+
+func (noObserver) Observe(callerapi.Sample) {}
+
+type onlyService struct{ address string }
+
+func (s onlyService) Pick(string, map[string]bool) (host, address string, ok bool) {
+	return "desk", s.address, true
+}
+
+func (onlyService) Failed(string) {}
+
+type suspects struct{ tracker *suspect.Tracker }
+
+func (s suspects) Judge(fingerprint uint64, now time.Time) (refuse, isolate bool) {
+	verdict := s.tracker.Verdict(fingerprint, now)
+	return verdict.Refuse, verdict.Isolate
+}
+
+func (s suspects) HoldUntil(fingerprint uint64) time.Time { return s.tracker.HoldUntil(fingerprint) }
+
+func (s suspects) Finished(fingerprint uint64) { s.tracker.Finished(fingerprint) }
+
+func (suspects) Fingerprint(model, prompt string, maxTokens int) uint64 {
+	return suspect.Fingerprint(model, prompt, maxTokens)
+}
