--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -50,9 +50,9 @@
 	MembershipBytesPerSecond = 7_800
 	HostListBytesPerSecond   = 500
 	LeaseBytesPerSecond      = 700
-	ConfigBytesPerSecond     = 450
+	ConfigBytesPerSecond     = 500
 	ShareBytesPerSecond      = 300
-	ProbeBytesPerSecond      = 250
+	ProbeBytesPerSecond      = 200
 )
 
 // Region returns the region of the i-th of n nodes.
--- a/internal/connection/health/capacity_test.go
+++ b/internal/connection/health/capacity_test.go
@@ -63,6 +63,9 @@
 			}
 			perSecond := float64(role.hosts) / benchProbePeriod.Seconds()
 			each := float64(listener.Bytes()) / float64(b.N*probes)
+			if each*perSecond > capacity.ProbeBytesPerSecond {
+				b.Errorf("the probes of a %s take %.0f bytes a second, %.0f each, over %d", role.name, each*perSecond, each, capacity.ProbeBytesPerSecond)
+			}
 			b.ReportMetric(each, "wire-bytes/probe")
 			b.ReportMetric(each*perSecond, "wire-bytes/node/s")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*probes), "ns/probe")
