--- a/internal/process/membership/bench_test.go
+++ b/internal/process/membership/bench_test.go
@@ -1,11 +1,16 @@
 package membership
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"currantladder.example/currantladder/internal/capacity"
+	"currantladder.example/currantladder/internal/connection/peer"
 )
 
 // headerBytes is the size of the HTTP headers of one message.
@@ -48,3 +53,42 @@
 		})
 	}
 }
+
+// tableHandlers answers probes from a table.
+type tableHandlers struct {
+	peer.Handlers
+	table *Table
+	now   time.Time
+}
+
+// Probe implements peer.Handlers.
+func (h tableHandlers) Probe(probe peer.Probe) peer.Probe { return h.table.Reply(probe, h.now) }
+
+// BenchmarkCapacityProbeHTTP exchanges probes between two nodes of a region of
+// the planned size over loopback; both sides are counted.
+func BenchmarkCapacityProbeHTTP(b *testing.B) {
+	f := newFleet(slices.Repeat([]string{"north"}, capacity.NodesPerRegion), 1)
+	f.run(20 * time.Second)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	listener := &capacity.Listener{Listener: inner}
+	const key = "0123456789abcdef0123456789abcdef"
+	server := &http.Server{Handler: peer.NewServer(key, tableHandlers{table: f.tables["node-001"], now: f.now})}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	client := peer.NewClient(key, nil)
+	defer client.Close()
+	const exchanges = 100
+	b.ReportAllocs()
+	for b.Loop() {
+		for range exchanges {
+			if _, err := client.Probe(context.Background(), inner.Addr().String(), f.tables["node-000"].Request(f.now)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(float64(listener.Bytes())/float64(b.N*exchanges), "wire-bytes/exchange")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*exchanges), "ns/exchange")
+}
