--- a/internal/process/node/nodelist.go
+++ b/internal/process/node/nodelist.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/process/lease"
 	"currantladder.example/currantladder/internal/process/operatorapi"
@@ -27,7 +26,6 @@
 		regions:  n.members.Regions(),
 		sessions: sessions,
 		leased:   n.keeper.Live(time.Now()),
-		hosts:    n.roster.Hosts(),
 	}
 	return seen.nodes()
 }
@@ -42,13 +40,11 @@
 	sessions []lease.SessionRow
 	// leased names the nodes whose session row has changed lately.
 	leased []string
-	hosts  map[string]hostlist.Host
 }
 
 // nodes returns every node that was heard of or that has a session row. A node
-// that was not heard of counts as live while its session is and the platform
-// lists it; what it has applied is then known from its region's summary, or
-// not at all.
+// that was not heard of counts as live while its session is; what it has
+// applied is then known from its region's summary, or not at all.
 func (v fleetView) nodes() []operatorapi.Node {
 	heard := make(map[string]bool)
 	var nodes []operatorapi.Node
@@ -75,7 +71,7 @@
 			FailureDomain:   row.FailureDomain,
 			PeerAddress:     row.PeerAddress,
 			AppliedRevision: v.appliedIn(row.Region),
-			Live:            slices.Contains(v.leased, row.Node) && v.listed(row.Node),
+			Live:            slices.Contains(v.leased, row.Node),
 		}})
 	}
 	return nodes
@@ -91,18 +87,3 @@
 	}
 	return 0
 }
-
-// listed reports whether the platform's list names the node. A list without
-// any node tells nothing.
-func (v fleetView) listed(node string) bool {
-	host, ok := v.hosts[node]
-	if ok {
-		return host.Role == hostlist.RoleNode
-	}
-	for _, host := range v.hosts {
-		if host.Role == hostlist.RoleNode {
-			return false
-		}
-	}
-	return true
-}
