Change the version of one group of a model after another

Cause: TestPlanRollsOutOneGroupAfterAnother, new, saw all groups of a model closed at once: each plan judged the others by their state before the plan, and a group went on in place while the hosts that the former had left were still ending streams.

--- a/internal/version/groupcontrol/controller_test.go
+++ b/internal/version/groupcontrol/controller_test.go
@@ -50,6 +50,35 @@
 	})
 }
 
+// TestAdaptersAndVersionsChange changes first the adapters and then the version
+// of a group that serves.
+func TestAdaptersAndVersionsChange(t *testing.T) {
+	inHall(t, 3, func(h *hall) {
+		spec := object.ReplicaGroupSpec{Model: "m", ModelVersion: "1", FailureDomain: testDomain, Members: 3, Worth: 1}
+		h.declareSpec(spec, "a")
+		h.addNode("n1", nil)
+		h.awaitOpen([]string{"a"}, time.Minute)
+		before := h.placements()["a"]
+		spec.Adapters = []string{"fr", "nl"}
+		h.declareSpec(spec, "a")
+		time.Sleep(2 * testPeriod)
+		h.awaitOpen([]string{"a"}, testPeriod)
+		for _, member := range before.Members {
+			if state := h.engines[member].State(); !slices.Equal(state.Adapters, spec.Adapters) || state.Generation != before.Generation {
+				t.Errorf("host %s holds %+v, want adapters %v at generation %d", member, state, spec.Adapters, before.Generation)
+			}
+		}
+		spec.ModelVersion = "2"
+		h.declareSpec(spec, "a")
+		time.Sleep(2 * testLoad)
+		h.awaitOpen([]string{"a"}, testLoad)
+		after := h.placements()["a"]
+		if after.ModelVersion != "2" || slices.Equal(after.Members, before.Members) {
+			t.Errorf("placement %+v, want version 2 on the free hosts", after)
+		}
+	})
+}
+
 // TestInvariantHostExclusive runs three racing controllers under paused nodes,
 // lost answers, outages, and crashing, silent and restarting engines. No host
 // is ever a member of two groups, epochs never fall, engines that check
--- a/internal/version/groupcontrol/harness_test.go
+++ b/internal/version/groupcontrol/harness_test.go
@@ -302,9 +302,13 @@
 
 // declare sets the groups, each of three members, and the hosts' facts.
 func (h *hall) declare(groups ...string) {
+	h.declareSpec(object.ReplicaGroupSpec{Model: "m", ModelVersion: "1", FailureDomain: testDomain, Members: 3, Worth: 1}, groups...)
+}
+
+func (h *hall) declareSpec(common object.ReplicaGroupSpec, groups ...string) {
 	var objects []*object.Object
 	for _, name := range groups {
-		spec := &object.ReplicaGroupSpec{Model: "m", ModelVersion: "1", FailureDomain: testDomain, Members: 3, Worth: 1}
+		spec := &common
 		objects = append(objects, &object.Object{Kind: object.KindReplicaGroup, Metadata: object.Metadata{Name: name}, Spec: spec})
 	}
 	for _, name := range h.names {
--- a/internal/version/placement/plan.go
+++ b/internal/version/placement/plan.go
@@ -36,6 +36,8 @@
 	lostByGroup map[string][]vacancy
 	// settled holds groups that an earlier step of this plan has decided.
 	settled map[string]bool
+	// rolling holds the models of which a group changes its version.
+	rolling map[string]bool
 	// wanted names, for a group to be given up, the group in whose favour.
 	wanted map[string]string
 	steps  []Step
@@ -89,6 +91,7 @@
 		spares:  map[string][]*Host{},
 		loading: map[string]bool{},
 		settled: map[string]bool{},
+		rolling: map[string]bool{},
 		wanted:  map[string]string{},
 
 		lostByGroup: map[string][]vacancy{},
--- a/internal/version/placement/plan_test.go
+++ b/internal/version/placement/plan_test.go
@@ -210,6 +210,52 @@
 	}
 }
 
+// TestPlanRollsOutOneGroupAfterAnother declares a new version for every group
+// of a model. At no time are two of them closed, and where a whole set of
+// hosts is free the groups serve on while it loads.
+func TestPlanRollsOutOneGroupAfterAnother(t *testing.T) {
+	inPlace := (DefaultPolicy(simLoad, simLoads).Drain + simLoad + 2*time.Second).Seconds()
+	for _, test := range []struct {
+		name     string
+		groups   int
+		mostLost float64
+	}{
+		{"free set", 3, 3 * simStep.Seconds()},
+		{"in place", 4, 4 * inPlace},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			mostClosed := 0
+			var w *simWorld
+			w = newSimWorld(func(in *Input) []Step {
+				closed := 0
+				for i := range w.groups {
+					if w.service(&w.groups[i]) == 0 {
+						closed++
+					}
+				}
+				mostClosed = max(mostClosed, closed)
+				return Plan(in)
+			}, test.groups, 10)
+			w.run([]simEvent{{time.Second, func(w *simWorld) {
+				for _, g := range w.groups {
+					g.Spec.ModelVersion = "2"
+				}
+			}}})
+			for _, g := range w.groups {
+				if !serving(&g) || g.Placement.ModelVersion != "2" {
+					t.Errorf("group %s: %+v", g.Name, g.Placement)
+				}
+			}
+			if mostClosed > 1 {
+				t.Errorf("%d groups of the model were closed at once", mostClosed)
+			}
+			if w.lost > test.mostLost {
+				t.Errorf("%.1f s of service lost, want at most %.1f", w.lost, test.mostLost)
+			}
+		})
+	}
+}
+
 // TestPlanStopsInTwoSteps checks that a deleted group closes first and keeps
 // its hosts for the drain time.
 func TestPlanStopsInTwoSteps(t *testing.T) {
--- a/internal/version/placement/rollout.go
+++ b/internal/version/placement/rollout.go
@@ -20,8 +20,8 @@
 	switch {
 	case len(staged) == len(g.Placement.Members) && len(positionsWithout(positionsUpTo(len(staged)), staged)) == 0:
 		p.rolloutPrepared(g, staged, change)
-	case p.otherClosed(g, all):
-		p.wait(g, p.in.Now.Add(p.in.Policy.LoadTime), reasonVersionChange, change+"; another group of the model is closed, so this one serves on")
+	case p.otherChanges(g, all):
+		p.wait(g, p.in.Now.Add(p.in.Policy.LoadTime), reasonVersionChange, change+"; another group of the model is closed or changes, so this one serves on until then")
 	case !p.mayLoad(g.Name):
 		p.waitForStore(g)
 	default:
@@ -38,6 +38,7 @@
 }
 
 func (p *planner) rolloutStart(g *Group, staged map[int]*Host, change string) {
+	p.rolling[g.Spec.Model] = true
 	domain := p.fittingDomain(len(g.Placement.Members), "")
 	if domain == "" {
 		step := p.change(g, KindMarkBroken, object.PhaseBroken, reasonVersionChange, change+"; its streams end before it loads")
@@ -79,11 +80,32 @@
 	p.add(step)
 }
 
-// otherClosed reports whether another group of the model does not serve.
-func (p *planner) otherClosed(g *Group, all []Group) bool {
+// otherChanges reports whether another group of the model is closed or in the
+// middle of a change. One that stays closed holds the others back only for the
+// time that its loads may take.
+func (p *planner) otherChanges(g *Group, all []Group) bool {
+	if p.rolling[g.Spec.Model] {
+		return true
+	}
 	for i := range all {
 		other := &all[i]
-		if other.Name != g.Name && other.Spec != nil && other.Spec.Model == g.Spec.Model && placed(other) && !serving(other) {
+		if other.Name == g.Name || other.Spec == nil || other.Spec.Model != g.Spec.Model || !placed(other) {
+			continue
+		}
+		members := len(other.Placement.Members)
+		closed := !serving(other) && p.in.Now.Before(p.stuckAt(other))
+		moving := len(p.staged(other)) == members
+		if closed || moving || p.holdsFormer(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsFormer reports whether hosts that the group has left still end streams.
+func (p *planner) holdsFormer(g *Group) bool {
+	for _, h := range p.claimed[g.Name] {
+		if h.Claim.Generation < g.Placement.Generation {
 			return true
 		}
 	}
