--- a/internal/version/placement/plan_test.go
+++ b/internal/version/placement/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,6 +83,66 @@
 	})
 }
 
+// TestPlanFollowsDeclarations changes what is declared at random, under random
+// losses. Once every host is back, exactly the declared groups serve, as
+// declared, and nothing else is claimed.
+func TestPlanFollowsDeclarations(t *testing.T) {
+	fixSeed(t)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSimWorld(Plan, 4, 10)
+		w.step = 2 * time.Second
+		var events []simEvent
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			at += time.Duration(rapid.IntRange(0, 30).Draw(t, "gap")) * time.Second
+			if rapid.Bool().Draw(t, "declares") {
+				events = append(events, drawDeclaration(t, at))
+			} else {
+				events = append(events, drawEvent(t, w, at))
+			}
+		}
+		events = append(events, simEvent{at, heal})
+		w.horizon = at + 2*simHorizon
+		w.run(events)
+		for _, v := range w.violations {
+			t.Error(v)
+		}
+		for _, g := range w.groups {
+			switch {
+			case g.Spec == nil && g.Placement != nil:
+				t.Errorf("deleted group %s: %+v", g.Name, g.Placement)
+			case g.Spec != nil && !asDeclared(&g):
+				t.Errorf("group %s declared as %+v: %+v", g.Name, g.Spec, g.Placement)
+			}
+		}
+		for _, h := range w.hosts {
+			if g := w.group(h.claim.Group); g != nil && (g.Placement == nil || !slices.Contains(g.Placement.Members, h.name)) {
+				t.Errorf("host %s is claimed by %s, which does not use it", h.name, g.Name)
+			}
+		}
+	})
+}
+
+func asDeclared(g *Group) bool {
+	return serving(g) && len(g.Placement.Members) == g.Spec.Members && g.Placement.ModelVersion == g.Spec.ModelVersion
+}
+
+func drawDeclaration(t *rapid.T, at time.Duration) simEvent {
+	const groups, versions, mostMembers = 4, 3, 4
+	name := fmt.Sprintf("g%d", rapid.IntRange(0, groups-1).Draw(t, "group"))
+	spec := &object.ReplicaGroupSpec{
+		Model:         "m",
+		ModelVersion:  fmt.Sprint(rapid.IntRange(1, versions).Draw(t, "version")),
+		FailureDomain: "fd",
+		Members:       rapid.IntRange(2, mostMembers).Draw(t, "members"),
+		Worth:         rapid.IntRange(0, 3).Draw(t, "worth"),
+	}
+	if rapid.IntRange(0, 4).Draw(t, "deletes") == 0 {
+		spec = nil
+	}
+	return simEvent{at, func(w *simWorld) { w.group(name).Spec = spec }}
+}
+
 // heal brings every host back; those that crashed restart without weights.
 func heal(w *simWorld) {
 	for _, h := range w.hosts {
--- a/internal/version/placement/sim_test.go
+++ b/internal/version/placement/sim_test.go
@@ -163,7 +163,10 @@
 			w.byName[c.Host].claim = c.Claim
 		}
 		for _, p := range s.Placements {
-			w.setPlacement(p)
+			w.setPlacement(p.Group, p)
+		}
+		if s.DeletePlacement {
+			w.setPlacement(s.Group, nil)
 		}
 		for _, o := range s.Orders {
 			w.order(w.byName[o.Host], o.Order)
@@ -173,14 +176,23 @@
 	return acted
 }
 
-func (w *simWorld) setPlacement(p *object.Placement) {
+func (w *simWorld) setPlacement(group string, p *object.Placement) {
 	for i := range w.groups {
-		if w.groups[i].Name == p.Group {
+		if w.groups[i].Name == group {
 			w.groups[i].Placement = p
 		}
 	}
 }
 
+func (w *simWorld) group(name string) *Group {
+	for i := range w.groups {
+		if w.groups[i].Name == name {
+			return &w.groups[i]
+		}
+	}
+	return nil
+}
+
 func (w *simWorld) order(h *simHost, o endpoint.Order) {
 	if h.crashed || h.silent {
 		return
@@ -240,6 +252,9 @@
 		g := &w.groups[i]
 		rate := w.service(g)
 		w.lost += (1 - rate) * w.step.Seconds() * float64(worth(g))
+		if g.Placement == nil {
+			continue
+		}
 		for _, h := range w.hosts {
 			idle := rate == 0 || h.claim.Generation > g.Placement.Generation
 			if h.claim.Group == g.Name && idle && !h.crashed && !h.silent {
