--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -234,6 +234,7 @@
 	source := peerSource{members: n.members, client: n.peers, seeds: s.Peers.Seeds, self: s.Node.Name}
 	n.acceptor = configlog.NewAcceptor(n.store, n.log)
 	n.follower = configlog.NewFollower(n.store, source, s.Timing.HeadPoll, n.log)
+	n.acceptor.OnAccept(n.follower.Offer)
 	n.sweeper = configlog.NewSweeper(n.store, keptRevisions, sweepPeriod, n.log)
 	probeClient := n.httpClient()
 	policy := placement.DefaultPolicy(s.Platform.LoadTime, s.Platform.ConcurrentLoads)
@@ -297,10 +298,10 @@
 	n.claims = claim.New(n.store, claim.Options{})
 	n.budget = &retryBudget{budget: retry.NewBudget(), view: n.follower}
 	n.suspects = suspect.New()
-	n.home = dispatch.NewHome(n.dutiesCtx, n.endpoints, n.reportCrash)
+	n.home = dispatch.NewHome(n.dutiesCtx, n.endpoints, suspects{n.suspects}, n.reportCrash)
 	n.recorder = explain.NewRecorder(s.Node.Name)
 	n.burn = burn.NewRecorder(s.Node.Name, n.follower)
-	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Recorder: n.recorder}
+	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Suspects: suspects{n.suspects}, Recorder: n.recorder}
 	n.gate = newGate(s.Callers.MaxStreams, n.unfit)
 }
 
