--- a/internal/process/callerapi/server.go
+++ b/internal/process/callerapi/server.go
@@ -41,6 +41,9 @@
 	HeaderReplayed = "Idempotency-Replayed"
 )
 
+// maxTimeout bounds the deadline that a caller may set.
+const maxTimeout = 24 * time.Hour
+
 // Outcome classifies how a request ended for the caller.
 type Outcome string
 
@@ -218,8 +221,8 @@
 		return nil
 	}
 	millis, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || millis <= 0 {
-		return refusal.New(refusal.KindBadRequest, http.StatusBadRequest, fmt.Sprintf("header %s is %q; use a positive number of milliseconds", HeaderTimeout, text))
+	if err != nil || millis <= 0 || millis > maxTimeout.Milliseconds() {
+		return refusal.New(refusal.KindBadRequest, http.StatusBadRequest, fmt.Sprintf("header %s is %q; use a number of milliseconds from 1 to %d", HeaderTimeout, text, maxTimeout.Milliseconds()))
 	}
 	c.deadline = c.received.Add(time.Duration(millis) * time.Millisecond)
 	return nil
