--- a/internal/process/callerapi/harness_test.go
+++ b/internal/process/callerapi/harness_test.go
@@ -122,7 +122,9 @@
 
 type ownHome struct{}
 
-func (ownHome) ChooseHome(string, []uint64, map[string]bool) (string, bool) { return "self", true }
+func (ownHome) ChooseHome(_ string, _ []uint64, avoid map[string]bool) (string, bool) {
+	return "self", !avoid["self"]
+}
 
 type noRetries struct{}
 
