--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -234,6 +234,7 @@
 	source := peerSource{members: n.members, client: n.peers, seeds: s.Peers.Seeds, self: s.Node.Name}
 	n.acceptor = configlog.NewAcceptor(n.store, n.log)
 	n.follower = configlog.NewFollower(n.store, source, s.Timing.HeadPoll, n.log)
+	n.acceptor.OnAccept(n.follower.Offer)
 	n.sweeper = configlog.NewSweeper(n.store, keptRevisions, sweepPeriod, n.log)
 	probeClient := n.httpClient()
 	policy := placement.DefaultPolicy(s.Platform.LoadTime, s.Platform.ConcurrentLoads)
@@ -271,6 +272,10 @@
 	sweepPeriod = 10 * time.Minute
 )
 
+// capWait is how long a request may wait for a part of its account's cap to
+// move to this node.
+const capWait = 300 * time.Millisecond
+
 // shareMargin covers the lag of the host list and the drift of clocks.
 const shareMargin = 2 * time.Second
 
@@ -392,7 +397,7 @@
 	callers = callerapi.New(callerapi.Deps{
 		View:         n.follower,
 		Gate:         n.gate,
-		Limiter:      n.shares,
+		Limiter:      share.NewWaitingLimiter(n.shares, capWait),
 		Claims:       n.claims,
 		Relay:        n.relay,
 		Suspects:     suspects{n.suspects},
