--- a/internal/request/share/capacity_test.go
+++ b/internal/request/share/capacity_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 	*Manager
 	store *capacity.Store
 	hosts hostlist.List
+	// held is the heap that the rows as read take, in bytes.
+	held float64
 }
 
 func benchNode(i int) string { return fmt.Sprintf("node-%03d", i) }
@@ -70,10 +73,21 @@
 	if !bm.mayRead() {
 		b.Fatal("the manager has no presence")
 	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
 	bm.readAll(context.Background())
+	// Twice, so that pools are emptied too.
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	bm.held = float64(after.HeapAlloc) - float64(before.HeapAlloc)
 	return bm
 }
 
+// maxShareBytes bounds the share rows in memory.
+const maxShareBytes = capacity.MemoryBytes * 3 / 8
+
 // BenchmarkCapacityShareTick decides the next move of every account.
 func BenchmarkCapacityShareTick(b *testing.B) {
 	for _, n := range capacity.Sizes {
@@ -84,6 +98,10 @@
 				bm.tick()
 			}
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tickPeriod.Seconds(), "ns/node/s")
+			b.ReportMetric(bm.held, "heap-bytes")
+			if bm.held > maxShareBytes {
+				b.Fatalf("the share rows take %.0f bytes, over %d", bm.held, maxShareBytes)
+			}
 		})
 	}
 }
--- a/internal/request/share/duty.go
+++ b/internal/request/share/duty.go
@@ -210,30 +210,50 @@
 	return nodes
 }
 
-// readAll reads all share rows and returns their size in bytes.
+// readAll reads all share rows and returns their size in bytes, 0 where it
+// failed.
 func (m *Manager) readAll(ctx context.Context) (size int) {
-	ctx, cancel := callContext(ctx)
-	defer cancel()
-	sent := time.Now()
-	rows, err := m.options.Store.List(ctx, table.Range{Prefix: table.PrefixShare})
-	if err != nil {
-		return 0
-	}
 	present := map[string]bool{}
-	for _, row := range rows {
-		size += len(row.Value)
-		account := strings.TrimPrefix(row.Key, table.PrefixShare)
-		present[account] = true
-		_ = m.takeRow(account, row, sent)
+	began := time.Now()
+	from := ""
+	for {
+		rows, err := m.readPage(ctx, from)
+		if err != nil {
+			return 0
+		}
+		for _, row := range rows {
+			size += len(row.Value)
+			present[strings.TrimPrefix(row.Key, table.PrefixShare)] = true
+		}
+		if len(rows) < rowsPerRead {
+			break
+		}
+		from = rows[len(rows)-1].Key + "\x00"
 	}
 	for _, account := range m.accounts() {
 		if !present[account] {
-			_ = m.takeRow(account, table.Row{}, sent)
+			_ = m.takeRow(account, table.Row{}, began)
 		}
 	}
 	return size
 }
 
+// readPage reads and takes the rows from a key on, so many that what is held
+// in memory at one time is small beside the whole.
+func (m *Manager) readPage(ctx context.Context, from string) ([]table.Row, error) {
+	ctx, cancel := callContext(ctx)
+	defer cancel()
+	sent := time.Now()
+	rows, err := m.options.Store.List(ctx, table.Range{Prefix: table.PrefixShare, From: from, Limit: rowsPerRead})
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range rows {
+		_ = m.takeRow(strings.TrimPrefix(row.Key, table.PrefixShare), row, sent)
+	}
+	return rows, nil
+}
+
 // accounts lists the accounts that have a ledger here.
 func (m *Manager) accounts() []string {
 	m.mu.Lock()
--- a/internal/request/share/manager.go
+++ b/internal/request/share/manager.go
@@ -88,6 +88,8 @@
 	// nodeReadBytes bounds the share rows that a node reads in one second, on
 	// average. Rows that a move needs are read besides.
 	nodeReadBytes = 20_000
+	// rowsPerRead bounds the rows of one read.
+	rowsPerRead = 32
 )
 
 // Manager holds this process's shares of all accounts. It implements Limiter
--- a/internal/request/share/units.go
+++ b/internal/request/share/units.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"unique"
 )
 
 // Units is a fraction of one cap, in 1/Whole. Fractions rather than absolute
@@ -100,12 +101,23 @@
 	if err := json.Unmarshal(data, &row); err != nil {
 		return Row{}, fmt.Errorf("share row: %w", err)
 	}
+	row.compact()
 	if !row.valid() {
 		return Row{}, fmt.Errorf("share row of account %q exceeds its cap: delete it while all nodes are stopped", row.Account)
 	}
 	return row, nil
 }
 
+// compact drops what decoding allocated in excess. Every row names the same
+// nodes and holders, so their names are shared.
+func (r *Row) compact() {
+	r.Parts = append(make([]Part, 0, len(r.Parts)), r.Parts...)
+	for i := range r.Parts {
+		r.Parts[i].Node = unique.Make(r.Parts[i].Node).Value()
+		r.Parts[i].Holder = unique.Make(r.Parts[i].Holder).Value()
+	}
+}
+
 func (r Row) valid() bool {
 	if len(r.Parts) > maxParts {
 		return false
