--- a/internal/connection/hostlist/capacity_test.go
+++ b/internal/connection/hostlist/capacity_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -114,3 +116,42 @@
 		}
 	}
 }
+
+// BenchmarkCapacityHostListUnchanged polls a list that has not changed, from a
+// server that does nothing else, and reports the heap that the list takes.
+func BenchmarkCapacityHostListUnchanged(b *testing.B) {
+	p, _ := servePlatform(b, capacity.Nodes)
+	body, err := json.Marshal(p.Hosts())
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("ETag", `"1"`)
+		if r.Header.Get("If-None-Match") != "" {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		_, _ = w.Write(body)
+	}))
+	defer server.Close()
+	client := hostlist.NewClient(server.URL, server.Client())
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	list, err := client.List(context.Background())
+	if err != nil {
+		b.Fatal(err)
+	}
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for b.Loop() {
+		if _, err := client.List(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	runtime.KeepAlive(list)
+	b.ReportMetric(float64(len(list.Hosts)), "hosts")
+	b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+}
