--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -34,7 +34,7 @@
 	// BytesPerSecond bounds what a node sends and receives.
 	BytesPerSecond = 10_000
 	// MemoryBytes bounds the heap.
-	MemoryBytes = 32 << 20
+	MemoryBytes = 32_000_000
 	// CPUShare bounds the part of one core.
 	CPUShare = 0.041
 )
