Bound the time of a request and count prompts against the cap

Cause: in-flight slots of a lost node could be given to others while its requests still ran at endpoints; the demo compared generated tokens alone with a cap that counts prompts too. Ruled out: freeing slots at the void time; a cut node's requests go on. Change: request_limit in [timing] ends requests and delays the reclaim of in-flight slots; the demo charges prompts.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -257,6 +257,7 @@
 			Isolation:    5 * time.Second,
 			ShareVoid:    6 * time.Second,
 			DrainTimeout: 20 * time.Second,
+			RequestLimit: 10 * time.Second,
 		},
 	}
 }
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/process/callerapi"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/standin/engine"
@@ -42,6 +43,16 @@
 	firstToken time.Duration
 	gaps       []time.Duration
 	tokens     int
+	// promptTokens count against the cap once a token was generated.
+	promptTokens int
+}
+
+// charged returns the tokens that count against the account's cap.
+func (r result) charged() int {
+	if r.tokens == 0 {
+		return 0
+	}
+	return r.tokens + r.promptTokens
 }
 
 // load drives callers against the live nodes.
@@ -151,7 +162,7 @@
 // model gives for this prompt.
 func (l *load) complete(a account, rank, prompt string, maxTokens int) result {
 	n := l.pick()
-	r := result{account: a.name, rank: rank, node: n, outcome: unknown, sent: time.Now()}
+	r := result{account: a.name, rank: rank, node: n, outcome: unknown, sent: time.Now(), promptTokens: endpoint.CountTokens(prompt)}
 	if n == nil {
 		r.outcome = refused
 		return r
--- a/internal/demo/promises.go
+++ b/internal/demo/promises.go
@@ -174,7 +174,7 @@
 	}
 	tokens := make(map[string]int)
 	for _, r := range results {
-		tokens[r.account] += r.tokens
+		tokens[r.account] += r.charged()
 		switch r.outcome {
 		case served, wrong:
 			p.answerWhole.check(r.outcome == served, "request %s of %s got an answer that is not its own or not whole", r.id, r.account)
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -111,11 +111,11 @@
 	const percent = 100
 	tokens := make(map[string]int)
 	for _, r := range results {
-		tokens[r.account] += r.tokens
+		tokens[r.account] += r.charged()
 	}
 	for _, a := range accounts()[:2] {
 		limit := a.tokensPerSecond*elapsed.Seconds() + float64(a.burst)
-		fmt.Fprintf(w, "cap use of %s: %d of %.0f generated tokens (%.0f%%)\n", a.name, tokens[a.name], limit, percent*float64(tokens[a.name])/limit)
+		fmt.Fprintf(w, "cap use of %s: %d of %.0f tokens (%.0f%%)\n", a.name, tokens[a.name], limit, percent*float64(tokens[a.name])/limit)
 	}
 }
 
--- a/internal/process/callerapi/server.go
+++ b/internal/process/callerapi/server.go
@@ -116,6 +116,8 @@
 	Observer Observer
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
+	// RequestLimit bounds the time of one request; zero means no bound.
+	RequestLimit time.Duration
 }
 
 // Server serves callers.
@@ -193,7 +195,7 @@
 	if refused := s.readBody(w, r, current); refused != nil {
 		return refused
 	}
-	ctx, cancel := current.context(r.Context())
+	ctx, cancel := current.context(r.Context(), s.deps.RequestLimit)
 	defer cancel()
 	return handler(w, r.WithContext(ctx), current)
 }
@@ -266,11 +268,17 @@
 	return nil
 }
 
-func (c *session) context(parent context.Context) (context.Context, context.CancelFunc) {
-	if c.deadline.IsZero() {
+// context returns a context that ends at the caller's deadline or the limit,
+// whichever comes first.
+func (c *session) context(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	end := c.deadline
+	if last := c.received.Add(limit); limit > 0 && (end.IsZero() || last.Before(end)) {
+		end = last
+	}
+	if end.IsZero() {
 		return context.WithCancel(parent)
 	}
-	return context.WithDeadline(parent, c.deadline)
+	return context.WithDeadline(parent, end)
 }
 
 func (s *Server) observeRefusal(ctx context.Context, current *session, refused *refusal.Error) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -282,18 +282,19 @@
 func (n *Node) buildRequestPath() {
 	s := n.settings
 	n.shares = share.NewManager(share.Options{
-		Node:      s.Node.Name,
-		Address:   n.Addresses().Peers,
-		Store:     n.store,
-		View:      n.follower,
-		Peers:     shareClient{members: n.members, client: n.peers},
-		Live:      n.liveNodes,
-		FleetSize: func() int { return len(n.keeper.Roster()) },
-		Session:   n.shareSession,
-		Hosts:     n.hostView,
-		Void:      s.Timing.ShareVoid,
-		Margin:    shareMargin,
-		Log:       n.log,
+		Node:         s.Node.Name,
+		Address:      n.Addresses().Peers,
+		Store:        n.store,
+		View:         n.follower,
+		Peers:        shareClient{members: n.members, client: n.peers},
+		Live:         n.liveNodes,
+		FleetSize:    func() int { return len(n.keeper.Roster()) },
+		Session:      n.shareSession,
+		Hosts:        n.hostView,
+		Void:         s.Timing.ShareVoid,
+		Margin:       shareMargin,
+		RequestLimit: s.Timing.RequestLimit,
+		Log:          n.log,
 	})
 	n.claims = claim.New(n.store, claim.Options{})
 	n.budget = &retryBudget{budget: retry.NewBudget(), view: n.follower}
@@ -407,6 +408,7 @@
 		Client:       n.endpoints,
 		Observer:     observers{n.metrics, n.burn},
 		MaxBodyBytes: n.settings.Callers.MaxBodyBytes,
+		RequestLimit: n.settings.Timing.RequestLimit,
 	})
 	peers = peer.NewServer(n.settings.Peers.Key, peerHandlers{n})
 	api, err := operatorapi.New(operatorapi.Deps{
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -139,6 +139,7 @@
 		timeout("isolation", "10s", "how long a node without table service and peers accepts work; above peer_timeout", func(t *Timing) *time.Duration { return &t.Isolation }),
 		timeout("share_void", "1m", "how long a node is unreachable before its cap shares are reclaimed; above lease_ttl", func(t *Timing) *time.Duration { return &t.ShareVoid }),
 		timeout("drain_timeout", "10m", "how long a stopping node waits for its requests", func(t *Timing) *time.Duration { return &t.DrainTimeout }),
+		timeout("request_limit", "5m", "longest time of one request; the slots of a lost node come back after it", func(t *Timing) *time.Duration { return &t.RequestLimit }),
 	}
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -99,6 +99,9 @@
 	ShareVoid time.Duration
 	// DrainTimeout bounds how long a stopping node waits for requests.
 	DrainTimeout time.Duration
+	// RequestLimit is the longest time of one request. The in-flight slots of
+	// a lost node are reclaimed only after it.
+	RequestLimit time.Duration
 }
 
 // Log configures logging. Section [log].
