Keep floors when they add up to most of the tokens

Among ranks short of their headroom, the one with the least running share went first, also when another one's window was nearer its floor. Change: the lower of the two shares decides, and the headroom is 1.35. Cause 2: the newest run is often one that was preempted just before, until it is immune.

--- a/internal/request/queue/floor.go
+++ b/internal/request/queue/floor.go
@@ -8,7 +8,7 @@
 const (
 	// floorHeadroom is how far above its floor a rank is kept, as a multiple:
 	// tokens come unevenly, and prompts at once.
-	floorHeadroom = 1.2
+	floorHeadroom = 1.35
 	// controlWindow is the time over which shares are compared with floors.
 	// It is shorter than Window, so that a shortfall is made up inside it.
 	controlWindow = Window / 3
@@ -48,20 +48,20 @@
 	return first, ReasonRankOrder
 }
 
-// floorLevel returns the running share of a rank as a multiple of its floor,
-// and whether the rank is due a slot: its running share would fall below the
-// floor, or its share of the window has.
+// floorLevel returns the running share of a rank or its share of the control
+// window, the lower one, as a multiple of its floor; and whether the rank is
+// due a slot.
 func (s *Scheduler) floorLevel(r *rankState, throughput float64, now time.Time) (float64, bool) {
 	if r.FloorShare <= 0 {
 		return 0, false
 	}
 	speed := s.speed(r)
 	level := float64(r.running.Len()-r.preempting) * speed / (r.FloorShare * (throughput + speed))
+	share := s.shareSince(r, now.Add(-controlWindow), now) / r.FloorShare
 	if level < 1 {
-		return level, true
+		return min(level, share), true
 	}
-	share := s.shareSince(r, now.Add(-controlWindow), now)
-	return level, level < maxCatchUp && share < floorHeadroom*r.FloorShare
+	return min(level, share), level < maxCatchUp && share < floorHeadroom
 }
 
 // shareSince returns the rank's share of the tokens since the given time or
--- a/internal/request/queue/preempt.go
+++ b/internal/request/queue/preempt.go
@@ -90,9 +90,9 @@
 	return rate
 }
 
-// victim returns the run to cancel for a request of rank r: the newest of
-// the least urgent rank that stays at its floor without it. It is nil where
-// there is none.
+// victim returns the run to cancel for a request of rank r, one of the least
+// urgent rank that stays at its floor without it. It is nil where there is
+// none.
 func (s *Scheduler) victim(r *rankState) *item {
 	for i := len(s.ranks) - 1; i >= 0; i-- {
 		lower := s.ranks[i]
@@ -109,16 +109,23 @@
 	return nil
 }
 
+// newestVictim returns the run of the rank that was preempted least often
+// before; of several, the newest, which loses the least work.
 func (s *Scheduler) newestVictim(r *rankState) *item {
+	var best *item
+	least := maxPreemptions
 	scanned := 0
 	for e := r.running.Back(); e != nil && scanned < maxVictimScan; e = e.Prev() {
+		scanned++
 		it := e.Value.(*item)
-		if !it.preempting && it.group.slots > 0 && s.victims.count(it.ID) < maxPreemptions {
-			return it
+		if it.preempting || it.group.slots == 0 {
+			continue
+		}
+		if count := s.victims.count(it.ID); count < least {
+			best, least = it, count
 		}
-		scanned++
 	}
-	return nil
+	return best
 }
 
 // preemptionWake returns when a waiting request passes its grace or a
