--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -34,7 +34,7 @@
 	// BytesPerSecond bounds what a node sends and receives.
 	BytesPerSecond = 10_000
 	// MemoryBytes bounds the heap.
-	MemoryBytes = 32 << 20
+	MemoryBytes = 32_000_000
 	// CPUShare bounds the part of one core.
 	CPUShare = 0.041
 )
@@ -50,9 +50,9 @@
 	MembershipBytesPerSecond = 7_800
 	HostListBytesPerSecond   = 500
 	LeaseBytesPerSecond      = 700
-	ConfigBytesPerSecond     = 450
+	ConfigBytesPerSecond     = 500
 	ShareBytesPerSecond      = 300
-	ProbeBytesPerSecond      = 250
+	ProbeBytesPerSecond      = 200
 )
 
 // Region returns the region of the i-th of n nodes.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -234,6 +234,7 @@
 	source := peerSource{members: n.members, client: n.peers, seeds: s.Peers.Seeds, self: s.Node.Name}
 	n.acceptor = configlog.NewAcceptor(n.store, n.log)
 	n.follower = configlog.NewFollower(n.store, source, s.Timing.HeadPoll, n.log)
+	n.acceptor.OnAccept(n.follower.Offer)
 	n.sweeper = configlog.NewSweeper(n.store, keptRevisions, sweepPeriod, n.log)
 	probeClient := n.httpClient()
 	policy := placement.DefaultPolicy(s.Platform.LoadTime, s.Platform.ConcurrentLoads)
@@ -271,6 +272,10 @@
 	sweepPeriod = 10 * time.Minute
 )
 
+// capWait is how long a request may wait for a part of its account's cap to
+// move to this node.
+const capWait = 300 * time.Millisecond
+
 // shareMargin covers the lag of the host list and the drift of clocks.
 const shareMargin = 2 * time.Second
 
@@ -293,10 +298,10 @@
 	n.claims = claim.New(n.store, claim.Options{})
 	n.budget = &retryBudget{budget: retry.NewBudget(), view: n.follower}
 	n.suspects = suspect.New()
-	n.home = dispatch.NewHome(n.dutiesCtx, n.endpoints, n.reportCrash)
+	n.home = dispatch.NewHome(n.dutiesCtx, n.endpoints, suspects{n.suspects}, n.reportCrash)
 	n.recorder = explain.NewRecorder(s.Node.Name)
 	n.burn = burn.NewRecorder(s.Node.Name, n.follower)
-	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Recorder: n.recorder}
+	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Suspects: suspects{n.suspects}, Recorder: n.recorder}
 	n.gate = newGate(s.Callers.MaxStreams, n.unfit)
 }
 
@@ -384,7 +389,9 @@
 		loss.FailureDomain = placement.FailureDomain
 		loss.FabricDomain = placement.FabricDomain
 	}
-	n.suspects.Lost(loss, time.Now())
+	for _, fingerprint := range n.suspects.Lost(loss, time.Now()) {
+		n.log.Log(eventlog.CrashSuspectAdded, eventlog.Fields{"fingerprint": fingerprint, "group": group})
+	}
 }
 
 // handlers returns the handler of each listener.
@@ -392,7 +399,7 @@
 	callers = callerapi.New(callerapi.Deps{
 		View:         n.follower,
 		Gate:         n.gate,
-		Limiter:      n.shares,
+		Limiter:      share.NewWaitingLimiter(n.shares, capWait),
 		Claims:       n.claims,
 		Relay:        n.relay,
 		Suspects:     suspects{n.suspects},
--- a/internal/version/placement/sim_test.go
+++ b/internal/version/placement/sim_test.go
@@ -43,6 +43,7 @@
 	policy     Policy
 	plan       func(*Input) []Step
 	detector   *Detector
+	slowLeader string  // group whose leader answers slowly, whichever host it is
 	lost       float64 // seconds of service lost, weighted by worth, over all groups
 	stranded   float64 // accelerator-seconds claimed by closed groups
 	kinds      map[Kind]int
@@ -126,9 +127,9 @@
 			continue
 		}
 		var samples []Sample
-		for _, m := range g.Placement.Members {
+		for i, m := range g.Placement.Members {
 			latency := time.Millisecond
-			if w.byName[m].slow {
+			if w.byName[m].slow || i == 0 && g.Name == w.slowLeader {
 				latency = time.Second
 			}
 			samples = append(samples, Sample{m, latency})
@@ -162,7 +163,10 @@
 			w.byName[c.Host].claim = c.Claim
 		}
 		for _, p := range s.Placements {
-			w.setPlacement(p)
+			w.setPlacement(p.Group, p)
+		}
+		if s.DeletePlacement {
+			w.setPlacement(s.Group, nil)
 		}
 		for _, o := range s.Orders {
 			w.order(w.byName[o.Host], o.Order)
@@ -172,14 +176,23 @@
 	return acted
 }
 
-func (w *simWorld) setPlacement(p *object.Placement) {
+func (w *simWorld) setPlacement(group string, p *object.Placement) {
 	for i := range w.groups {
-		if w.groups[i].Name == p.Group {
+		if w.groups[i].Name == group {
 			w.groups[i].Placement = p
 		}
 	}
 }
 
+func (w *simWorld) group(name string) *Group {
+	for i := range w.groups {
+		if w.groups[i].Name == name {
+			return &w.groups[i]
+		}
+	}
+	return nil
+}
+
 func (w *simWorld) order(h *simHost, o endpoint.Order) {
 	if h.crashed || h.silent {
 		return
@@ -239,6 +252,9 @@
 		g := &w.groups[i]
 		rate := w.service(g)
 		w.lost += (1 - rate) * w.step.Seconds() * float64(worth(g))
+		if g.Placement == nil {
+			continue
+		}
 		for _, h := range w.hosts {
 			idle := rate == 0 || h.claim.Generation > g.Placement.Generation
 			if h.claim.Group == g.Name && idle && !h.crashed && !h.silent {
