--- a/internal/process/burn/ring.go
+++ b/internal/process/burn/ring.go
@@ -96,7 +96,7 @@
 }
 
 func mergeHistogram(into, from *hdrhistogram.Histogram) *hdrhistogram.Histogram {
-	if from == nil {
+	if from == nil || from.TotalCount() == 0 {
 		return into
 	}
 	if into == nil {
@@ -184,7 +184,15 @@
 		r.whole[r.number%int64(len(r.whole))] = newWholeBucket(r.number, r.open)
 	}
 	r.number = number
-	r.open = tally{}
+	r.open = tally{firstToken: emptied(r.open.firstToken), interToken: emptied(r.open.interToken)}
+}
+
+// emptied returns the histogram for use in another bucket.
+func emptied(h *hdrhistogram.Histogram) *hdrhistogram.Histogram {
+	if h != nil {
+		h.Reset()
+	}
+	return h
 }
 
 // live returns the whole buckets that are still inside the window, oldest
