Set the cut rule of the path tests without a data race

Cause: go test -race found that the tests of TestInvariantDidNotRun set the cutter's fields while the fleet's connections read them (4 of 5 subtests). Only the tests were at fault. The rule is one atomic pointer now; repeated events are set under the fleet's lock. Before: 4 subtests fail under -race. After: TestInvariantDidNotRun passes.

--- a/internal/process/node/cut_test.go
+++ b/internal/process/node/cut_test.go
@@ -33,15 +33,21 @@
 
 var errCut = errors.New("the connection was cut")
 
-// cutter breaks the connections that carry chosen requests.
-type cutter struct {
-	// point holds a cutPoint; match is the start of the request line.
-	point atomic.Int64
+// cutRule chooses the requests to break.
+type cutRule struct {
+	// match is the start of the request line.
 	match string
 	// answerBytes is what is read of an answer before it is cut.
 	answerBytes int
-	// addresses whose dial is refused at cutDial.
+	// addresses are those whose dial is refused at cutDial.
 	addresses func(string) bool
+}
+
+// cutter breaks the connections that carry chosen requests.
+type cutter struct {
+	rule atomic.Pointer[cutRule]
+	// point holds a cutPoint.
+	point atomic.Int64
 	// handed counts requests of which a byte was handed to a connection.
 	handed atomic.Int64
 }
@@ -52,7 +58,7 @@
 
 // wrap returns a connection that breaks at the cut point.
 func (c *cutter) wrap(conn net.Conn, address string) (net.Conn, error) {
-	if c.at() == cutDial && c.match != "" && c.addresses(address) {
+	if rule := c.rule.Load(); c.at() == cutDial && rule.addresses(address) {
 		_ = conn.Close()
 		return nil, errCut
 	}
@@ -102,7 +108,8 @@
 		c.body = false
 		return 0, true
 	}
-	c.matched = c.cutter.match != "" && bytes.HasPrefix(p, []byte(c.cutter.match))
+	rule := c.cutter.rule.Load()
+	c.matched = rule != nil && bytes.HasPrefix(p, []byte(rule.match))
 	header = bytes.Index(p, []byte("\r\n\r\n")) + len("\r\n\r\n")
 	c.body = c.matched && header == len(p)
 	return header, c.matched
@@ -133,7 +140,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.read += n
-	if c.matched && c.cutter.at() == cutInAnswer && c.read >= c.cutter.answerBytes {
+	if c.matched && c.cutter.at() == cutInAnswer && c.read >= c.cutter.rule.Load().answerBytes {
 		_ = c.Conn.Close()
 		return 0, errCut
 	}
--- a/internal/process/node/fleet_test.go
+++ b/internal/process/node/fleet_test.go
@@ -314,6 +314,13 @@
 	f.platform.ChangeHost(platform.HostChange{Drop: name})
 }
 
+// repeatEvents lets an engine send every n-th event twice.
+func (f *fleet) repeatEvents(engine string, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.repeat[engine] = n
+}
+
 func (f *fleet) close() {
 	for _, n := range f.nodes {
 		n.stop()
--- a/internal/process/node/path_test.go
+++ b/internal/process/node/path_test.go
@@ -67,7 +67,7 @@
 		{"silent", faulty(engine.Faults{StallAfter: 5}), false},
 		{"swapped", faulty(engine.Faults{SwapEvery: 11}), false},
 		{"reordered", faulty(engine.Faults{ReorderEvery: 6}), false},
-		{"repeated", func(f *fleet, _ *pending) { f.repeat[f.leader("g0")] = 5 }, false},
+		{"repeated", func(f *fleet, _ *pending) { f.repeatEvents(f.leader("g0"), 5) }, false},
 		{"preempted", func(f *fleet, calls *pending) { f.flood(calls, 24) }, false},
 		{"leader dies", func(f *fleet, _ *pending) { f.crash(f.leader("g0")) }, false},
 		{"member dies", func(f *fleet, _ *pending) { f.crash(f.member("g0", 1)) }, false},
--- a/internal/process/node/ran_test.go
+++ b/internal/process/node/ran_test.go
@@ -77,7 +77,7 @@
 
 func testCutCompletions(t *testing.T, nodes int, match string, addresses func(string) bool) {
 	inFleet(t, nodes, 3, func(f *fleet) {
-		f.cutter.match, f.cutter.addresses, f.cutter.answerBytes = match, addresses, 600
+		f.cutter.rule.Store(&cutRule{match: match, answerBytes: 600, addresses: addresses})
 		entry := nodeName(0)
 		for name := range f.nodes {
 			if name != f.home() {
@@ -113,7 +113,7 @@
 		return
 	}
 	for _, address := range f.dialled() {
-		if f.cutter.addresses(address) {
+		if f.cutter.rule.Load().addresses(address) {
 			f.cut(address)
 		}
 	}
@@ -127,10 +127,11 @@
 	}
 }
 
+func isDesk(address string) bool { return strings.HasPrefix(address, "desk") }
+
 func testCutBookings(t *testing.T) {
 	inFleet(t, 1, 1, func(f *fleet) {
-		f.cutter.match, f.cutter.answerBytes = "POST /book", 40
-		f.cutter.addresses = func(address string) bool { return strings.HasPrefix(address, "desk") }
+		f.cutter.rule.Store(&cutRule{match: "POST /book", answerBytes: 40, addresses: isDesk})
 		f.delayDesks(deskDelay)
 		for _, kept := range []bool{false, true} {
 			for _, point := range cutPoints {
@@ -183,8 +184,7 @@
 
 func testCutLookups(t *testing.T) {
 	inFleet(t, 1, 1, func(f *fleet) {
-		f.cutter.match, f.cutter.answerBytes = "GET /lanes", 40
-		f.cutter.addresses = func(address string) bool { return strings.HasPrefix(address, "desk") }
+		f.cutter.rule.Store(&cutRule{match: "GET /lanes", answerBytes: 40, addresses: isDesk})
 		f.delayDesks(deskDelay)
 		for _, point := range cutPoints {
 			f.setCut(point)
