--- a/internal/process/node/cut_test.go
+++ b/internal/process/node/cut_test.go
@@ -33,33 +33,32 @@
 
 var errCut = errors.New("the connection was cut")
 
-// cutter breaks the connections that carry chosen requests.
-type cutter struct {
-	// point holds a cutPoint.
-	point atomic.Int64
-	// rule holds what to break; nil breaks nothing.
-	rule atomic.Pointer[cutRule]
-	// handed counts requests of which a byte was handed to a connection.
-	handed atomic.Int64
-}
-
-// cutRule chooses the requests that a cutter breaks.
+// cutRule chooses the requests to break.
 type cutRule struct {
 	// match is the start of the request line.
 	match string
 	// answerBytes is what is read of an answer before it is cut.
 	answerBytes int
-	// addresses whose dial is refused at cutDial.
+	// addresses are those whose dial is refused at cutDial.
 	addresses func(string) bool
 }
 
+// cutter breaks the connections that carry chosen requests.
+type cutter struct {
+	rule atomic.Pointer[cutRule]
+	// point holds a cutPoint.
+	point atomic.Int64
+	// handed counts requests of which a byte was handed to a connection.
+	handed atomic.Int64
+}
+
 func (c *cutter) at() cutPoint { return cutPoint(c.point.Load()) }
 
 func (c *cutter) set(p cutPoint) { c.point.Store(int64(p)) }
 
 // wrap returns a connection that breaks at the cut point.
 func (c *cutter) wrap(conn net.Conn, address string) (net.Conn, error) {
-	if rule := c.rule.Load(); c.at() == cutDial && rule != nil && rule.addresses(address) {
+	if rule := c.rule.Load(); c.at() == cutDial && rule.addresses(address) {
 		_ = conn.Close()
 		return nil, errCut
 	}
--- a/internal/process/node/ran_test.go
+++ b/internal/process/node/ran_test.go
@@ -127,9 +127,11 @@
 	}
 }
 
+func isDesk(address string) bool { return strings.HasPrefix(address, "desk") }
+
 func testCutBookings(t *testing.T) {
 	inFleet(t, 1, 1, func(f *fleet) {
-		f.cutter.rule.Store(&cutRule{match: "POST /book", answerBytes: 40, addresses: func(address string) bool { return strings.HasPrefix(address, "desk") }})
+		f.cutter.rule.Store(&cutRule{match: "POST /book", answerBytes: 40, addresses: isDesk})
 		f.delayDesks(deskDelay)
 		for _, kept := range []bool{false, true} {
 			for _, point := range cutPoints {
@@ -182,7 +184,7 @@
 
 func testCutLookups(t *testing.T) {
 	inFleet(t, 1, 1, func(f *fleet) {
-		f.cutter.rule.Store(&cutRule{match: "GET /lanes", answerBytes: 40, addresses: func(address string) bool { return strings.HasPrefix(address, "desk") }})
+		f.cutter.rule.Store(&cutRule{match: "GET /lanes", answerBytes: 40, addresses: isDesk})
 		f.delayDesks(deskDelay)
 		for _, point := range cutPoints {
 			f.setCut(point)
