Keep a connection for each concurrent stream of an endpoint

Cause: of 200 streams to one engine the endpoint client kept 64 connections idle, so that two of three streams dialled anew. Change: 256 idle connections for each host, as peer links have.

--- a/internal/connection/endpoint/client.go
+++ b/internal/connection/endpoint/client.go
@@ -18,7 +18,7 @@
 const (
 	dialTimeout         = 1 * time.Second
 	idleConnTimeout     = 30 * time.Second
-	maxIdleConnsPerHost = 64
+	maxIdleConnsPerHost = 256
 	// MaxAnswerBytes bounds the answer of a plain service.
 	MaxAnswerBytes = 4 << 20
 	maxErrorBytes  = 4 << 10
