Prove that an impatient caller's crashing request kills two endpoints at most

Cause: the hold back of a suspect's error can't bind a caller that leaves, and no test showed that the home's own judgement covers it. The test sends the request 20 times to one node after the other, the first three times with 30 ms of patience, before any digest has gone round. It covers groups of one home only: with several homes for a model such a caller can reach each home once before the digests have gone round.

--- a/internal/process/node/crash_test.go
+++ b/internal/process/node/crash_test.go
@@ -96,3 +96,49 @@
 		}
 	})
 }
+
+// TestCrashingRequestOfImpatientCaller covers a caller that gives up early and
+// sends the crashing request to the next node at once, before the nodes have
+// told each other of the first death. All groups have one home.
+func TestCrashingRequestOfImpatientCaller(t *testing.T) {
+	const (
+		crasher = "boom"
+		sends   = 20
+		// The first sends end before any digest has gone round.
+		hasty      = 3
+		noPatience = 30 * time.Millisecond
+		patience   = 700 * time.Millisecond
+	)
+	inFleet(t, 3, 5, func(f *fleet) {
+		for _, e := range f.engines {
+			e.SetFaults(engine.Faults{CrashMarker: crasher})
+		}
+		innocents := f.newPending()
+		f.duties.Go(func() {
+			f.load(innocents, "innocent", 40*time.Millisecond, 10*time.Second, 20, nodeName(0), nodeName(1), nodeName(2))
+		})
+		time.Sleep(time.Second)
+		var last answer
+		for i := range sends {
+			wait := patience
+			if i < hasty {
+				wait = noPatience
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), wait)
+			last = f.call(ctx, completion{node: nodeName(i % 3), rank: "urgent", prompt: crasher, tokens: 20, stream: true})
+			cancel()
+		}
+		if last.refused == nil || last.refused.Kind != refusal.KindCrashSuspect {
+			t.Errorf("the last send got %v, %v", last.refused, last.err)
+		}
+		time.Sleep(10 * time.Second)
+		for _, a := range innocents.wait() {
+			if !a.check(t) {
+				t.Errorf("%q is not whole: %v, %v", a.call.prompt, a.refused, a.err)
+			}
+		}
+		if n := f.crashedEngines(); n > 2 {
+			t.Errorf("%d engines died, want at most 2", n)
+		}
+	})
+}
