Give loads that are under way more time than members that do nothing

Ruled out: a longer bound for all (a member that lost its order must be noticed); a learnt load time (more state for the same effect). Change: members and replacements that report the right load get four times the patience; a group that is overdue gets its orders again as before.

--- a/internal/version/placement/plan_test.go
+++ b/internal/version/placement/plan_test.go
@@ -271,6 +271,27 @@
 	}
 }
 
+// TestPlanWaitsForSlowLoads expects loads to take a fifth of the time that they
+// take: members that report the right load must not be replaced.
+func TestPlanWaitsForSlowLoads(t *testing.T) {
+	w := newSimWorld(Plan, 2, 10)
+	w.policy.LoadTime = simLoad / 5
+	for i := range w.groups {
+		w.groups[i].Placement = nil
+	}
+	for _, h := range w.hosts {
+		*h = simHost{name: h.name, domain: h.domain}
+		h.state.State = "idle"
+		h.state.Host = h.name
+	}
+	w.run(nil)
+	for i := range w.groups {
+		if g := &w.groups[i]; !serving(g) || g.Placement.Generation != 1 {
+			t.Errorf("group %s was formed anew while it loaded: %+v", g.Name, g.Placement)
+		}
+	}
+}
+
 // TestPlanRollsOutOneGroupAfterAnother declares a new version for every group
 // of a model. At no time are two of them closed, and where a whole set of
 // hosts is free the groups serve on while it loads.
--- a/internal/version/placement/prepare.go
+++ b/internal/version/placement/prepare.go
@@ -117,7 +117,7 @@
 		p.add(Step{Kind: KindRelease, Group: g.Name, Releases: releases, Reason: "ReplacementFailed",
 			Message: fmt.Sprintf("%s did not become ready in time or are no longer needed", strings.Join(releases, ", "))})
 	}
-	if p.stuck(g) {
+	if p.overdue(g) {
 		p.loadMembers(g, nil)
 	}
 	chance, load := p.weigh(g, lost)
--- a/internal/version/placement/repair.go
+++ b/internal/version/placement/repair.go
@@ -66,6 +66,10 @@
 	p.add(step)
 }
 
+// slowLoadFactor is by how much longer than a member that does nothing one may
+// take that reports the right load.
+const slowLoadFactor = 4
+
 // lost returns positions that need a replacement or the member's return.
 func (p *planner) lost(g *Group) []vacancy {
 	found, ok := p.lostByGroup[g.Name]
@@ -82,7 +86,7 @@
 		if f.symptom != symptomUnready {
 			return f.missing()
 		}
-		return p.replacedSooner(g, position, staged[position]) || p.stuck(g)
+		return p.replacedSooner(g, position, staged[position]) || p.stuck(g, position)
 	})
 }
 
@@ -123,11 +127,28 @@
 	return g.Placement.Changed.Add(time.Duration(p.in.Policy.StuckLoads) * p.in.Policy.LoadTime)
 }
 
-// stuck reports whether members of the group had their time to load.
-func (p *planner) stuck(g *Group) bool {
+// overdue reports whether the group loads for longer than it should take.
+func (p *planner) overdue(g *Group) bool {
 	return g.Placement.Phase == object.PhaseLoading && !p.in.Now.Before(p.stuckAt(g))
 }
 
+// stuck reports whether the member at the position had its time to load. One
+// that reports the right load gets several times as long: loads that are
+// slower than expected are no faster on another host.
+func (p *planner) stuck(g *Group, position int) bool {
+	if !p.overdue(g) {
+		return false
+	}
+	member := p.hosts[g.Placement.Members[position]]
+	return !member.holds(p.targetOf(g.Placement)) || p.outOfPatience(g)
+}
+
+// outOfPatience reports whether even loads that are under way count as failed.
+func (p *planner) outOfPatience(g *Group) bool {
+	patience := p.stuckAt(g).Sub(g.Placement.Changed) * slowLoadFactor
+	return !p.in.Now.Before(g.Placement.Changed.Add(patience))
+}
+
 // staged returns usable hosts that load as replacements, by position.
 func (p *planner) staged(g *Group) map[int]*Host {
 	staged := map[int]*Host{}
@@ -256,7 +277,16 @@
 
 // stuckStaged reports whether replacements failed to load in time.
 func (p *planner) stuckStaged(g *Group, staged map[int]*Host) bool {
-	return !serving(g) && len(staged) > 0 && !p.allReady(g, staged) && !p.in.Now.Before(p.stuckAt(g))
+	if serving(g) || len(staged) == 0 || p.allReady(g, staged) || p.in.Now.Before(p.stuckAt(g)) {
+		return false
+	}
+	t := p.stagedTarget(g, staged)
+	for _, h := range staged {
+		if !h.holds(t) {
+			return true
+		}
+	}
+	return p.outOfPatience(g)
 }
 
 // replace puts the loaded replacements in place.
