End the disturbances before the claim test reads its nodes

Ruled out: a race in package claim; both sides are in the test. Figures: go test -race -count=2 ./internal/request/claim: race before, passes after. Conclusion: mended; nothing else in the test changed.

--- a/internal/request/claim/history_test.go
+++ b/internal/request/claim/history_test.go
@@ -221,7 +221,8 @@
 				b.restart(i)
 			}
 			done := make(chan struct{})
-			b.group.Go(func() { b.disturb(done) })
+			var disturber sync.WaitGroup
+			disturber.Go(func() { b.disturb(done) })
 			var callers sync.WaitGroup
 			for client := range clients {
 				callers.Go(func() {
@@ -233,6 +234,7 @@
 			}
 			callers.Wait()
 			close(done)
+			disturber.Wait()
 			for _, e := range b.entries {
 				e.cancel()
 			}
