--- a/internal/process/node/fleet_test.go
+++ b/internal/process/node/fleet_test.go
@@ -37,6 +37,7 @@
 	testService   = "booking"
 	testKey       = "caller-key"
 	testDomain    = "hall-1"
+	southDomain   = "hall-2"
 	testFabric    = "fabric-1"
 	testHostLag   = 500 * time.Millisecond
 	tokenInterval = 20 * time.Millisecond
@@ -57,6 +58,8 @@
 	desks    map[string]*service.Service
 	cutter   cutter
 	duties   sync.WaitGroup
+	// south holds the numbers of nodes and groups that are in another region.
+	south southern
 
 	mu       sync.Mutex
 	conns    map[string][]net.Conn // by dialled address
@@ -101,11 +104,33 @@
 	killed bool
 }
 
+// southern is the first node and the first group of the region south; the
+// zero value leaves all in north.
+type southern struct{ node, group int }
+
+// site returns where a host is. Engines of group 3 are named e3-0 and e3-1,
+// node 3 is named n3; other hosts are in north.
+func (f *fleet) site(name string) (region, domain string) {
+	kind, number := "", 0
+	_, _ = fmt.Sscanf(name, "%1s%d", &kind, &number)
+	inSouth := kind == "n" && number >= f.south.node || kind == "e" && number >= f.south.group
+	if f.south != (southern{}) && inSouth {
+		return "south", southDomain
+	}
+	return "north", testDomain
+}
+
 // inFleet runs a test with the given numbers of nodes and groups, all ready.
 func inFleet(t *testing.T, nodes, groups int, body func(*fleet)) {
+	t.Helper()
+	inRegions(t, nodes, groups, southern{}, body)
+}
+
+// inRegions is inFleet with a part of the fleet in another region.
+func inRegions(t *testing.T, nodes, groups int, south southern, body func(*fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, engines: map[string]*engine.Engine{}, nodes: map[string]*runningNode{}, conns: map[string][]net.Conn{}, repeat: map[string]int{}, desks: map[string]*service.Service{}}
+		f := &fleet{t: t, south: south, engines: map[string]*engine.Engine{}, nodes: map[string]*runningNode{}, conns: map[string][]net.Conn{}, repeat: map[string]int{}, desks: map[string]*service.Service{}}
 		f.callers = f.httpClient()
 		defer f.close()
 		f.platform = platform.New(platform.Options{HostLag: testHostLag})
@@ -195,7 +220,7 @@
 		}
 		handler.ServeHTTP(w, r)
 	}))
-	f.list(hostlist.Host{Name: name, Address: name, Role: hostlist.RoleEngine, FabricDomain: testFabric, State: hostlist.StateLive})
+	f.relist(name)
 }
 
 // addDesk starts an endpoint of the plain service.
@@ -206,8 +231,7 @@
 }
 
 func (f *fleet) list(host hostlist.Host) {
-	host.Region = "north"
-	host.FailureDomain = testDomain
+	host.Region, host.FailureDomain = f.site(host.Name)
 	f.platform.ChangeHost(platform.HostChange{Host: &host})
 }
 
@@ -217,7 +241,9 @@
 		Listen: func(_, address string) (net.Listener, error) { return f.network.Listen(address), nil },
 		Dial:   f.dial,
 	}
-	started, err := NewOver(network, testSettings(name), eventlog.Discard())
+	chosen := testSettings(name)
+	chosen.Node.Region, chosen.Node.FailureDomain = f.site(name)
+	started, err := NewOver(network, chosen, eventlog.Discard())
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -273,14 +299,21 @@
 		objects = append(objects, &object.Object{Kind: object.KindHost, Metadata: object.Metadata{Name: name}, Spec: &object.HostSpec{ChecksFencing: true}})
 	}
 	for g := range groups {
+		_, domain := f.site(fmt.Sprintf("e%d-0", g))
 		objects = append(objects, &object.Object{Kind: object.KindReplicaGroup, Metadata: object.Metadata{Name: fmt.Sprintf("g%d", g)}, Spec: &object.ReplicaGroupSpec{
-			Model: testModel, ModelVersion: "1", FailureDomain: testDomain, Members: 2, Worth: 1,
+			Model: testModel, ModelVersion: "1", FailureDomain: domain, Members: 2, Worth: 1,
 		}})
 	}
 	var changes []object.Change
 	for _, o := range objects {
 		changes = append(changes, object.Change{Object: o})
 	}
+	f.propose(changes...)
+}
+
+// propose accepts changes at the first node.
+func (f *fleet) propose(changes ...object.Change) {
+	f.t.Helper()
 	if _, err := f.nodes[nodeName(0)].node.acceptor.Propose(context.Background(), configlog.Proposal{Author: "test", Changes: changes}); err != nil {
 		f.t.Fatal(err)
 	}
@@ -314,6 +347,11 @@
 	f.platform.ChangeHost(platform.HostChange{Drop: name})
 }
 
+// relist puts an engine back into the host list.
+func (f *fleet) relist(name string) {
+	f.list(hostlist.Host{Name: name, Address: name, Role: hostlist.RoleEngine, FabricDomain: testFabric, State: hostlist.StateLive})
+}
+
 // repeatEvents lets an engine send every n-th event twice.
 func (f *fleet) repeatEvents(engine string, n int) {
 	f.mu.Lock()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -306,12 +307,21 @@
 	n.gate = newGate(s.Callers.MaxStreams, n.unfit)
 }
 
-// liveNodes returns the names of the live nodes, this one included.
+// liveNodes returns the names of the live nodes: those of this region that
+// answer, and those of other regions whose sessions are live.
 func (n *Node) liveNodes() []string {
 	var names []string
 	for _, digest := range n.members.Live() {
 		names = append(names, digest.Node)
 	}
+	leased := n.keeper.Live(time.Now())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, row := range n.sessions {
+		if row.Region != n.settings.Node.Region && slices.Contains(leased, row.Node) {
+			names = append(names, row.Node)
+		}
+	}
 	return names
 }
 
