Split the node's wiring and hash prompt blocks in one place

Ruled out: a container for the parts; explicit construction stays. Figures: no behaviour changed; go test ./internal/process/node ./internal/request/route pass. Conclusion: done.

--- /dev/null
+++ b/internal/process/node/state.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/peer"
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/request/share"
+	"currantladder.example/currantladder/internal/request/suspect"
+)
+
+// liveNodes returns the names of the live nodes: those of this region that
+// answer, and those of other regions whose sessions are live.
+func (n *Node) liveNodes() []string {
+	var names []string
+	for _, digest := range n.members.Live() {
+		names = append(names, digest.Node)
+	}
+	leased := n.keeper.Live(time.Now())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, row := range n.sessions {
+		if row.Region != n.settings.Node.Region && slices.Contains(leased, row.Node) {
+			names = append(names, row.Node)
+		}
+	}
+	return names
+}
+
+func (n *Node) shareSession() share.Session {
+	return share.Session{Incarnation: n.keeper.Incarnation(), Proven: n.keeper.Proven()}
+}
+
+func (n *Node) hostView() share.HostView {
+	list, sent := n.roster.List()
+	return share.HostView{List: list, Sent: sent}
+}
+
+// enterHome counts work for another entry node until the returned function is
+// called.
+func (n *Node) enterHome() func() {
+	n.homeWork.Add(1)
+	return n.homeWork.Done
+}
+
+// digest describes this node to its peers.
+func (n *Node) digest() peer.Digest {
+	digest := peer.Digest{
+		Node:          n.settings.Node.Name,
+		Region:        n.settings.Node.Region,
+		FailureDomain: n.settings.Node.FailureDomain,
+		Address:       n.Addresses().Peers,
+		Incarnation:   n.keeper.Incarnation(),
+	}
+	if n.home == nil {
+		return digest
+	}
+	ready, _ := n.gate.Ready()
+	digest.Ready = ready
+	digest.Leaving = n.isLeaving()
+	digest.AppliedRevision = n.follower.Current().Revision
+	for model, stats := range n.home.Stats() {
+		digest.Load = append(digest.Load, peer.PoolLoad{Model: model, Slots: stats.Slots, Running: stats.Running, Queued: stats.Queued})
+	}
+	digest.Suspects = n.suspects.Digest(time.Now())
+	return digest
+}
+
+func (n *Node) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+// unfit returns why the node must not take work, or "".
+func (n *Node) unfit() string {
+	if !n.follower.Ready() {
+		return "the configuration is not loaded yet"
+	}
+	if n.aloneSince(time.Now()) > n.settings.Timing.Isolation {
+		return "it reaches neither the table service nor another node and cannot know that its configuration is in force"
+	}
+	return ""
+}
+
+// aloneSince returns for how long the node has reached neither the table
+// service nor a peer.
+func (n *Node) aloneSince(now time.Time) time.Duration {
+	last := n.started
+	for _, contact := range []time.Time{n.keeper.LastContact(), n.members.LastContact()} {
+		if contact.After(last) {
+			last = contact
+		}
+	}
+	return now.Sub(last)
+}
+
+// reportCrash is called by the home when an endpoint died.
+func (n *Node) reportCrash(group string, fingerprints []uint64) {
+	loss := suspect.Loss{Endpoint: group, InFlight: fingerprints}
+	if placement := n.follower.Current().Placements[group]; placement != nil {
+		loss.FailureDomain = placement.FailureDomain
+		loss.FabricDomain = placement.FabricDomain
+	}
+	for _, fingerprint := range n.suspects.Lost(loss, time.Now()) {
+		n.log.Log(eventlog.CrashSuspectAdded, eventlog.Fields{"fingerprint": fingerprint, "group": group})
+	}
+}
--- a/internal/request/route/prefix.go
+++ b/internal/request/route/prefix.go
@@ -1,26 +1,14 @@
 package route
 
-import "github.com/cespare/xxhash/v2"
-
-// BlockBytes is the length of one prompt block.
-const BlockBytes = 64
+import "currantladder.example/currantladder/internal/connection/endpoint"
 
 // MaxPrefixBlocks bounds the number of blocks that are hashed.
 const MaxPrefixBlocks = 64
 
-// PrefixBlocks returns the hashes of the cumulative leading blocks of a
-// prompt: entry i covers the first (i+1)*BlockBytes bytes. A trailing partial
-// block is left out.
+// PrefixBlocks returns the hashes of the leading prompt blocks as engines
+// compute them, up to a bound: entry i covers the first i+1 blocks. A trailing
+// partial block is left out.
 func PrefixBlocks(prompt string) []uint64 {
-	count := min(len(prompt)/BlockBytes, MaxPrefixBlocks)
-	if count == 0 {
-		return nil
-	}
-	blocks := make([]uint64, count)
-	d := xxhash.New()
-	for i := range blocks {
-		_, _ = d.WriteString(prompt[i*BlockBytes : (i+1)*BlockBytes])
-		blocks[i] = d.Sum64()
-	}
-	return blocks
+	const maxBytes = MaxPrefixBlocks * endpoint.BlockChars
+	return endpoint.PrefixBlocks(prompt[:min(len(prompt), maxBytes)])
 }
