--- a/internal/process/membership/table.go
+++ b/internal/process/membership/table.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -14,40 +13,13 @@
 	"currantladder.example/currantladder/internal/connection/peer"
 )
 
-// Bounds of what one probe carries.
-const (
-	// maxLagging bounds the names in a region summary.
-	maxLagging = 3
-	// maxSuspicions bounds the suspected nodes in a probe.
-	maxSuspicions = 16
-)
+// maxLagging bounds the names in a region summary.
+const maxLagging = 3
 
 // refreshRounds is the number of rounds after which a node issues a new
 // version of its own digest.
 const refreshRounds = 2
 
-// refutingVersions is by how many versions a digest must have advanced since
-// a failed probe to refute it; fewer can still be on their way from before.
-const refutingVersions = 6
-
-// verifyRounds is the least number of rounds between two probes of a member
-// that others suspect.
-const verifyRounds = 4
-
-// successorRounds is the number of rounds between two probes of the member
-// that follows the node in the order of names.
-const successorRounds = 2
-
-// urgentRounds is the number of rounds after a new suspicion in which
-// urgentFanout more peers are probed.
-const (
-	urgentRounds = 3
-	urgentFanout = 2
-)
-
-// remoteRounds is the number of rounds between two probes of another region.
-const remoteRounds = 4
-
 // Table is the state machine of membership: pure, without I/O or clock. It is
 // not safe for concurrent use.
 type Table struct {
@@ -87,16 +59,6 @@
 	verified int64
 }
 
-// isSuspected reports whether a probe of the member failed and nothing has
-// refuted it. Digests that were on their way when the member died do not.
-func (m *member) isSuspected() bool {
-	if m.suspected == (peer.DigestVersion{}) {
-		return false
-	}
-	refuting := peer.DigestVersion{Incarnation: m.suspected.Incarnation, Seq: m.suspected.Seq + refutingVersions}
-	return refuting.Newer(m.digest.Version())
-}
-
 type regionState struct {
 	summary peer.RegionSummary
 	made    time.Time
@@ -146,50 +108,6 @@
 	return suspicious
 }
 
-// heardSuspicion asks for a probe of a member that another node suspects,
-// unless the member has advanced far since or was verified lately.
-func (t *Table) heardSuspicion(node string, version peer.DigestVersion) bool {
-	m := t.members[node]
-	if m == nil || m.isSuspected() || t.rounds-m.verified < verifyRounds {
-		return false
-	}
-	version.Seq += refutingVersions
-	m.verify = version.Newer(m.digest.Version())
-	return m.verify
-}
-
-// contacted clears the suspicion of the probe's sender.
-func (t *Table) contacted(probe peer.Probe) {
-	if len(probe.Digests) == 0 {
-		return
-	}
-	if m := t.members[probe.Digests[0].Node]; m != nil {
-		m.suspected = peer.DigestVersion{}
-	}
-}
-
-// Suspect records that a probe of the address failed. The member does not
-// count as live until a newer digest arrives.
-func (t *Table) Suspect(address string) {
-	for _, m := range t.members {
-		if m.digest.Address == address && !m.isSuspected() {
-			m.suspected = m.digest.Version()
-			t.urgentUntil = t.rounds + urgentRounds
-		}
-	}
-}
-
-// suspicions returns the suspected members, up to a bound.
-func (t *Table) suspicions() map[string]peer.DigestVersion {
-	suspected := make(map[string]peer.DigestVersion)
-	for node, m := range t.members {
-		if m.isSuspected() && len(suspected) < maxSuspicions {
-			suspected[node] = m.suspected
-		}
-	}
-	return suspected
-}
-
 func (t *Table) mergeDigest(digest peer.Digest, now time.Time) {
 	if digest.Node == t.self.Node || digest.Region != t.self.Region {
 		return
@@ -339,108 +257,6 @@
 	return ""
 }
 
-// Targets returns the addresses to probe in this round: fanout peers of the
-// own region in a shuffled turn, and now and then one of another region.
-func (t *Table) Targets(fanout int) []string {
-	if t.rounds < t.urgentUntil {
-		fanout += urgentFanout
-	}
-	var targets []string
-	if t.rounds%successorRounds == 0 {
-		if successor := t.successor(); successor != "" {
-			targets = append(targets, successor)
-			fanout--
-		}
-	}
-	for range fanout {
-		if len(t.order) == 0 {
-			t.order = t.shuffle(t.regionAddresses())
-		}
-		if len(t.order) == 0 {
-			break
-		}
-		targets = append(targets, t.order[0])
-		t.order = t.order[1:]
-	}
-	if t.rounds%remoteRounds == 0 {
-		remote := t.shuffle(t.remoteAddresses())
-		targets = append(targets, remote[:min(1, len(remote))]...)
-	}
-	return targets
-}
-
-// successor returns the address of the next unsuspected member in the order
-// of names, so that each node has one that probes it regularly.
-func (t *Table) successor() string {
-	var first, next *member
-	for _, m := range t.members {
-		if m.isSuspected() {
-			continue
-		}
-		if first == nil || m.digest.Node < first.digest.Node {
-			first = m
-		}
-		if m.digest.Node > t.self.Node && (next == nil || m.digest.Node < next.digest.Node) {
-			next = m
-		}
-	}
-	switch {
-	case next != nil:
-		return next.digest.Address
-	case first != nil:
-		return first.digest.Address
-	default:
-		return ""
-	}
-}
-
-// Verifications returns the addresses of members that another node suspects,
-// to be probed at once.
-func (t *Table) Verifications() []string {
-	var addresses []string
-	for _, m := range t.members {
-		if m.verify {
-			m.verify = false
-			m.verified = t.rounds
-			addresses = append(addresses, m.digest.Address)
-		}
-	}
-	slices.Sort(addresses)
-	return addresses
-}
-
-// regionAddresses returns the peers of the own region and those whose region
-// is not known.
-func (t *Table) regionAddresses() []string {
-	addresses := make(map[string]bool)
-	for _, m := range t.members {
-		addresses[m.digest.Address] = true
-	}
-	for _, p := range t.roster {
-		if p.Region == t.self.Region || p.Region == "" {
-			addresses[p.Address] = true
-		}
-	}
-	delete(addresses, t.self.Address)
-	delete(addresses, "")
-	return slices.Sorted(maps.Keys(addresses))
-}
-
-func (t *Table) remoteAddresses() []string {
-	var addresses []string
-	for _, p := range t.roster {
-		if p.Region != t.self.Region && p.Region != "" {
-			addresses = append(addresses, p.Address)
-		}
-	}
-	return addresses
-}
-
-func (t *Table) shuffle(addresses []string) []string {
-	t.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses
-}
-
 // Forget removes members that have been silent for long.
 func (t *Table) Forget(now time.Time) {
 	const forgetFactor = 20
--- /dev/null
+++ b/internal/process/membership/targets.go
@@ -0,0 +1,107 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+)
+
+// successorRounds is the number of rounds between two probes of the member
+// that follows the node in the order of names.
+const successorRounds = 2
+
+// urgentRounds is the number of rounds after a new suspicion in which
+// urgentFanout more peers are probed.
+const (
+	urgentRounds = 3
+	urgentFanout = 2
+)
+
+// remoteRounds is the number of rounds between two probes of another region.
+const remoteRounds = 4
+
+// Targets returns the addresses to probe in this round: fanout peers of the
+// own region in a shuffled turn, and now and then one of another region.
+func (t *Table) Targets(fanout int) []string {
+	if t.rounds < t.urgentUntil {
+		fanout += urgentFanout
+	}
+	var targets []string
+	if t.rounds%successorRounds == 0 {
+		if successor := t.successor(); successor != "" {
+			targets = append(targets, successor)
+			fanout--
+		}
+	}
+	for range fanout {
+		if len(t.order) == 0 {
+			t.order = t.shuffle(t.regionAddresses())
+		}
+		if len(t.order) == 0 {
+			break
+		}
+		targets = append(targets, t.order[0])
+		t.order = t.order[1:]
+	}
+	if t.rounds%remoteRounds == 0 {
+		remote := t.shuffle(t.remoteAddresses())
+		targets = append(targets, remote[:min(1, len(remote))]...)
+	}
+	return targets
+}
+
+// successor returns the address of the next unsuspected member in the order
+// of names, so that each node has one that probes it regularly.
+func (t *Table) successor() string {
+	var first, next *member
+	for _, m := range t.members {
+		if m.isSuspected() {
+			continue
+		}
+		if first == nil || m.digest.Node < first.digest.Node {
+			first = m
+		}
+		if m.digest.Node > t.self.Node && (next == nil || m.digest.Node < next.digest.Node) {
+			next = m
+		}
+	}
+	switch {
+	case next != nil:
+		return next.digest.Address
+	case first != nil:
+		return first.digest.Address
+	default:
+		return ""
+	}
+}
+
+// regionAddresses returns the peers of the own region and those whose region
+// is not known.
+func (t *Table) regionAddresses() []string {
+	addresses := make(map[string]bool)
+	for _, m := range t.members {
+		addresses[m.digest.Address] = true
+	}
+	for _, p := range t.roster {
+		if p.Region == t.self.Region || p.Region == "" {
+			addresses[p.Address] = true
+		}
+	}
+	delete(addresses, t.self.Address)
+	delete(addresses, "")
+	return slices.Sorted(maps.Keys(addresses))
+}
+
+func (t *Table) remoteAddresses() []string {
+	var addresses []string
+	for _, p := range t.roster {
+		if p.Region != t.self.Region && p.Region != "" {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	return addresses
+}
+
+func (t *Table) shuffle(addresses []string) []string {
+	t.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
