Ask a few peers at once for the configuration

Cause: a node that starts while the table service is out asked every live peer in turn, or every seed: one silent seed took the whole 5 s, and 47 answers of 0.58 MB would have been read at the planned size. Ruled out: the first answer (it may be behind). Change: up to four peers, those with the highest revision first, are asked at once with 2 s each, and the highest answer wins.

--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/process/membership"
@@ -83,17 +86,21 @@
 	self    string
 }
 
+// addresses returns live peers, those with the highest revision first, or the
+// seeds where no peer was heard of.
 func (s peerSource) addresses() []string {
+	digests := s.members.Live()
+	slices.SortStableFunc(digests, func(a, b peer.Digest) int { return cmp.Compare(b.AppliedRevision, a.AppliedRevision) })
 	var addresses []string
-	for _, digest := range s.members.Live() {
+	for _, digest := range digests {
 		if digest.Node != s.self {
 			addresses = append(addresses, digest.Address)
 		}
 	}
 	if len(addresses) == 0 {
-		return s.seeds
+		addresses = s.seeds
 	}
-	return addresses
+	return addresses[:min(len(addresses), maxAskedPeers)]
 }
 
 // Log implements configlog.PeerSource: the first answer with records. A peer
@@ -113,18 +120,29 @@
 	return nil, fmt.Errorf("configuration log could not be read from a peer: %w", err)
 }
 
-// Snapshot implements configlog.PeerSource: the highest one of all peers.
+// Snapshot implements configlog.PeerSource: the highest one of the peers that
+// answer. They are asked at once, so that a silent one costs no time.
 func (s peerSource) Snapshot(ctx context.Context) (*snapshot.Snapshot, error) {
+	answers := make(chan snapshotAnswer, maxAskedPeers)
+	addresses := s.addresses()
+	for _, address := range addresses {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+			defer cancel()
+			body, err := s.client.Snapshot(ctx, address)
+			answers <- snapshotAnswer{body, err}
+		}()
+	}
 	var best *snapshot.Snapshot
 	err := errors.New("no peer is known")
-	for _, address := range s.addresses() {
-		var body peer.SnapshotBody
-		body, err = s.client.Snapshot(ctx, address)
-		if err != nil {
+	for range addresses {
+		answer := <-answers
+		if answer.err != nil {
+			err = answer.err
 			continue
 		}
-		if best == nil || body.Revision > best.Revision {
-			best = snapshot.New(body.Revision, body.Objects, body.Placements)
+		if best == nil || answer.body.Revision > best.Revision {
+			best = snapshot.New(answer.body.Revision, answer.body.Objects, answer.body.Placements)
 		}
 	}
 	if best == nil {
@@ -133,6 +151,20 @@
 	return best, nil
 }
 
+// snapshotAnswer is one peer's answer.
+type snapshotAnswer struct {
+	body peer.SnapshotBody
+	err  error
+}
+
+// Bounds of reading configuration from peers.
+const (
+	// maxAskedPeers bounds the peers that are asked.
+	maxAskedPeers = 4
+	// snapshotTimeout bounds one peer's answer.
+	snapshotTimeout = 2 * time.Second
+)
+
 // shareClient implements share.PeerClient by node name.
 type shareClient struct {
 	members *membership.Prober
