Name the relay's state by the field's term

Cause: the type's name was a metaphor, as were two verbs in comments. Ruled out: a name by what it does not hold (the attempt); it spans attempts. Change: relayState; comments.

--- a/cmd/currantladder/wait.go
+++ b/cmd/currantladder/wait.go
@@ -87,7 +87,7 @@
 	return *condition, nil
 }
 
-// isFinal reports whether waiting longer cannot mend the error. A missing
+// isFinal reports whether waiting longer cannot clear the error. A missing
 // object may still arrive at the node.
 func isFinal(err error) bool {
 	return errors.Is(err, errUsage) || hasKind(err, operatorapi.ErrorUnauthorized) || hasKind(err, operatorapi.ErrorBadRequest)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -105,8 +105,8 @@
 	Recorder Recorder
 }
 
-// journey is the state of one request on its way.
-type journey struct {
+// relayState is the state of one request on its way.
+type relayState struct {
 	relay       *Relay
 	request     Request
 	assembler   *answer.Assembler
@@ -138,7 +138,7 @@
 // sink stay valid; a refusal after the first token means that the answer is
 // not whole.
 func (r *Relay) Run(ctx context.Context, request Request, sink TokenSink) (Result, *refusal.Error) {
-	j := &journey{
+	s := &relayState{
 		relay:      r,
 		request:    request,
 		assembler:  answer.New(request.ID, 0, ""),
@@ -149,236 +149,236 @@
 	}
 	r.Budget.First(request.Rank, time.Now())
 	for {
-		refused, again := j.step(ctx)
-		if j.assembler.Whole() {
+		refused, again := s.step(ctx)
+		if s.assembler.Whole() {
 			r.Suspects.Finished(request.Fingerprint)
-			return j.result(), nil
+			return s.result(), nil
 		}
 		if !again {
-			j.holdBack()
-			return j.result(), j.final(refused)
+			s.holdBack()
+			return s.result(), s.final(refused)
 		}
 	}
 }
 
-func (j *journey) result() Result {
+func (s *relayState) result() Result {
 	return Result{
-		Finish:   j.assembler.Finish(),
-		Usage:    j.assembler.Usage(),
-		Attempts: j.attempts,
-		Group:    j.group,
+		Finish:   s.assembler.Finish(),
+		Usage:    s.assembler.Usage(),
+		Attempts: s.attempts,
+		Group:    s.group,
 	}
 }
 
 // final gives the refusal the request id and whether any attempt may have run.
-func (j *journey) final(refused *refusal.Error) *refusal.Error {
+func (s *relayState) final(refused *refusal.Error) *refusal.Error {
 	copied := *refused
-	copied.RequestID = j.request.ID
-	if j.ranUnknown {
+	copied.RequestID = s.request.ID
+	if s.ranUnknown {
 		copied.Ran = refusal.RanUnknown
 	}
-	j.record("Refused", copied.Error())
+	s.record("Refused", copied.Error())
 	return &copied
 }
 
 // holdBack waits until every node knows of the suspicion against the request,
 // so that its caller cannot send it again before. It outlasts the deadline.
-func (j *journey) holdBack() {
-	until := j.relay.Suspects.HoldUntil(j.request.Fingerprint)
-	if !j.crashed.IsZero() && j.crashed.Add(suspect.AnnounceDelay).After(until) {
-		until = j.crashed.Add(suspect.AnnounceDelay)
+func (s *relayState) holdBack() {
+	until := s.relay.Suspects.HoldUntil(s.request.Fingerprint)
+	if !s.crashed.IsZero() && s.crashed.Add(suspect.AnnounceDelay).After(until) {
+		until = s.crashed.Add(suspect.AnnounceDelay)
 	}
 	time.Sleep(time.Until(until))
 }
 
-func (j *journey) record(reason, message string) {
-	j.relay.Recorder.Record(j.request.ID, reason, message)
+func (s *relayState) record(reason, message string) {
+	s.relay.Recorder.Record(s.request.ID, reason, message)
 }
 
 // step makes one attempt. It returns a refusal and whether to go on.
-func (j *journey) step(ctx context.Context) (*refusal.Error, bool) {
+func (s *relayState) step(ctx context.Context) (*refusal.Error, bool) {
 	if ctx.Err() != nil {
-		return j.ended()
+		return s.ended()
 	}
-	node, ok := j.relay.Router.ChooseHome(j.request.Model, j.prefix, j.avoidNodes)
+	node, ok := s.relay.Router.ChooseHome(s.request.Model, s.prefix, s.avoidNodes)
 	if !ok {
-		return j.waitForEndpoint(ctx, j.noHome())
+		return s.waitForEndpoint(ctx, s.noHome())
 	}
-	j.attempts++
-	j.record("SentToHome", fmt.Sprintf("attempt %d goes to home node %s from token %d", j.attempts, node, j.assembler.Next()))
+	s.attempts++
+	s.record("SentToHome", fmt.Sprintf("attempt %d goes to home node %s from token %d", s.attempts, node, s.assembler.Next()))
 	var end *peer.End
-	err := j.relay.Homes.Run(ctx, node, j.homeRequest(), func(frame peer.Frame) error { return j.frame(frame, &end) })
-	if j.assembler.Whole() {
+	err := s.relay.Homes.Run(ctx, node, s.homeRequest(), func(frame peer.Frame) error { return s.frame(frame, &end) })
+	if s.assembler.Whole() {
 		return nil, false
 	}
-	return j.afterAttempt(ctx, node, end, err)
+	return s.afterAttempt(ctx, node, end, err)
 }
 
 // frame handles one frame of the home's answer.
-func (j *journey) frame(frame peer.Frame, end **peer.End) error {
+func (s *relayState) frame(frame peer.Frame, end **peer.End) error {
 	switch {
 	case frame.Assigned != nil:
-		j.assigned = true
-		j.group = frame.Assigned.Group
-		j.waitingSince = time.Time{}
-		j.backoff = firstBackoff
-		j.record("Assigned", fmt.Sprintf("group %s after %d ms in the queue", j.group, frame.Assigned.WaitMillis))
+		s.assigned = true
+		s.group = frame.Assigned.Group
+		s.waitingSince = time.Time{}
+		s.backoff = firstBackoff
+		s.record("Assigned", fmt.Sprintf("group %s after %d ms in the queue", s.group, frame.Assigned.WaitMillis))
 	case frame.End != nil:
 		*end = frame.End
 	case frame.Chunk != nil:
-		return j.chunk(*frame.Chunk)
+		return s.chunk(*frame.Chunk)
 	}
 	return nil
 }
 
-func (j *journey) chunk(chunk endpoint.Chunk) error {
-	if err := j.assembler.Accept(chunk); err != nil {
+func (s *relayState) chunk(chunk endpoint.Chunk) error {
+	if err := s.assembler.Accept(chunk); err != nil {
 		return err
 	}
 	if chunk.Finish != "" {
 		return nil
 	}
-	if err := j.sink(chunk.Text); err != nil {
+	if err := s.sink(chunk.Text); err != nil {
 		return &callerError{err}
 	}
 	return nil
 }
 
-func (j *journey) homeRequest() peer.HomeRequest {
+func (s *relayState) homeRequest() peer.HomeRequest {
 	r := peer.HomeRequest{
-		RequestID:   j.request.ID,
-		Account:     j.request.Account,
-		Rank:        j.request.Rank,
-		Model:       j.request.Model,
-		Prompt:      j.request.Prompt,
-		MaxTokens:   j.request.MaxTokens,
-		CostTokens:  j.request.CostTokens,
-		Fingerprint: j.request.Fingerprint,
-		ResumeIndex: j.assembler.Next(),
-		Delivered:   j.assembler.Text(),
-		Avoid:       j.avoidGroups,
-		Resumed:     j.assigned || j.attempts > 1,
-		Isolate:     j.request.Isolate,
+		RequestID:   s.request.ID,
+		Account:     s.request.Account,
+		Rank:        s.request.Rank,
+		Model:       s.request.Model,
+		Prompt:      s.request.Prompt,
+		MaxTokens:   s.request.MaxTokens,
+		CostTokens:  s.request.CostTokens,
+		Fingerprint: s.request.Fingerprint,
+		ResumeIndex: s.assembler.Next(),
+		Delivered:   s.assembler.Text(),
+		Avoid:       s.avoidGroups,
+		Resumed:     s.assigned || s.attempts > 1,
+		Isolate:     s.request.Isolate,
 	}
-	if !j.request.Deadline.IsZero() {
-		r.RemainingMillis = max(time.Until(j.request.Deadline).Milliseconds(), 1)
+	if !s.request.Deadline.IsZero() {
+		r.RemainingMillis = max(time.Until(s.request.Deadline).Milliseconds(), 1)
 	}
 	return r
 }
 
 // afterAttempt decides what follows an attempt that did not make the answer
 // whole.
-func (j *journey) afterAttempt(ctx context.Context, node string, end *peer.End, err error) (*refusal.Error, bool) {
+func (s *relayState) afterAttempt(ctx context.Context, node string, end *peer.End, err error) (*refusal.Error, bool) {
 	var gone *callerError
 	if errors.As(err, &gone) || ctx.Err() != nil {
-		j.ranUnknown = true
-		return j.ended()
+		s.ranUnknown = true
+		return s.ended()
 	}
 	if end == nil {
-		return j.linkFailed(ctx, node, err)
+		return s.linkFailed(ctx, node, err)
 	}
-	j.record(string(end.Cause), end.Refusal.Error())
-	j.lastRefusal = end.Refusal
+	s.record(string(end.Cause), end.Refusal.Error())
+	s.lastRefusal = end.Refusal
 	if end.Refusal.Ran != refusal.RanNo {
-		j.ranUnknown = true
+		s.ranUnknown = true
 	}
 	switch end.Cause {
 	case peer.EndPreempted:
-		j.preemptions++
-		j.attempts--
-		return end.Refusal, j.preemptions <= maxPreemptions
+		s.preemptions++
+		s.attempts--
+		return end.Refusal, s.preemptions <= maxPreemptions
 	case peer.EndRefused:
-		return j.refusedByHome(node, end.Refusal)
+		return s.refusedByHome(node, end.Refusal)
 	default:
-		return j.groupFailed(end)
+		return s.groupFailed(end)
 	}
 }
 
 // refusedByHome handles an attempt that did not run: only a missing endpoint
 // is worth a look elsewhere.
-func (j *journey) refusedByHome(node string, refused *refusal.Error) (*refusal.Error, bool) {
-	j.attempts--
-	j.avoidNodes[node] = true
+func (s *relayState) refusedByHome(node string, refused *refusal.Error) (*refusal.Error, bool) {
+	s.attempts--
+	s.avoidNodes[node] = true
 	return refused, refused.Kind == refusal.KindNoEndpoint
 }
 
-func (j *journey) groupFailed(end *peer.End) (*refusal.Error, bool) {
-	j.avoidGroups = append(j.avoidGroups, end.Group)
+func (s *relayState) groupFailed(end *peer.End) (*refusal.Error, bool) {
+	s.avoidGroups = append(s.avoidGroups, end.Group)
 	if !end.Crashed {
-		return j.retry(end.Refusal)
+		return s.retry(end.Refusal)
 	}
-	j.crashed = time.Now()
-	alone := j.request.Isolate
-	j.request.Isolate = true
+	s.crashed = time.Now()
+	alone := s.request.Isolate
+	s.request.Isolate = true
 	if alone {
 		// The next attempt waits for what other nodes know: a loss of many
 		// endpoints at once is not the request's fault.
-		j.holdBack()
-		if refuse, _ := j.relay.Suspects.Judge(j.request.Fingerprint, time.Now()); refuse {
+		s.holdBack()
+		if refuse, _ := s.relay.Suspects.Judge(s.request.Fingerprint, time.Now()); refuse {
 			return refusal.Suspect(), false
 		}
 	}
-	return j.retry(end.Refusal)
+	return s.retry(end.Refusal)
 }
 
 // linkFailed handles a broken or silent connection to the home node, or an
 // answer that does not fit the request.
-func (j *journey) linkFailed(ctx context.Context, node string, err error) (*refusal.Error, bool) {
-	j.avoidNodes[node] = true
+func (s *relayState) linkFailed(ctx context.Context, node string, err error) (*refusal.Error, bool) {
+	s.avoidNodes[node] = true
 	message := fmt.Sprintf("home node %s failed: %v; send the request again", node, err)
-	j.record("HomeFailed", message)
+	s.record("HomeFailed", message)
 	refused := refusal.Unknown(refusal.KindIncomplete, http.StatusBadGateway, message)
 	var link *peer.LinkError
 	if errors.As(err, &link) && !link.Handed {
-		j.attempts--
+		s.attempts--
 		refused.Ran = refusal.RanNo
-		return j.waitForEndpoint(ctx, refused)
+		return s.waitForEndpoint(ctx, refused)
 	}
-	j.ranUnknown = true
-	return j.retry(refused)
+	s.ranUnknown = true
+	return s.retry(refused)
 }
 
-func (j *journey) retry(refused *refusal.Error) (*refusal.Error, bool) {
-	if j.relay.Budget.Retry(j.request.Rank, j.attempts, time.Now()) {
+func (s *relayState) retry(refused *refusal.Error) (*refusal.Error, bool) {
+	if s.relay.Budget.Retry(s.request.Rank, s.attempts, time.Now()) {
 		return refused, true
 	}
-	message := fmt.Sprintf("attempt %d failed and no further retry is allowed (%s); send the request again later", j.attempts, refused.Message)
+	message := fmt.Sprintf("attempt %d failed and no further retry is allowed (%s); send the request again later", s.attempts, refused.Message)
 	return &refusal.Error{Kind: refusal.KindRetriesExhausted, Message: message, Ran: refused.Ran, Status: http.StatusBadGateway, RetryAfter: time.Second}, false
 }
 
 // waitForEndpoint pauses before another look for an open group, which may be
 // one that failed the request.
-func (j *journey) waitForEndpoint(ctx context.Context, refused *refusal.Error) (*refusal.Error, bool) {
+func (s *relayState) waitForEndpoint(ctx context.Context, refused *refusal.Error) (*refusal.Error, bool) {
 	now := time.Now()
-	if j.waitingSince.IsZero() {
-		j.waitingSince = now
+	if s.waitingSince.IsZero() {
+		s.waitingSince = now
 	}
-	if now.Sub(j.waitingSince) >= endpointWait {
+	if now.Sub(s.waitingSince) >= endpointWait {
 		return refused, false
 	}
 	select {
 	case <-ctx.Done():
-		return j.ended()
-	case <-time.After(j.backoff):
+		return s.ended()
+	case <-time.After(s.backoff):
 	}
-	j.backoff = min(2*j.backoff, maxBackoff)
-	clear(j.avoidNodes)
-	j.avoidGroups = nil
+	s.backoff = min(2*s.backoff, maxBackoff)
+	clear(s.avoidNodes)
+	s.avoidGroups = nil
 	return refused, true
 }
 
-func (j *journey) noHome() *refusal.Error {
-	if j.lastRefusal != nil {
-		return j.lastRefusal
+func (s *relayState) noHome() *refusal.Error {
+	if s.lastRefusal != nil {
+		return s.lastRefusal
 	}
-	message := fmt.Sprintf("no live node is home for model %q; send the request again later", j.request.Model)
+	message := fmt.Sprintf("no live node is home for model %q; send the request again later", s.request.Model)
 	return refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, message).After(time.Second)
 }
 
 // ended is the refusal of a request whose caller left or whose deadline passed.
-func (j *journey) ended() (*refusal.Error, bool) {
+func (s *relayState) ended() (*refusal.Error, bool) {
 	refused := refusal.New(refusal.KindDeadline, http.StatusGatewayTimeout, "the deadline passed or the caller left before the answer was whole; allow more time")
-	if j.assembler.Next() > 0 {
+	if s.assembler.Next() > 0 {
 		refused.Ran = refusal.RanUnknown
 	}
 	return refused, false
--- a/internal/version/configlog/acceptor.go
+++ b/internal/version/configlog/acceptor.go
@@ -112,7 +112,7 @@
 }
 
 // namesExtra reports whether a conflict names one of the proposal's own
-// checks or writes, which planning anew cannot mend.
+// checks or writes, which planning anew cannot resolve.
 func namesExtra(keys []string, p Proposal) bool {
 	for _, check := range p.Checks {
 		if slices.Contains(keys, check.Key) {
