--- a/internal/process/callerapi/completions.go
+++ b/internal/process/callerapi/completions.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -109,21 +108,12 @@
 		return 0, refusal.New(refusal.KindBadRequest, http.StatusBadRequest, "n must be 1; send one request for each answer")
 	case maxTokens < 1 || maxTokens > maxMaxTokens:
 		return 0, refusal.New(refusal.KindBadRequest, http.StatusBadRequest, fmt.Sprintf("max_tokens is %d; use 1 to %d", maxTokens, maxMaxTokens))
-	case !slices.Contains(c.modelNames(), body.Model):
+	case !c.snapshot.HasModel(body.Model):
 		return 0, refusal.New(refusal.KindUnknownModel, http.StatusNotFound, fmt.Sprintf("model %q is not served; see GET /v1/models", body.Model))
 	}
 	return maxTokens, nil
 }
 
-func (c *session) modelNames() []string {
-	var models []string
-	for _, group := range c.snapshot.Groups() {
-		models = append(models, group.Spec.Model)
-	}
-	slices.Sort(models)
-	return slices.Compact(models)
-}
-
 func (s *Server) relayRequest(current *session, body completionBody, maxTokens int) relay.Request {
 	return relay.Request{
 		ID:          current.id,
@@ -219,7 +209,7 @@
 		return
 	}
 	list := modelList{Object: "list", Data: []modelEntry{}}
-	for _, name := range current.modelNames() {
+	for _, name := range current.snapshot.Models() {
 		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "currantladder"})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 
 	"currantladder.example/currantladder/internal/version/object"
@@ -20,6 +21,7 @@
 	accountsByKeyHash map[string]*Account
 	accounts          map[string]*Account
 	ranks             []*Rank
+	models            []string
 }
 
 // Account is a client account with its name.
@@ -98,6 +100,7 @@
 	s.accounts = make(map[string]*Account)
 	s.accountsByKeyHash = make(map[string]*Account)
 	s.ranks = nil
+	s.models = nil
 	for key, o := range s.Objects {
 		switch spec := o.Spec.(type) {
 		case *object.ClientAccountSpec:
@@ -108,8 +111,12 @@
 			}
 		case *object.RankSpec:
 			s.ranks = append(s.ranks, &Rank{Name: key.Name, RankSpec: spec})
+		case *object.ReplicaGroupSpec:
+			s.models = append(s.models, spec.Model)
 		}
 	}
+	slices.Sort(s.models)
+	s.models = slices.Compact(s.models)
 	sort.Slice(s.ranks, func(i, j int) bool {
 		if s.ranks[i].Priority != s.ranks[j].Priority {
 			return s.ranks[i].Priority < s.ranks[j].Priority
@@ -140,6 +147,16 @@
 	return nil
 }
 
+// Models returns the names of the models that groups serve, sorted. The slice
+// must not be changed.
+func (s *Snapshot) Models() []string { return s.models }
+
+// HasModel reports whether a group is declared for the model.
+func (s *Snapshot) HasModel(model string) bool {
+	_, found := slices.BinarySearch(s.models, model)
+	return found
+}
+
 // Service returns the named service, or nil.
 func (s *Snapshot) Service(name string) *object.ServiceSpec {
 	o := s.Objects[object.Key{Kind: object.KindService, Name: name}]
