Run on the users' platform: adapter, request core, formation of groups

Cause: the product declares groups one by one and speaks only its own protocols; on the platform nobody declares groups, and callers, hosts and the store have protocols of their own. Ruled out: a second program beside the product, and translating the platform's objects into declared ReplicaGroup objects (nobody would own their placement). Change: platform/ decodes the wire once; internal/version/fleet holds desired state and hosts; connection/feed follows both from the store or a peer; request/place and request/forward place and carry requests; version/formation plans groups; process/leader elects who gives orders; process/gateway wires a node; command gateway.

--- /dev/null
+++ b/internal/connection/feed/feed.go
@@ -0,0 +1,51 @@
+// Package feed follows versioned tables of records: the desired state and the
+// host list. A follower reads from the platform's store, and from another node
+// while the store refuses it.
+package feed
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Topic names a followed table.
+type Topic string
+
+// The followed tables.
+const (
+	TopicConfiguration Topic = "configuration"
+	TopicHosts         Topic = "hosts"
+)
+
+// ErrCompacted reports that the history since the asked version is gone; read
+// the whole table.
+var ErrCompacted = errors.New("history of the table is no longer available")
+
+// Record is one row of a table at the version that last changed it.
+type Record struct {
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
+	Value   []byte `json:"value,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Batch is a part of a table's history, or the whole table.
+type Batch struct {
+	Records []Record `json:"records"`
+	// Version is the point up to which the batch reaches.
+	Version int64 `json:"version"`
+	// Whole is true where Records is the table as of Version; keys that it
+	// does not hold do not exist.
+	Whole bool `json:"whole,omitempty"`
+}
+
+// Source serves tables. Implementations are safe for concurrent use.
+type Source interface {
+	// Snapshot reads the whole table as of one version.
+	Snapshot(ctx context.Context, topic Topic) (Batch, error)
+	// Changes returns the records changed after since, in order, as soon as
+	// there is one; without a change it returns an empty batch after wait.
+	// It returns ErrCompacted where the history does not reach back to since.
+	Changes(ctx context.Context, topic Topic, since int64, wait time.Duration) (Batch, error)
+}
--- /dev/null
+++ b/internal/connection/feed/table.go
@@ -0,0 +1,172 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// maxTombstones bounds the deletions that a table remembers for its readers;
+// one that is further behind reads the whole table.
+const maxTombstones = 4096
+
+// Table is a node's copy of a followed table. It serves other nodes as a
+// source. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	records map[string]Record
+	// deletions are the tombstones in order of version.
+	deletions []Record
+	// horizon is the lowest version from which Changes can go on.
+	horizon int64
+	version int64
+	loaded  bool
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{records: make(map[string]Record), changed: make(chan struct{})}
+}
+
+// Version returns the version that the table reflects, and whether it was
+// ever read as a whole.
+func (t *Table) Version() (int64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version, t.loaded
+}
+
+// Apply merges a batch and returns the records that changed. A batch that
+// reaches less far than the table changes nothing: sources may lag.
+func (t *Table) Apply(b Batch) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b.Version < t.version {
+		return nil
+	}
+	changed := t.merge(b)
+	t.version = b.Version
+	t.loaded = t.loaded || b.Whole
+	if len(changed) > 0 || b.Whole {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+	return changed
+}
+
+// merge applies the records of b. The caller holds mu.
+func (t *Table) merge(b Batch) []Record {
+	var changed []Record
+	present := make(map[string]bool, len(b.Records))
+	for _, r := range b.Records {
+		present[r.Key] = !r.Deleted
+		old, known := t.records[r.Key]
+		if known && old.Version >= r.Version {
+			continue
+		}
+		if !r.Deleted {
+			t.records[r.Key] = r
+			changed = append(changed, r)
+		} else if known {
+			changed = append(changed, t.remove(r.Key, r.Version))
+		}
+	}
+	if !b.Whole {
+		return changed
+	}
+	for key := range t.records {
+		if !present[key] {
+			changed = append(changed, t.remove(key, b.Version))
+		}
+	}
+	return changed
+}
+
+// remove deletes a record and remembers the deletion. The caller holds mu.
+func (t *Table) remove(key string, version int64) Record {
+	delete(t.records, key)
+	tombstone := Record{Key: key, Version: version, Deleted: true}
+	t.deletions = append(t.deletions, tombstone)
+	if excess := len(t.deletions) - maxTombstones; excess > 0 {
+		t.horizon = t.deletions[excess-1].Version
+		t.deletions = slices.Delete(t.deletions, 0, excess)
+	}
+	return tombstone
+}
+
+// Records returns the present records, sorted by key.
+func (t *Table) Records() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sorted()
+}
+
+func (t *Table) sorted() []Record {
+	records := make([]Record, 0, len(t.records))
+	for _, r := range t.records {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	return records
+}
+
+// Snapshot returns the whole table.
+func (t *Table) Snapshot() (Batch, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Batch{Records: t.sorted(), Version: t.version, Whole: true}, t.loaded
+}
+
+// Changes returns what changed after since, waiting for a change at most for
+// wait.
+func (t *Table) Changes(ctx context.Context, since int64, wait time.Duration) (Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		t.mu.Lock()
+		batch, compacted := t.since(since)
+		signal := t.changed
+		t.mu.Unlock()
+		if compacted {
+			return Batch{}, ErrCompacted
+		}
+		if len(batch.Records) > 0 {
+			return batch, nil
+		}
+		select {
+		case <-signal:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+// since collects records newer than a version. The caller holds mu.
+func (t *Table) since(version int64) (Batch, bool) {
+	if version < t.horizon {
+		return Batch{}, true
+	}
+	batch := Batch{Version: max(t.version, version)}
+	for _, r := range t.records {
+		if r.Version > version {
+			batch.Records = append(batch.Records, r)
+		}
+	}
+	for _, r := range t.deletions {
+		if _, again := t.records[r.Key]; r.Version > version && !again {
+			batch.Records = append(batch.Records, r)
+		}
+	}
+	slices.SortFunc(batch.Records, func(a, b Record) int { return int(a.Version - b.Version) })
+	return batch, false
+}
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -50,6 +50,53 @@
 	OrderStale      = Event{1254, logrus.WarnLevel, "endpoint refused an order with an old fencing token"}
 )
 
+// Events of feeds of configuration and hosts, 1300 to 1349.
+var (
+	FeedLost        = Event{1301, logrus.WarnLevel, "the store does not answer a feed; other nodes are asked"}
+	FeedRegained    = Event{1302, logrus.InfoLevel, "the store answers a feed again"}
+	FeedCompacted   = Event{1303, logrus.WarnLevel, "history of a feed is gone; the whole table is read"}
+	FeedFromPeer    = Event{1304, logrus.InfoLevel, "another node supplied changes of a feed"}
+	ConfigInForce   = Event{1305, logrus.InfoLevel, "configuration revision is in force at this node"}
+	ConfigUnusable  = Event{1306, logrus.ErrorLevel, "configuration cannot be decoded; the last one stays in force"}
+	HostUnusable    = Event{1307, logrus.WarnLevel, "registration of a host is unusable and is ignored"}
+	HostChanged     = Event{1308, logrus.InfoLevel, "registration of a host changed"}
+	HostGone        = Event{1309, logrus.InfoLevel, "registration of a host was removed"}
+	HostGoneDelayed = Event{1310, logrus.InfoLevel, "registration of a host lapsed around an outage of the store; the host is kept for now"}
+)
+
+// Events of requests, 1350 to 1399.
+var (
+	RequestPlaced    = Event{1351, logrus.InfoLevel, "request was given to an endpoint"}
+	RequestNotPlaced = Event{1352, logrus.InfoLevel, "no endpoint has room for a request"}
+	RequestRetried   = Event{1353, logrus.WarnLevel, "request was sent once more after a failed attempt"}
+	RequestRefused   = Event{1354, logrus.InfoLevel, "request was refused"}
+	RequestAnswered  = Event{1355, logrus.InfoLevel, "request was answered"}
+	CallerLeft       = Event{1356, logrus.InfoLevel, "caller left before the end of its answer"}
+	StreamMoved      = Event{1357, logrus.WarnLevel, "stream goes on at another group"}
+	StreamCut        = Event{1358, logrus.WarnLevel, "stream was ended as incomplete"}
+	RetryBudgetSpent = Event{1359, logrus.WarnLevel, "retry budget is spent; a request is not sent once more"}
+	GroupSuspected   = Event{1360, logrus.WarnLevel, "all streams of a group stand still; it takes no request for now"}
+)
+
+// Events of the formation of groups, 1400 to 1449.
+var (
+	LeaderElected   = Event{1401, logrus.InfoLevel, "node leads the formation of groups"}
+	LeaderLost      = Event{1402, logrus.WarnLevel, "node no longer leads the formation of groups"}
+	LeaderUnknown   = Event{1403, logrus.WarnLevel, "leadership could not be read or renewed"}
+	OrderSent       = Event{1404, logrus.InfoLevel, "order was given to a host"}
+	OrderUnanswered = Event{1405, logrus.WarnLevel, "order to a host failed or has no answer; the host's state decides what follows"}
+	MemberDead      = Event{1406, logrus.WarnLevel, "host does not answer probes and counts as lost"}
+	MemberAlive     = Event{1407, logrus.InfoLevel, "host answers probes"}
+	MemberSlow      = Event{1408, logrus.WarnLevel, "host works slower than usual and is replaced where there is a spare"}
+	GroupsPlanned   = Event{1409, logrus.InfoLevel, "groups in service changed"}
+)
+
+// Events of logging itself, 1450 to 1499.
+var (
+	LinesDropped = Event{1451, logrus.WarnLevel, "log lines were dropped because the reader is slow or there were too many"}
+	SettingsRead = Event{1452, logrus.InfoLevel, "settings were read again"}
+)
+
 // Events of caps and claims, 1700 to 1799.
 var (
 	SharesReclaimed   = Event{1701, logrus.WarnLevel, "cap shares of a dead node were reclaimed"}
@@ -86,6 +133,37 @@
 	GroupStepFailed,
 	OrderFailed,
 	OrderStale,
+	FeedLost,
+	FeedRegained,
+	FeedCompacted,
+	FeedFromPeer,
+	ConfigInForce,
+	ConfigUnusable,
+	HostUnusable,
+	HostChanged,
+	HostGone,
+	HostGoneDelayed,
+	RequestPlaced,
+	RequestNotPlaced,
+	RequestRetried,
+	RequestRefused,
+	RequestAnswered,
+	CallerLeft,
+	StreamMoved,
+	StreamCut,
+	RetryBudgetSpent,
+	GroupSuspected,
+	LeaderElected,
+	LeaderLost,
+	LeaderUnknown,
+	OrderSent,
+	OrderUnanswered,
+	MemberDead,
+	MemberAlive,
+	MemberSlow,
+	GroupsPlanned,
+	LinesDropped,
+	SettingsRead,
 	SharesReclaimed,
 	SharesVoid,
 	SharesReturned,
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -21,14 +22,19 @@
 type Fields = logrus.Fields
 
 // Logger writes events. It is safe for concurrent use.
-type Logger struct{ entry *logrus.Entry }
+type Logger struct {
+	entry *logrus.Entry
+	// writer and sampler are nil for loggers without bounds.
+	writer  *AsyncWriter
+	sampler *sampler
+}
 
 // New returns a logger that writes JSON lines to w at the given level.
 func New(w io.Writer, level logrus.Level, node string) *Logger {
 	logger := logrus.New()
 	logger.SetOutput(w)
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	return &Logger{entry: logger.WithField("node", node)}
 }
 
--- /dev/null
+++ b/internal/process/gateway/settings.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"currantladder.example/currantladder/internal/process/settings"
+)
+
+// Settings are the settings of a node of a managed deployment.
+type Settings struct {
+	// Node, Region and FailureDomain say where the node stands.
+	Node          string
+	Region        string
+	FailureDomain string
+	// FirstStart is true where the whole fleet starts for the first time.
+	FirstStart bool
+	// Callers, Ready, Peers and Metrics are addresses to listen on, as
+	// IP:port. Metrics may be empty.
+	Callers string
+	Ready   string
+	Peers   string
+	Metrics string
+	// Seeds are peer addresses, as IP:port, that are tried before others are
+	// known. They may be stale.
+	Seeds []string
+	// Store is the address of the platform's store.
+	Store string
+	// RetryRatio and RetrySlack bound second sends over all nodes: a share of
+	// the requests of a window, and a number in addition.
+	RetryRatio float64
+	RetrySlack float64
+	// StopTime is the time from SIGTERM to the end of the process at the
+	// latest.
+	StopTime time.Duration
+	// MemoryMB is the memory that the process may use.
+	MemoryMB int
+	// LogLevel is a logrus level name.
+	LogLevel string
+}
+
+// setting is one key of the file.
+type setting struct {
+	section, name string
+	required      bool
+	fallback      string
+	parse         func(s *Settings, value string) error
+}
+
+func settingsKeys() []setting {
+	text := func(field func(*Settings) *string) func(*Settings, string) error {
+		return func(s *Settings, v string) error { *field(s) = v; return nil }
+	}
+	address := func(field func(*Settings) *string) func(*Settings, string) error {
+		return func(s *Settings, v string) error {
+			if _, err := netip.ParseAddrPort(v); err != nil {
+				return fmt.Errorf("write an IP number and a port, such as 10.0.0.1:8000: %w", err)
+			}
+			*field(s) = v
+			return nil
+		}
+	}
+	number := func(field func(*Settings) *float64) func(*Settings, string) error {
+		return func(s *Settings, v string) error {
+			f, err := strconv.ParseFloat(v, 64)
+			if err != nil || f < 0 {
+				return fmt.Errorf("write a number of 0 or more")
+			}
+			*field(s) = f
+			return nil
+		}
+	}
+	return []setting{
+		{"node", "name", true, "", text(func(s *Settings) *string { return &s.Node })},
+		{"node", "region", false, "", text(func(s *Settings) *string { return &s.Region })},
+		{"node", "failure_domain", true, "", text(func(s *Settings) *string { return &s.FailureDomain })},
+		{"node", "first_start", false, "false", func(s *Settings, v string) (err error) {
+			if s.FirstStart, err = strconv.ParseBool(v); err != nil {
+				return fmt.Errorf("write true or false")
+			}
+			return nil
+		}},
+		{"node", "memory_mb", false, "256", func(s *Settings, v string) (err error) {
+			if s.MemoryMB, err = strconv.Atoi(v); err != nil || s.MemoryMB < minMemoryMB {
+				return fmt.Errorf("write a whole number of %d or more", minMemoryMB)
+			}
+			return nil
+		}},
+		{"node", "stop_time", false, "8s", func(s *Settings, v string) (err error) {
+			if s.StopTime, err = time.ParseDuration(v); err != nil || s.StopTime <= 0 {
+				return fmt.Errorf("write a duration, such as 8s")
+			}
+			return nil
+		}},
+		{"listen", "callers", true, "", address(func(s *Settings) *string { return &s.Callers })},
+		{"listen", "ready", true, "", address(func(s *Settings) *string { return &s.Ready })},
+		{"listen", "peers", true, "", address(func(s *Settings) *string { return &s.Peers })},
+		{"listen", "metrics", false, "", address(func(s *Settings) *string { return &s.Metrics })},
+		{"peers", "seeds", false, "", func(s *Settings, v string) error {
+			for part := range strings.SplitSeq(v, ",") {
+				if _, err := netip.ParseAddrPort(strings.TrimSpace(part)); err != nil {
+					return fmt.Errorf("write IP:port, separated by commas: %w", err)
+				}
+				s.Seeds = append(s.Seeds, strings.TrimSpace(part))
+			}
+			return nil
+		}},
+		{"store", "address", true, "", address(func(s *Settings) *string { return &s.Store })},
+		{"retry", "ratio", false, "0.1", number(func(s *Settings) *float64 { return &s.RetryRatio })},
+		{"retry", "slack", false, "20", number(func(s *Settings) *float64 { return &s.RetrySlack })},
+		{"log", "level", false, "info", text(func(s *Settings) *string { return &s.LogLevel })},
+	}
+}
+
+// minMemoryMB is the least memory that a node works with.
+const minMemoryMB = 64
+
+// LoadSettings reads and checks a settings file. It returns a
+// *settings.FaultsError that lists every fault, or an error of reading it.
+func LoadSettings(path string) (*Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read the settings file: %w", err)
+	}
+	file, err := ini.LoadSources(ini.LoadOptions{SpaceBeforeInlineComment: true, IgnoreContinuation: true}, content)
+	if err != nil {
+		return nil, &settings.FaultsError{Path: path, Faults: []settings.Fault{{Remedy: "write sections as [name] and settings as key = value: " + err.Error()}}}
+	}
+	s := &Settings{}
+	var faults []settings.Fault
+	known := map[string]bool{}
+	for _, k := range settingsKeys() {
+		known[k.section+"."+k.name] = true
+		value := strings.TrimSpace(file.Section(k.section).Key(k.name).String())
+		if value == "" && k.required {
+			faults = append(faults, settings.Fault{Section: k.section, Key: k.name, Remedy: "is required: set it"})
+			continue
+		}
+		if value == "" {
+			value = k.fallback
+		}
+		if value == "" {
+			continue
+		}
+		if err := k.parse(s, value); err != nil {
+			faults = append(faults, settings.Fault{Section: k.section, Key: k.name, Value: value, Remedy: err.Error()})
+		}
+	}
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			if !known[section.Name()+"."+key.Name()] {
+				faults = append(faults, settings.Fault{Section: section.Name(), Key: key.Name(), Remedy: "the key is unknown: remove it, or see docs/SETTINGS.md"})
+			}
+		}
+	}
+	if len(faults) > 0 {
+		return nil, &settings.FaultsError{Path: path, Faults: faults}
+	}
+	return s, nil
+}
+
+// IsSettings reports whether a file holds settings of a managed node, which
+// have the section [store], rather than those of a node with declared groups.
+func IsSettings(path string) bool {
+	file, err := ini.Load(path)
+	return err == nil && file.HasSection("store")
+}
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -25,6 +25,8 @@
 	Share float64
 	// MaxAttempts bounds the attempts of one request, the first included.
 	MaxAttempts int
+	// Reserve replaces the constant of that name where it is above 0.
+	Reserve float64
 }
 
 // Attempt describes a failed attempt.
@@ -76,7 +78,11 @@
 	defer b.mu.Unlock()
 	current := b.at(a.Rank, now)
 	first, retries := b.ranks[a.Rank].sum(current.index)
-	if float64(retries+1) > a.Policy.Share*float64(first)+Reserve {
+	reserve := float64(Reserve)
+	if a.Policy.Reserve > 0 {
+		reserve = a.Policy.Reserve
+	}
+	if float64(retries+1) > a.Policy.Share*float64(first)+reserve {
 		return false
 	}
 	current.retries++
--- /dev/null
+++ b/internal/version/fleet/view.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// View is what a node knows of the fleet at one moment. It is immutable.
+type View struct {
+	// Configuration is nil until the first one was read.
+	Configuration *Configuration
+	// Hosts are sorted by ID.
+	Hosts []*Host
+	// HostsVersion is the feed's version of the host list, HostsRead when it
+	// was last confirmed.
+	HostsVersion int64
+	HostsRead    time.Time
+	// HostsKnown is true once the host list was read as a whole.
+	HostsKnown bool
+
+	byID      map[string]*Host
+	byService map[string][]*Host
+}
+
+// NewView returns an indexed view.
+func NewView(configuration *Configuration, hosts []*Host, version int64, read time.Time, known bool) *View {
+	v := &View{
+		Configuration: configuration, Hosts: hosts, HostsVersion: version, HostsRead: read, HostsKnown: known,
+		byID: make(map[string]*Host, len(hosts)), byService: make(map[string][]*Host),
+	}
+	slices.SortFunc(v.Hosts, func(a, b *Host) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		if a.ID > b.ID {
+			return 1
+		}
+		return 0
+	})
+	for _, h := range v.Hosts {
+		v.byID[h.ID] = h
+		v.byService[h.Service] = append(v.byService[h.Service], h)
+	}
+	return v
+}
+
+// Host returns the host of that ID, or nil.
+func (v *View) Host(id string) *Host { return v.byID[id] }
+
+// ServiceHosts returns the hosts of a service, sorted by ID.
+func (v *View) ServiceHosts(service string) []*Host { return v.byService[service] }
+
+// Holder shares the present view between goroutines without locks.
+type Holder struct{ current atomic.Pointer[View] }
+
+// Load returns the present view, never nil.
+func (h *Holder) Load() *View {
+	if v := h.current.Load(); v != nil {
+		return v
+	}
+	return NewView(nil, nil, 0, time.Time{}, false)
+}
+
+// Store replaces the view.
+func (h *Holder) Store(v *View) { h.current.Store(v) }
