Tell the end of a stream from a lost connection; free survivors of a headless group by leave

Change: a clean end is a value of its own; members leave before they join again when the head is not registered; a group is suspect after a usual pass and its streams move only after the longest possible one.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -17,16 +17,19 @@
 
 // Times of streams.
 const (
-	// stallFactor and stallSlack make the silence after which a group counts
-	// as stalled out of its longest pass. Passes end within tens of
+	// stallFactor and stallSlack turn the length of a pass into the silence
+	// after which a group is suspect or stalled. Passes end within tens of
 	// milliseconds of the engine's model; the slack covers the network and
 	// the schedule of a busy node.
-	stallFactor = 1.25
+	stallFactor = 1.15
 	stallSlack  = 100 * time.Millisecond
+	// firstEventSlack is added while a leg has given nothing: engines take a
+	// fixed time before the first token, which they do not declare.
+	firstEventSlack = 300 * time.Millisecond
 	// lonelyFactor is the silence of one stream, in multiples of that of a
 	// stalled group, after which it moves although the group goes on: it was
 	// preempted or its connection is dead.
-	lonelyFactor = 4
+	lonelyFactor = 3
 	// checkPeriod is how often a stream looks for silence.
 	checkPeriod = 25 * time.Millisecond
 	// pumpCapacity is the number of events that one attempt may be ahead of
@@ -40,7 +43,9 @@
 type pumped struct {
 	reply *Reply
 	event *event
-	// err ends the attempt; io.EOF is the clean end of a stream.
+	// ended is true at the clean end of a stream.
+	ended bool
+	// err ends the attempt early.
 	err error
 	// handed says, with err, whether the endpoint may have run the request.
 	handed bool
@@ -160,6 +165,10 @@
 	events := newEventReader(reply.Body)
 	for {
 		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			send(pumped{ended: true})
+			return
+		}
 		if err != nil {
 			send(pumped{err: err, handed: true})
 			return
@@ -186,6 +195,10 @@
 	case p.event != nil:
 		c.handed = true
 		return c.passOn(p.event, now)
+	case p.ended:
+		c.endLeg(place.OutcomeAnswered)
+		c.complete()
+		return true
 	case p.err == nil:
 		c.leg.progress = now
 		c.handed = true
@@ -193,10 +206,6 @@
 			c.begin(p.reply)
 		}
 		return false
-	case errors.Is(p.err, io.EOF):
-		c.endLeg(place.OutcomeAnswered)
-		c.complete()
-		return true
 	}
 	c.handed = c.handed || p.handed
 	return c.recoverLeg(ctx, p, now)
@@ -344,40 +353,63 @@
 	c.leg = nil
 }
 
-// stallTime is the silence after which a group counts as stalled.
-func (c *streamCall) stallTime() time.Duration {
-	if c.service.Engine == nil || c.leg.model == nil {
-		return c.route.PauseTarget + stallSlack
+// silence holds the times after which a leg's silence has a meaning.
+type silence struct {
+	// suspect: most passes are shorter; the group takes no new request until
+	// it gives a sign.
+	suspect time.Duration
+	// stalled: no pass of a healthy group is longer; its streams move.
+	stalled time.Duration
+	// first is stalled for a leg that has given nothing yet.
+	first time.Duration
+}
+
+func (c *streamCall) silence() silence {
+	engine, model := c.service.Engine, c.leg.model
+	if engine == nil || model == nil {
+		stalled := c.route.PauseTarget + stallSlack
+		return silence{stalled, stalled, stalled + c.route.Target}
 	}
-	stall := time.Duration(stallFactor*float64(c.service.Engine.PassTime(c.leg.model))) + stallSlack
-	if c.leg.events == 0 {
-		stall += c.service.Engine.ReadTime(c.leg.model, c.request.PromptTokens)
+	scaled := func(pieces int) time.Duration {
+		return time.Duration(stallFactor*float64(engine.PassTime(model, pieces))) + stallSlack
 	}
-	return stall
+	stalled := scaled(engine.StepsPerPass)
+	return silence{scaled(1), stalled, stalled + firstEventSlack + engine.ReadTime(model, c.request.PromptTokens)}
 }
 
-// checkSilence moves the stream where its group stands still.
+// checkSilence suspects a group that gives nothing, and moves the stream where
+// the group stands still.
 func (c *streamCall) checkSilence(ctx context.Context, now time.Time) {
-	stall := c.stallTime()
 	own := now.Sub(c.leg.progress)
-	if own < stall {
+	limits := c.silence()
+	if own < limits.suspect {
 		return
 	}
 	group := own
 	if at := c.Board.Progress(c.leg.host.ID); !at.IsZero() {
 		group = min(own, now.Sub(at))
 	}
-	stalled := group >= stall
-	if !stalled && own < lonelyFactor*stall {
-		return
+	if c.leg.events > 0 && group >= limits.suspect || group >= limits.first {
+		c.suspect(now, group, limits)
+	}
+	limit := limits.stalled
+	if c.leg.events == 0 && !c.Board.Suspected(c.leg.host.ID, now) {
+		limit = limits.first
+	}
+	if group >= limit || own >= lonelyFactor*limit {
+		c.move(ctx, now, own)
 	}
-	if stalled && c.Board.Suspect(c.leg.host.ID, now) {
-		c.Log.Log(eventlog.GroupSuspected, eventlog.Fields{
-			"request": c.request.ID, "host": c.leg.host.ID, "group": c.leg.host.Group.Name, "epoch": c.leg.host.Group.Epoch,
-			"silent_ms": group.Milliseconds(), "stall_ms": stall.Milliseconds(), "events": c.leg.events,
-		})
+}
+
+func (c *streamCall) suspect(now time.Time, silent time.Duration, limits silence) {
+	if !c.Board.Suspect(c.leg.host.ID, now) {
+		return
 	}
-	c.move(ctx, now, own)
+	c.Log.Log(eventlog.GroupSuspected, eventlog.Fields{
+		"request": c.request.ID, "host": c.leg.host.ID, "group": c.leg.host.Group.Name, "epoch": c.leg.host.Group.Epoch,
+		"silent_ms": silent.Milliseconds(), "suspect_ms": limits.suspect.Milliseconds(), "stalled_ms": limits.stalled.Milliseconds(),
+		"events": c.leg.events,
+	})
 }
 
 // move goes on at another group from the last event that the caller has. The
@@ -392,7 +424,7 @@
 		return
 	}
 	if refused := c.start(ctx); refused != nil {
-		c.leg = old
+		c.retries.Refund(c.service.Name, now)
 		return
 	}
 	old.cancel()
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -151,6 +151,14 @@
 	return isNew
 }
 
+// Suspected reports whether the host is under suspicion.
+func (b *Board) Suspected(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.hosts[id]
+	return r != nil && now.Before(r.suspectUntil)
+}
+
 // Suspects returns the hosts under suspicion.
 func (b *Board) Suspects(now time.Time) []string {
 	b.mu.Lock()
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -89,6 +89,15 @@
 	return true
 }
 
+// Refund takes back a retry that was allowed just now and not made.
+func (b *Budget) Refund(rank string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if current := b.at(rank, now); current.retries > 0 {
+		current.retries--
+	}
+}
+
 // at returns the interval of now. The caller holds mu.
 func (b *Budget) at(rank string, now time.Time) *tally {
 	if b.epoch.IsZero() {
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -145,12 +145,12 @@
 	return nil
 }
 
-// PassTime is the longest time between two events of a group that is full:
-// the steps of one pass, and one piece of a prompt.
-func (e *Engine) PassTime(m *Model) time.Duration {
+// PassTime is the time between two events of a group that is full and reads
+// the given pieces of prompts within a pass, StepsPerPass at most.
+func (e *Engine) PassTime(m *Model, pieces int) time.Duration {
 	step := e.StepTime + time.Duration(e.Slots)*e.StepTimePerRequest
 	pass := float64(e.StepsPerPass) * float64(step) * m.Pace
-	return time.Duration(pass) + e.ReadTime(m, e.ChunkTokens)
+	return time.Duration(pass) + e.ReadTime(m, pieces*e.ChunkTokens)
 }
 
 // ReadTime is the time that a group takes to read prompt tokens.
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -26,11 +26,11 @@
 	orderTimeout = 400 * time.Millisecond
 	// probeTimeout bounds a probe, probesToLose is the number of probes in a
 	// row without an answer after which a host counts as lost.
-	probeTimeout = 200 * time.Millisecond
+	probeTimeout = 120 * time.Millisecond
 	probesToLose = 2
 	// reprobePeriod is how often a host that counts as lost or slow is asked
 	// again.
-	reprobePeriod = time.Second
+	reprobePeriod = 600 * time.Millisecond
 	// slowPace is the pace from which a member is replaced where a spare is
 	// at hand: the group then misses the pauses that callers accept.
 	slowPace = 2.5
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -261,7 +261,8 @@
 func (p *planner) dissolve(g *group) {
 	head := g.head()
 	if head == nil || head.Group.Name != g.name {
-		return // the head is gone or has another group
+		p.releaseMembers(g)
+		return
 	}
 	if p.Conditions[head.ID].Lost {
 		if p.Now.Sub(p.Conditions[head.ID].Since) < lostHeadPatience {
@@ -282,6 +283,22 @@
 	p.order(Order{Operation: OpLeave, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "a member is lost"})
 }
 
+// releaseMembers makes the survivors of a group leave it whose head is no
+// longer registered: the head may live on behind a partition and still count
+// as open, and a member must not join another group before it has left.
+func (p *planner) releaseMembers(g *group) {
+	for _, h := range g.members {
+		if h == nil || p.lost(h) || h.Group.Name != g.name {
+			continue
+		}
+		p.held[h.ID] = true
+		if i, ok := p.intent(h); ok && i.Order.Operation == OpLeave && i.Order.Group == g.name {
+			continue // the report of the leave is under way
+		}
+		p.order(Order{Operation: OpLeave, HostID: h.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "the head is gone"})
+	}
+}
+
 // closeGroup lets a group with a leaving member finish its work.
 func (p *planner) closeGroup(g *group) {
 	head := g.head()
