Rebalance models, stop a released candidate from campaigning, test the new packages

TestFailover: a candidate that had released the lease took it again while stopping, 5.4 s without a leader. Ruled out: a wrong ratio; the large model was chosen first and no domain had four hosts with its weights.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -168,6 +168,8 @@
 	defer cancel()
 	watch := watchPeriod + rand.N(watchJitter)
 	switch {
+	case c.isReleased():
+		return watch, nil
 	case c.holds():
 		if err := c.renew(bounded); err != nil {
 			return 0, err
@@ -200,6 +202,12 @@
 	return c.row.Holder == c.holder && !c.released
 }
 
+func (c *Candidate) isReleased() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.released
+}
+
 // hasSign reports whether a leader gave a sign lately.
 func (c *Candidate) hasSign() bool {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/request/place/board_test.go
@@ -0,0 +1,166 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"currantladder.example/currantladder/internal/version/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func engineService() *fleet.Service {
+	return &fleet.Service{Name: "models", Engine: &fleet.Engine{
+		Slots: 10, StepsPerPass: 5, ChunkTokens: 2048, StepTime: 6 * time.Millisecond, StepTimePerRequest: 240 * time.Microsecond,
+		ReadTokensPerSecond: 46000, UsualPromptTokens: 1000, UsualAnswerTokens: 100, Models: []fleet.Model{{Name: "m", Size: 1, Pace: 1}},
+	}}
+}
+
+func openHead(id string) *fleet.Host {
+	return &fleet.Host{ID: id, Service: "models", State: fleet.HostReady, LoadedModel: "m", Slots: 10,
+		Group: fleet.Membership{Name: "m." + id, Epoch: 1, State: fleet.MemberOpen}}
+}
+
+func view(hosts ...*fleet.Host) *fleet.View { return fleet.NewView(nil, hosts, 1, start, true) }
+
+func mustPlace(t *testing.T, b *Board, v *fleet.View, q Query, now time.Time) string {
+	t.Helper()
+	choice, refused := b.Choose(v, q, now)
+	if refused != nil {
+		t.Fatalf("refused: %+v", refused)
+	}
+	return choice.Host.ID
+}
+
+// TestOnlyOpenHeadsOfTheModelTakeRequests plays each state in which a host
+// must get nothing.
+func TestOnlyOpenHeadsOfTheModelTakeRequests(t *testing.T) {
+	for name, spoil := range map[string]func(*fleet.Host){
+		"leaving":     func(h *fleet.Host) { h.State = fleet.HostLeaving },
+		"other model": func(h *fleet.Host) { h.LoadedModel = "n" },
+		"not head":    func(h *fleet.Host) { h.Group.Rank = 1 },
+		"ready":       func(h *fleet.Host) { h.Group.State = fleet.MemberReady },
+		"closing":     func(h *fleet.Host) { h.Group.State = fleet.MemberClosing },
+		"broken":      func(h *fleet.Host) { h.Group.State = fleet.MemberBroken },
+		"no group":    func(h *fleet.Host) { h.Group = fleet.Membership{} },
+	} {
+		host := openHead("a")
+		spoil(host)
+		if choice, refused := NewBoard().Choose(view(host), Query{Service: engineService(), Model: "m"}, start); refused == nil {
+			t.Errorf("%s: request was given to %s", name, choice.Host.ID)
+		} else if refused.Candidates != 0 {
+			t.Errorf("%s: %d candidates, want 0", name, refused.Candidates)
+		}
+	}
+}
+
+// TestNodesTogetherStayBelowTheBatch plays a burst at three nodes that know of
+// each other's requests by digests: no group gets more than its batch, and
+// what is over is refused at once with a time to return.
+func TestNodesTogetherStayBelowTheBatch(t *testing.T) {
+	v := view(openHead("a"), openHead("b"))
+	boards := []*Board{NewBoard(), NewBoard(), NewBoard()}
+	counts := map[string]int{}
+	refusals := 0
+	for i := range 60 {
+		board := boards[i%len(boards)]
+		choice, refused := board.Choose(v, Query{Service: engineService(), Model: "m"}, start)
+		if refused != nil {
+			refusals++
+			if refused.ReturnAfter < minReturn || refused.ReturnAfter > maxReturn {
+				t.Errorf("return after %v, want within [%v, %v]", refused.ReturnAfter, minReturn, maxReturn)
+			}
+			continue
+		}
+		counts[choice.Host.ID]++
+		for j, other := range boards {
+			if j != i%len(boards) {
+				other.Merge(fmt.Sprint(i%len(boards)), board.InFlight(), nil, start)
+			}
+		}
+	}
+	if counts["a"] != 10 || counts["b"] != 10 || refusals != 40 {
+		t.Errorf("a %d, b %d, refused %d; want 10, 10, 40", counts["a"], counts["b"], refusals)
+	}
+}
+
+// TestUrgentRanksFindRoomInAFlood plays a flood of the least urgent rank: the
+// room that it leaves is there for the most urgent.
+func TestUrgentRanksFindRoomInAFlood(t *testing.T) {
+	v, b := view(openHead("a")), NewBoard()
+	low, urgent := Query{Service: engineService(), Model: "m", Rank: 2}, Query{Service: engineService(), Model: "m"}
+	for range 50 {
+		b.Choose(v, low, start)
+	}
+	if got := b.InFlight()["a"]; got != 8 {
+		t.Errorf("a flood of rank 2 fills %d of 10, want 8", got)
+	}
+	mustPlace(t, b, v, urgent, start)
+	mustPlace(t, b, v, urgent, start)
+	if _, refused := b.Choose(v, urgent, start); refused == nil {
+		t.Error("the batch holds 10 and took an 11th")
+	}
+}
+
+// TestSuspectGroupIsLeftAloneUntilItGivesASign plays a stalled group.
+func TestSuspectGroupIsLeftAloneUntilItGivesASign(t *testing.T) {
+	v, b, q := view(openHead("a"), openHead("b")), NewBoard(), Query{Service: engineService(), Model: "m"}
+	if !b.Suspect("a", start) || b.Suspect("a", start) {
+		t.Error("the first suspicion is new, the second is not")
+	}
+	for range 5 {
+		if id := mustPlace(t, b, v, q, start); id != "b" {
+			t.Fatalf("request was given to the suspect %s", id)
+		}
+	}
+	b.Progressed("a", start)
+	if id := mustPlace(t, b, v, q, start); id != "a" {
+		t.Errorf("request was given to %s, want the idle a after its sign", id)
+	}
+	other := NewBoard()
+	other.Merge("node", nil, []string{"b"}, start)
+	if !other.Suspected("b", start) {
+		t.Error("a suspicion of another node is not taken over")
+	}
+}
+
+// TestFailingPlainEndpointGetsLess plays an endpoint that fails 4 in 10
+// requests: over time it must get less than a third of its even share.
+func TestFailingPlainEndpointGetsLess(t *testing.T) {
+	plain := func(id string) *fleet.Host {
+		return &fleet.Host{ID: id, Service: "plain", State: fleet.HostReady, Slots: 6}
+	}
+	v, b, q := view(plain("good1"), plain("good2"), plain("grey")), NewBoard(), Query{Service: &fleet.Service{Name: "plain"}}
+	counts, now := map[string]int{}, start
+	for i := range 600 {
+		now = now.Add(60 * time.Millisecond)
+		id := mustPlace(t, b, v, q, now)
+		counts[id]++
+		outcome := OutcomeAnswered
+		if id == "grey" && i%10 < 4 {
+			outcome = OutcomeFailed
+		}
+		b.Ended(id, outcome, 15*time.Millisecond, now)
+	}
+	if counts["grey"] > 600/9 {
+		t.Errorf("the grey endpoint got %d of 600, want at most %d", counts["grey"], 600/9)
+	}
+	if counts["grey"] == 0 {
+		t.Error("the grey endpoint is never tried again")
+	}
+}
+
+// TestDigestsOfSilentNodesExpire holds that a dead node's requests do not
+// count for ever.
+func TestDigestsOfSilentNodesExpire(t *testing.T) {
+	v, b, q := view(openHead("a")), NewBoard(), Query{Service: engineService(), Model: "m"}
+	b.Merge("dead", map[string]int{"a": 10}, nil, start)
+	if _, refused := b.Choose(v, q, start); refused == nil {
+		t.Error("a full group took a request")
+	}
+	mustPlace(t, b, v, q, start.Add(remoteBound+time.Millisecond))
+	if got := b.LiveNodes(start.Add(remoteBound + time.Millisecond)); got != 1 {
+		t.Errorf("%d live nodes, want 1", got)
+	}
+}
--- /dev/null
+++ b/internal/version/fleet/fleet_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+func TestRouteIsTheLongestPrefix(t *testing.T) {
+	c := &Configuration{Routes: []Route{
+		{Name: "short", Host: "a", Prefix: "/x/"}, {Name: "long", Host: "a", Prefix: "/x/y/"}, {Name: "other", Host: "b", Prefix: "/x/"},
+	}}
+	c.Index()
+	for _, test := range []struct{ host, path, want string }{
+		{"a", "/x/1", "short"}, {"a", "/x/y/1", "long"}, {"a", "/x/y", "short"}, {"b", "/x/y/1", "other"}, {"a", "/z/", ""}, {"c", "/x/1", ""},
+	} {
+		got := ""
+		if r := c.Route(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s goes to %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+func TestOnlyResumableStreamsAndIdempotentRequestsRepeat(t *testing.T) {
+	for _, test := range []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: KindIdempotent}, true},
+		{Route{Kind: KindNonIdempotent}, false},
+		{Route{Kind: KindStream}, false},
+		{Route{Kind: KindStream, Resumable: true}, true},
+	} {
+		if got := test.route.Repeatable(); got != test.want {
+			t.Errorf("%v resumable %t: repeatable %t, want %t", test.route.Kind, test.route.Resumable, got, test.want)
+		}
+	}
+}
+
+// TestEngineTimes holds the engine's arithmetic to figures worked by hand:
+// five steps of 6 + 10*0.2 ms at pace 0.5 are 20 ms, a chunk of 2000 tokens at
+// 40,000 a second is 25 ms.
+func TestEngineTimes(t *testing.T) {
+	engine := &Engine{
+		Slots: 10, StepsPerPass: 5, ChunkTokens: 2000, StepTime: 6 * time.Millisecond, StepTimePerRequest: 200 * time.Microsecond,
+		ReadTokensPerSecond: 40000, UsualPromptTokens: 400, UsualAnswerTokens: 100,
+	}
+	model := &Model{Pace: 0.5}
+	if got, want := engine.PassTime(model, 1), 45*time.Millisecond; got != want {
+		t.Errorf("a pass takes %v, want %v", got, want)
+	}
+	// 100 tokens at 0.4 ms and 400 read at 0.0125 ms: 45 ms of the group.
+	if got, want := engine.GroupRate(model), 1000.0/45; got < want*0.999 || got > want*1.001 {
+		t.Errorf("a group completes %.2f a second, want %.2f", got, want)
+	}
+}
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -84,7 +84,7 @@
 	probing    map[string]time.Time
 	// members are the members of open groups as last registered, by host ID.
 	members map[string]*fleet.Host
-	loads      []time.Time
+	loads   []time.Time
 	// hostCount and countSince tell when the host list settled.
 	hostCount  int
 	countSince time.Time
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -113,10 +113,14 @@
 	Input
 	plan   Plan
 	groups map[string]*group
+	// serving are the open groups by domain.
+	serving map[string][]*group
 	// free are hosts that may be given to a group.
 	free map[string]*fleet.Host
 	// held are hosts that stay where they are.
 	held map[string]bool
+	// reserved are free hosts that a rebalancing prepares for a model.
+	reserved map[string]bool
 	// domainGroups counts wanted groups by domain and model.
 	domainGroups map[string]map[string]int
 }
@@ -124,7 +128,7 @@
 // MakePlan returns the orders that bring the fleet nearer to its target.
 func MakePlan(in Input) Plan {
 	p := &planner{
-		Input: in, groups: map[string]*group{}, free: map[string]*fleet.Host{}, held: map[string]bool{},
+		Input: in, groups: map[string]*group{}, serving: map[string][]*group{}, free: map[string]*fleet.Host{}, held: map[string]bool{}, reserved: map[string]bool{},
 		domainGroups: map[string]map[string]int{},
 		plan:         Plan{NextEpoch: in.FirstEpoch, Serving: map[string]int{}, Forming: map[string]int{}, Spares: map[string]int{}},
 	}
@@ -134,6 +138,7 @@
 	}
 	p.collectFree()
 	p.form()
+	p.rebalance()
 	p.stage()
 	return p.plan
 }
@@ -237,6 +242,7 @@
 	p.domainGroups[domain][g.model.Name]++
 	if serving {
 		p.plan.Serving[g.model.Name]++
+		p.serving[domain] = append(p.serving[domain], g)
 		return
 	}
 	p.plan.Forming[g.model.Name]++
@@ -245,6 +251,9 @@
 // serve keeps a complete group and opens it once all members are ready.
 func (p *planner) serve(g *group) {
 	head := g.head()
+	if head.Group.State == fleet.MemberReady && p.givenUp(g) {
+		return
+	}
 	p.keep(g, head.Group.State == fleet.MemberOpen)
 	if head.Group.State != fleet.MemberReady {
 		return
@@ -260,6 +269,13 @@
 	p.order(Order{Operation: OpOpen, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "all members are ready"})
 }
 
+// givenUp reports whether the last order to the group's head was to close it,
+// so that its members may be used for another group.
+func (p *planner) givenUp(g *group) bool {
+	i, ok := p.Intents[g.head().ID]
+	return ok && i.Life == g.head().Life() && i.Order.Operation == OpClose && i.Order.Group == g.name && !i.Refused
+}
+
 // dissolve ends a group that has lost a member. Its survivors are free once
 // the head is known not to serve.
 func (p *planner) dissolve(g *group) {
@@ -487,10 +503,10 @@
 // stage loads weights onto free hosts: first what completes a group, then
 // spares for the groups of the domain.
 func (p *planner) stage() {
-	budget := p.LoadBudget
 	domains := p.domains()
 	for _, domain := range slices.Sorted(maps.Keys(domains)) {
-		s := &stager{planner: p, domain: domain, hosts: domains[domain], budget: &budget}
+		hosts := slices.DeleteFunc(domains[domain], func(h *fleet.Host) bool { return p.reserved[h.ID] })
+		s := &stager{planner: p, domain: domain, hosts: hosts}
 		s.run()
 	}
 }
--- /dev/null
+++ b/internal/version/formation/simulation_test.go
@@ -0,0 +1,146 @@
+package formation
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"currantladder.example/currantladder/internal/version/fleet"
+)
+
+// simulation carries out orders on hosts in steps of one second.
+type simulation struct {
+	t     *testing.T
+	rand  *rand.Rand
+	now   time.Time
+	hosts []*fleet.Host
+	// lists are the member lists by group, as joined.
+	lists   map[string][]string
+	due     map[string]func()
+	epoch   int64
+	added   int
+	intents map[string]Intent
+	stages  map[string]Intent
+}
+
+func newSimulation(t *testing.T, seed int64) *simulation {
+	s := &simulation{t: t, rand: rand.New(rand.NewSource(seed)), now: now, lists: map[string][]string{}, due: map[string]func(){}, epoch: 1, intents: map[string]Intent{}, stages: map[string]Intent{}}
+	for range 24 {
+		s.add()
+	}
+	return s
+}
+
+func (s *simulation) add() {
+	h := host(fmt.Sprintf("h%02d", s.added), fmt.Sprintf("d%d", s.added%3))
+	h.Started = s.now
+	s.added++
+	s.hosts = append(s.hosts, h)
+}
+
+// disturb removes a host or adds one.
+func (s *simulation) disturb() {
+	switch s.rand.Intn(6) {
+	case 0:
+		if len(s.hosts) > 18 {
+			i := s.rand.Intn(len(s.hosts))
+			s.hosts = slices.Delete(s.hosts, i, i+1)
+		}
+	case 1:
+		if len(s.hosts) < 30 {
+			s.add()
+		}
+	}
+}
+
+// step plans, carries the orders out, and returns their number.
+func (s *simulation) step() int {
+	s.now = s.now.Add(time.Second)
+	for id, effect := range s.due {
+		effect()
+		delete(s.due, id)
+	}
+	plan := MakePlan(Input{
+		Now: s.now, Engine: engine(), Hosts: s.hosts, Conditions: map[string]Condition{}, Intents: s.intents, Stages: s.stages,
+		LoadBudget: 4, FirstEpoch: s.epoch,
+	})
+	s.epoch = plan.NextEpoch
+	seen := map[string]bool{}
+	for _, o := range plan.Orders {
+		if o.Operation == OpStage {
+			s.stages[o.HostID] = Intent{Order: o, Sent: s.now, Life: s.host(o.HostID).Life(), Answered: true}
+			h, model := s.host(o.HostID), o.Model
+			s.due["stage "+o.HostID] = func() { h.StagedModels = []string{model} }
+			continue
+		}
+		if seen[o.HostID] {
+			s.t.Fatalf("two orders for %s in one plan: %v", o.HostID, plan.Orders)
+		}
+		seen[o.HostID] = true
+		s.intents[o.HostID] = Intent{Order: o, Sent: s.now, Life: s.host(o.HostID).Life(), Answered: true}
+		s.carryOut(o)
+	}
+	return len(plan.Orders)
+}
+
+func (s *simulation) host(id string) *fleet.Host {
+	for _, h := range s.hosts {
+		if h.ID == id {
+			return h
+		}
+	}
+	return nil
+}
+
+func (s *simulation) carryOut(o Order) {
+	h := s.host(o.HostID)
+	switch o.Operation {
+	case OpJoin:
+		s.checkFree(h, o)
+		s.lists[o.Group] = o.Members
+		h.Group = fleet.Membership{Name: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, h.ID), State: fleet.MemberJoining}
+		s.due[h.ID] = func() {
+			if h.Group.Name == o.Group {
+				h.Group.State, h.LoadedModel, h.StagedModels = fleet.MemberReady, o.Model, []string{o.Model}
+			}
+		}
+	case OpOpen:
+		for _, id := range s.lists[o.Group] {
+			if m := s.host(id); m == nil || m.Group.Name != o.Group || m.Group.State != fleet.MemberReady {
+				s.t.Fatalf("group %s is opened without %s", o.Group, id)
+			}
+		}
+		h.Group.State = fleet.MemberOpen
+	case OpLeave:
+		h.Group = fleet.Membership{}
+	case OpClose:
+		h.Group.State = fleet.MemberReady
+	}
+}
+
+// checkFree holds that a member joins another group only after its old head
+// has stopped serving, or after it has left.
+func (s *simulation) checkFree(h *fleet.Host, o Order) {
+	if h.Group.Name == "" {
+		return
+	}
+	head := s.host(s.lists[h.Group.Name][0])
+	if head != nil && head.Group.Name == h.Group.Name && head.Group.State == fleet.MemberOpen {
+		s.t.Fatalf("%s joins %s while the head of %s is open", h.ID, o.Group, h.Group.Name)
+	}
+	if head == nil {
+		s.t.Fatalf("%s joins %s without having left %s, whose head is not registered", h.ID, o.Group, h.Group.Name)
+	}
+}
+
+func (s *simulation) serving(model string) int {
+	n := 0
+	for _, h := range s.hosts {
+		if h.IsOpenHead() && h.LoadedModel == model {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/version/formation/stage.go
+++ b/internal/version/formation/stage.go
@@ -12,7 +12,6 @@
 	*planner
 	domain string
 	hosts  []*fleet.Host
-	budget *int
 }
 
 func (s *stager) run() {
@@ -56,24 +55,34 @@
 	if len(others) < missing {
 		return false
 	}
+	slices.SortStableFunc(others, func(a, b *fleet.Host) int { return cmp.Compare(len(a.StagedModels), len(b.StagedModels)) })
 	for _, h := range others[:missing] {
 		s.load(h, m, "completes a group")
 	}
+	for _, h := range append(having, others[:missing]...) {
+		s.reserved[h.ID] = true
+	}
 	return true
 }
 
 // protected reports whether the host is a spare of a larger model's groups,
-// which are harder to complete than those of m.
+// which are harder to complete than those of m, unless m is much further from
+// its target.
 func (s *stager) protected(h *fleet.Host, m *fleet.Model) bool {
 	for i := range s.Engine.Models {
 		other := &s.Engine.Models[i]
-		if other.Size > m.Size && holds(h, other.Name) && s.domainGroups[s.domain][other.Name] > 0 {
+		if other.Size > m.Size && holds(h, other.Name) && s.domainGroups[s.domain][other.Name] > 0 &&
+			s.ratio(m) >= neededShare*s.ratio(other) {
 			return true
 		}
 	}
 	return false
 }
 
+// neededShare is the ratio of two models' shares of their targets below which
+// a spare of the better one is given to the other.
+const neededShare = 0.75
+
 // addSpare loads the model onto one idle host where the domain has groups of
 // it and no spare.
 func (s *stager) addSpare(m *fleet.Model) {
@@ -81,7 +90,7 @@
 		return
 	}
 	for _, h := range s.hosts {
-		if s.staging(h) == "" && !s.spareOfAny(h) {
+		if s.staging(h) == "" && !s.reserved[h.ID] && !s.spareOfAny(h) {
 			s.load(h, m, "spare for the domain")
 			return
 		}
@@ -100,15 +109,16 @@
 	return false
 }
 
-func (s *stager) load(h *fleet.Host, m *fleet.Model, reason string) {
-	if !s.LoadsFree && *s.budget <= 0 {
+// load orders the weights onto the host if the budget allows it.
+func (p *planner) load(h *fleet.Host, m *fleet.Model, reason string) {
+	if !p.LoadsFree && p.LoadBudget <= 0 {
 		return
 	}
-	*s.budget--
-	s.order(Order{Operation: OpStage, HostID: h.ID, Model: m.Name, Reason: reason})
+	p.LoadBudget--
+	p.order(Order{Operation: OpStage, HostID: h.ID, Model: m.Name, Reason: reason})
 	// Later decisions of this plan count the load as under way.
-	if s.Stages == nil {
-		s.Stages = map[string]Intent{}
+	if p.Stages == nil {
+		p.Stages = map[string]Intent{}
 	}
-	s.Stages[h.ID] = Intent{Order: Order{Operation: OpStage, HostID: h.ID, Model: m.Name}, Sent: s.Now, Life: h.Life()}
+	p.Stages[h.ID] = Intent{Order: Order{Operation: OpStage, HostID: h.ID, Model: m.Name}, Sent: p.Now, Life: h.Life()}
 }
