--- /dev/null
+++ b/internal/process/gateway/gateway_test.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/feed"
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/fleet"
+)
+
+const exampleSettings = `[node]
+name = n1
+region = r
+failure_domain = d1
+first_start = true
+memory_mb = 284
+stop_time = 8s
+
+[listen]
+callers = 10.0.0.1:8227
+ready = 10.0.0.1:8220
+peers = 10.0.0.1:7340
+metrics = 10.0.0.1:9464
+
+[store]
+address = 10.0.0.2:8223
+
+[retry]
+ratio = 0.2
+slack = 130
+`
+
+func writeSettings(t *testing.T, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.ini")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestLoadSettings(t *testing.T) {
+	path := writeSettings(t, exampleSettings)
+	s, err := LoadSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Node != "n1" || !s.FirstStart || s.MemoryMB != 284 || s.StopTime != 8*time.Second || s.RetryRatio != 0.2 || s.RetrySlack != 130 || s.LogLevel != "info" {
+		t.Errorf("settings %+v", s)
+	}
+	if !IsSettings(path) {
+		t.Error("the file is not taken for settings of a managed node")
+	}
+}
+
+// TestLoadSettingsListsEveryFault holds that an operator sees all faults at
+// once, each with its place.
+func TestLoadSettingsListsEveryFault(t *testing.T) {
+	broken := strings.NewReplacer("name = n1", "name =", "10.0.0.1:8227", "front:8227", "ratio = 0.2", "ratio = -1", "memory_mb = 284", "memory_mb = 1",
+		"stop_time = 8s", "stop_time = soon", "slack = 130", "slak = 130").Replace(exampleSettings)
+	_, err := LoadSettings(writeSettings(t, broken))
+	if err == nil {
+		t.Fatal("a broken file was taken")
+	}
+	for _, place := range []string{"[node] name", "[listen] callers", "[retry] ratio", "[node] memory_mb", "[node] stop_time", "[retry] slak"} {
+		if !strings.Contains(err.Error(), place) {
+			t.Errorf("the faults do not name %s:\n%v", place, err)
+		}
+	}
+}
+
+// testDecoder reads records that hold the product's own types.
+func testDecoder() Decoder {
+	return Decoder{
+		Configuration: func(records []feed.Record) (*fleet.Configuration, error) {
+			for _, r := range records {
+				c := &fleet.Configuration{}
+				if err := json.Unmarshal(r.Value, c); err != nil {
+					return nil, err
+				}
+				c.Index()
+				return c, nil
+			}
+			return nil, nil
+		},
+		Host: func(r feed.Record) (*fleet.Host, error) {
+			h := &fleet.Host{}
+			if err := json.Unmarshal(r.Value, h); err != nil {
+				return nil, err
+			}
+			return h, nil
+		},
+	}
+}
+
+func configurationRecord(revision int64) []feed.Record {
+	value, _ := json.Marshal(fleet.Configuration{Revision: revision})
+	return []feed.Record{{Key: "c", Version: revision, Value: value}}
+}
+
+func hostRecord(id string, version int64) feed.Record {
+	value, _ := json.Marshal(fleet.Host{ID: id, Service: "s"})
+	return feed.Record{Key: id, Version: version, Value: value}
+}
+
+func newTestBuilder() (*viewBuilder, *fleet.Holder) {
+	view := &fleet.Holder{}
+	return newViewBuilder(testDecoder(), view, eventlog.Discard(), func() {}), view
+}
+
+// TestConfigurationNeverGoesBack plays a lagging source and an unreadable
+// record.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	b, view := newTestBuilder()
+	b.applyConfiguration(configurationRecord(5))
+	b.applyConfiguration(configurationRecord(3))
+	b.applyConfiguration([]feed.Record{{Key: "c", Version: 9, Value: []byte("{")}})
+	if got := view.Load().Configuration.Revision; got != 5 {
+		t.Errorf("revision %d in force, want 5", got)
+	}
+}
+
+// TestLapsedHostsStayAfterAnOutage plays registrations that lapse: at once
+// gone in the calm, kept for a while around an outage of the store.
+func TestLapsedHostsStayAfterAnOutage(t *testing.T) {
+	now := time.Now()
+	deletion := []feed.Record{{Key: "a", Version: 5, Deleted: true}}
+	for name, test := range map[string]struct {
+		disturbed time.Time
+		kept      bool
+	}{"calm": {time.Time{}, false}, "long after an outage": {now.Add(-outageMemory), false}, "after an outage": {now.Add(-time.Second), true}} {
+		b, view := newTestBuilder()
+		b.applyHosts([]feed.Record{hostRecord("a", 1), hostRecord("b", 2)}, 2, time.Time{}, now)
+		b.applyHosts(deletion, 5, test.disturbed, now)
+		if got := view.Load().Host("a") != nil; got != test.kept {
+			t.Errorf("%s: host kept %t, want %t", name, got, test.kept)
+		}
+		b.expireLapsed(now.Add(lapseGrace))
+		if view.Load().Host("a") != nil || view.Load().Host("b") == nil {
+			t.Errorf("%s: after the grace the lapsed host must be gone and the other one stay", name)
+		}
+	}
+}
+
+// TestHostThatRegistersAgainStays holds the end of the grace.
+func TestHostThatRegistersAgainStays(t *testing.T) {
+	now := time.Now()
+	b, view := newTestBuilder()
+	b.applyHosts([]feed.Record{hostRecord("a", 1)}, 1, time.Time{}, now)
+	b.applyHosts([]feed.Record{{Key: "a", Version: 5, Deleted: true}}, 5, now, now)
+	b.applyHosts([]feed.Record{hostRecord("a", 6)}, 6, now, now)
+	b.expireLapsed(now.Add(time.Hour))
+	if view.Load().Host("a") == nil {
+		t.Error("a host that registered again was dropped")
+	}
+}
+
+// TestPeerServesItsCopies holds that a node can read feeds from a peer.
+func TestPeerServesItsCopies(t *testing.T) {
+	table := feed.NewTable()
+	server := httptest.NewServer(feedHandler(map[feed.Topic]*feed.Table{feed.TopicHosts: table}))
+	defer server.Close()
+	source := &peerSource{server.URL, http.DefaultClient}
+	ctx := context.Background()
+	if _, err := source.Snapshot(ctx, feed.TopicHosts); err == nil {
+		t.Error("a peer that has read nothing served a table")
+	}
+	table.Apply(feed.Batch{Records: []feed.Record{hostRecord("a", 1)}, Version: 1, Whole: true})
+	whole, err := source.Snapshot(ctx, feed.TopicHosts)
+	if err != nil || len(whole.Records) != 1 || !whole.Whole {
+		t.Fatalf("snapshot %+v, %v", whole, err)
+	}
+	table.Apply(feed.Batch{Records: []feed.Record{hostRecord("b", 2)}, Version: 2})
+	changes, err := source.Changes(ctx, feed.TopicHosts, whole.Version, time.Second)
+	if err != nil || len(changes.Records) != 1 || changes.Records[0].Key != "b" || changes.Version != 2 {
+		t.Errorf("changes %+v, %v", changes, err)
+	}
+	if _, err := source.Snapshot(ctx, feed.TopicConfiguration); err == nil {
+		t.Error("a peer served a topic that it does not follow")
+	}
+}
