--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -81,15 +81,12 @@
 func testDecoder() Decoder {
 	return Decoder{
 		Configuration: func(records []feed.Record) (*fleet.Configuration, error) {
-			for _, r := range records {
-				c := &fleet.Configuration{}
-				if err := json.Unmarshal(r.Value, c); err != nil {
-					return nil, err
-				}
-				c.Index()
-				return c, nil
+			c := &fleet.Configuration{}
+			if err := json.Unmarshal(records[0].Value, c); err != nil {
+				return nil, err
 			}
-			return nil, nil
+			c.Index()
+			return c, nil
 		},
 		Host: func(r feed.Record) (*fleet.Host, error) {
 			h := &fleet.Host{}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -61,7 +61,6 @@
 	// progress is when the leg last gave something, its start at first.
 	progress time.Time
 	events   int
-	refused  bool
 }
 
 // streamCall is the state of one stream.
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -334,8 +334,11 @@
 			return
 		}
 		p.order(Order{Operation: OpClose, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "a member is leaving"})
-	default:
+	default: // closing
 		p.holdMembers(g)
+		if i, ok := p.Intents[head.ID]; ok && i.Order.Operation == OpClose && i.Order.Group == g.name && p.Now.Sub(i.Sent) > closePatience {
+			p.order(Order{Operation: OpLeave, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "the head does not finish its work"})
+		}
 	}
 }
 
--- a/internal/version/formation/plan_test.go
+++ b/internal/version/formation/plan_test.go
@@ -220,6 +220,10 @@
 	if plan := MakePlan(in); len(plan.Orders) != 0 {
 		t.Fatalf("orders %v while the head finishes its work", plan.Orders)
 	}
+	in.Intents[hosts[0].ID] = Intent{Order: plan.Orders[0], Sent: now.Add(-closePatience - time.Second), Life: hosts[0].Life(), Answered: true}
+	if got := orders(MakePlan(in), OpLeave); !slices.Equal(got, []string{hosts[0].ID}) {
+		t.Fatalf("leave goes to %v after %v of closing, want the head", got, closePatience)
+	}
 	hosts[0].Group.State = fleet.MemberReady
 	want := []string{hosts[0].ID, "s"}
 	slices.Sort(want)
