Let one node of each failure domain read the feeds in a large fleet

Ruled out: longer waits alone; most calls answer changes of hosts. Change: above eight nodes the first ready node by name in a failure domain reads; the others follow its copy, which says how old it is, and turn to the store when it is older than a second or does not answer. Changes are read in batches of 100 ms. Tests: TestFollowerLeavesAReaderInTime.

--- a/internal/connection/feed/feed.go
+++ b/internal/connection/feed/feed.go
@@ -38,6 +38,11 @@
 	// Whole is true where Records is the table as of Version; keys that it
 	// does not hold do not exist.
 	Whole bool `json:"whole,omitempty"`
+	// ConfirmedAgo and FailedAgo are set by a node that serves its copy: the
+	// time since the store last confirmed it, and since a call last failed
+	// there; FailedAgo is 0 for never.
+	ConfirmedAgo time.Duration `json:"confirmedAgo,omitempty"`
+	FailedAgo    time.Duration `json:"failedAgo,omitempty"`
 }
 
 // Source serves tables. Implementations are safe for concurrent use.
--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -115,7 +115,7 @@
 		origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Whole: true})
 		store := &scriptedSource{table: origin}
 		peer := &scriptedSource{table: origin}
-		follower := NewFollower(TopicHosts, store, func() []Source { return []Source{peer} }, eventlog.Discard(), func([]Record) {})
+		follower := NewFollower(TopicHosts, store, func() Upstream { return Upstream{Peers: []Source{peer}} }, eventlog.Discard(), func([]Record) {})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go follower.Run(ctx)
@@ -138,3 +138,67 @@
 		}
 	})
 }
+
+// datedSource is a reader's copy of a given age.
+type datedSource struct {
+	*scriptedSource
+	age time.Duration
+}
+
+func (s *datedSource) Changes(ctx context.Context, topic Topic, since int64, wait time.Duration) (Batch, error) {
+	batch, err := s.scriptedSource.Changes(ctx, topic, since, wait)
+	batch.ConfirmedAgo = s.age
+	return batch, err
+}
+
+// TestFollowerLeavesAReaderInTime plays a reader that dies, and one that has
+// lost the store without noticing: a change is known within the two seconds
+// that configuration has, and no store call is made while the reader is well.
+func TestFollowerLeavesAReaderInTime(t *testing.T) {
+	for name, harm := range map[string]func(reader *datedSource){
+		"dead":  func(r *datedSource) { r.set(true, false) },
+		"stale": func(r *datedSource) { r.table, r.age = NewTable(), maxCopyAge+time.Millisecond },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				origin := NewTable()
+				origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Whole: true})
+				store := &countingSource{scriptedSource: scriptedSource{table: origin}}
+				reader := &datedSource{scriptedSource: &scriptedSource{table: origin}}
+				follower := NewFollower(TopicHosts, store, func() Upstream { return Upstream{Reader: reader} }, eventlog.Discard(), func([]Record) {})
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go follower.Run(ctx)
+				time.Sleep(5 * time.Second)
+				if store.count() != 0 {
+					t.Errorf("%d calls of the store beside a good reader", store.count())
+				}
+				harm(reader)
+				origin.Apply(Batch{Records: []Record{record("b", 2)}, Version: 2})
+				time.Sleep(2 * time.Second)
+				if version, _ := follower.Table().Version(); version != 2 {
+					t.Errorf("version %d two seconds after the change, want 2", version)
+				}
+			})
+		})
+	}
+}
+
+// countingSource counts calls.
+type countingSource struct {
+	scriptedSource
+	calls int
+}
+
+func (s *countingSource) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *countingSource) Changes(ctx context.Context, topic Topic, since int64, wait time.Duration) (Batch, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	return s.scriptedSource.Changes(ctx, topic, since, wait)
+}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -12,10 +12,12 @@
 
 // Periods of a follower.
 const (
-	// LongPoll bounds one wait for changes. It also bounds how long a
-	// connection that went silent is trusted, so it stays below the bound
-	// within which configuration must be in force.
-	LongPoll = 1500 * time.Millisecond
+	// LongPoll bounds one wait for changes at the store, and ReaderPoll that of
+	// a node on whose copy others rely. They also bound how long a connection
+	// that went silent is trusted, so they stay below the time within which
+	// configuration must be in force.
+	LongPoll   = 1500 * time.Millisecond
+	ReaderPoll = 700 * time.Millisecond
 	// answerSlack is added to a wait before a call counts as lost.
 	answerSlack = 500 * time.Millisecond
 	// callTimeout bounds a read of a whole table.
@@ -23,65 +25,146 @@
 	// retryPause and retryJitter separate calls after a failure.
 	retryPause  = 150 * time.Millisecond
 	retryJitter = 150 * time.Millisecond
-	// minPause separates two calls of the store while changes come one after
-	// another, so that they are read in batches.
-	minPause = 40 * time.Millisecond
-	// peerWait bounds one wait for changes at another node.
-	peerWait = 300 * time.Millisecond
+	// minPause separates two calls while changes come one after another, so
+	// that they are read in batches.
+	minPause = 100 * time.Millisecond
+	// peerWait bounds one wait for changes at another node, peerSlack the time
+	// until its answer.
+	peerWait  = 400 * time.Millisecond
+	peerSlack = 300 * time.Millisecond
+	// maxCopyAge is the age from which a reader's copy is not trusted: longer
+	// than its poll, and short enough to ask the store in time.
+	maxCopyAge = time.Second
+	// distrust is how long a node reads from the store after its reader has
+	// failed it.
+	distrust = 3 * time.Second
 )
 
-// Peers returns other nodes that may serve a copy, in the order to try.
-type Peers func() []Source
+// Upstream says from where a node reads.
+type Upstream struct {
+	// Reader is another node that reads for this one, or nil.
+	Reader Source
+	// Serves is true where other nodes read from this one.
+	Serves bool
+	// Peers are asked, in this order, while the store does not answer.
+	Peers []Source
+}
 
-// Follower keeps a Table up to date from the store, and from other nodes while
-// the store does not answer this one.
+// Follower keeps a Table up to date from the store or from a reader, and from
+// any other node while the store does not answer this one.
 type Follower struct {
-	topic Topic
-	store Source
-	peers Peers
-	table *Table
-	log   *eventlog.Logger
+	topic    Topic
+	store    Source
+	upstream func() Upstream
+	table    *Table
+	log      *eventlog.Logger
 	// notify is called, outside of locks, after each batch.
 	notify func(changed []Record)
 
 	mu sync.Mutex
-	// confirmed is when the store last answered; disturbed when a call of it
-	// last failed.
+	// confirmed is when the store last answered this node or its reader;
+	// disturbed when a call of the store last failed there.
 	confirmed time.Time
 	disturbed time.Time
 	lost      bool
+	// direct is until when the reader is not asked.
+	direct time.Time
 }
 
 // NewFollower returns a follower that does nothing until Run.
-func NewFollower(topic Topic, store Source, peers Peers, log *eventlog.Logger, notify func([]Record)) *Follower {
-	return &Follower{topic: topic, store: store, peers: peers, table: NewTable(), log: log, notify: notify}
+func NewFollower(topic Topic, store Source, upstream func() Upstream, log *eventlog.Logger, notify func([]Record)) *Follower {
+	return &Follower{topic: topic, store: store, upstream: upstream, table: NewTable(), log: log, notify: notify}
 }
 
 // Table returns the node's copy.
 func (f *Follower) Table() *Table { return f.table }
 
-// Contact returns when the store last answered and when a call last failed.
+// Contact returns when the store last confirmed the copy and when a call last
+// failed.
 func (f *Follower) Contact() (confirmed, disturbed time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.confirmed, f.disturbed
 }
 
+// Snapshot serves the whole copy to another node.
+func (f *Follower) Snapshot() (Batch, bool) {
+	batch, loaded := f.table.Snapshot()
+	return f.dated(batch), loaded
+}
+
+// Changes serves changes of the copy to another node.
+func (f *Follower) Changes(ctx context.Context, since int64, wait time.Duration) (Batch, error) {
+	batch, err := f.table.Changes(ctx, since, wait)
+	return f.dated(batch), err
+}
+
+// dated says how old the copy is.
+func (f *Follower) dated(b Batch) Batch {
+	confirmed, disturbed := f.Contact()
+	b.ConfirmedAgo = time.Since(confirmed)
+	if !disturbed.IsZero() {
+		b.FailedAgo = time.Since(disturbed)
+	}
+	return b
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.step(ctx) {
+		up := f.upstream()
+		if up.Reader != nil && f.trusts() {
+			f.readReader(ctx, up.Reader)
+			continue
+		}
+		wait := LongPoll
+		if up.Serves {
+			wait = ReaderPoll
+		}
+		if f.readStore(ctx, wait) {
 			sleep(ctx, minPause)
 			continue
 		}
-		f.askPeers(ctx)
+		f.askPeers(ctx, up.Peers)
 		sleep(ctx, retryPause+rand.N(retryJitter))
 	}
 }
 
-// step makes one call of the store and reports whether it answered.
-func (f *Follower) step(ctx context.Context) bool {
-	batch, err := f.read(ctx, f.store, LongPoll)
+// trusts reports whether the reader may be asked.
+func (f *Follower) trusts() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !time.Now().Before(f.direct)
+}
+
+// readReader makes one call of the reader. A reader that does not answer, or
+// whose copy is old, is not asked for a while.
+func (f *Follower) readReader(ctx context.Context, reader Source) {
+	batch, err := f.read(ctx, reader, peerWait, peerSlack)
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		f.noteAnswer(batch)
+		f.apply(batch)
+		if batch.ConfirmedAgo <= maxCopyAge {
+			sleep(ctx, minPause)
+			return
+		}
+	}
+	f.mu.Lock()
+	f.direct = time.Now().Add(distrust)
+	f.mu.Unlock()
+	fields := eventlog.Fields{"topic": f.topic, "copy_age_ms": batch.ConfirmedAgo.Milliseconds()}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	f.log.Log(eventlog.FeedReaderLeft, fields)
+}
+
+// readStore makes one call of the store and reports whether it answered.
+func (f *Follower) readStore(ctx context.Context, wait time.Duration) bool {
+	batch, err := f.read(ctx, f.store, wait, answerSlack)
 	if ctx.Err() != nil {
 		return true
 	}
@@ -89,16 +172,16 @@
 		f.noteFailure(err)
 		return false
 	}
-	f.noteAnswer()
+	f.noteAnswer(Batch{})
 	f.apply(batch)
 	return true
 }
 
 // read reads on from the table's version, or the whole table.
-func (f *Follower) read(ctx context.Context, source Source, wait time.Duration) (Batch, error) {
+func (f *Follower) read(ctx context.Context, source Source, wait, slack time.Duration) (Batch, error) {
 	version, loaded := f.table.Version()
 	if loaded {
-		bounded, cancel := context.WithTimeout(ctx, wait+answerSlack)
+		bounded, cancel := context.WithTimeout(ctx, wait+slack)
 		defer cancel()
 		batch, err := source.Changes(bounded, f.topic, version, wait)
 		if !errors.Is(err, ErrCompacted) {
@@ -117,9 +200,9 @@
 }
 
 // askPeers reads once from the first other node that answers.
-func (f *Follower) askPeers(ctx context.Context) {
-	for _, peer := range f.peers() {
-		batch, err := f.read(ctx, peer, peerWait)
+func (f *Follower) askPeers(ctx context.Context, peers []Source) {
+	for _, peer := range peers {
+		batch, err := f.read(ctx, peer, peerWait, peerSlack)
 		if err != nil {
 			continue // the next peer is asked; the store's failure is logged
 		}
@@ -144,11 +227,19 @@
 	}
 }
 
-func (f *Follower) noteAnswer() {
+// noteAnswer notes an answer of the store, or of a node that says how old its
+// copy is.
+func (f *Follower) noteAnswer(b Batch) {
+	now := time.Now()
 	f.mu.Lock()
-	f.confirmed = time.Now()
-	regained := f.lost
-	f.lost = false
+	if at := now.Add(-b.ConfirmedAgo); at.After(f.confirmed) {
+		f.confirmed = at
+	}
+	if at := now.Add(-b.FailedAgo); b.FailedAgo > 0 && at.After(f.disturbed) {
+		f.disturbed = at
+	}
+	regained := f.lost && b.ConfirmedAgo <= maxCopyAge
+	f.lost = f.lost && !regained
 	f.mu.Unlock()
 	if regained {
 		version, _ := f.table.Version()
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -61,6 +61,7 @@
 	HostUnusable    = Event{1307, logrus.WarnLevel, "registration of a host is unusable and is ignored"}
 	HostChanged     = Event{1308, logrus.InfoLevel, "registration of a host changed"}
 	HostGone        = Event{1309, logrus.InfoLevel, "registration of a host was removed"}
+	FeedReaderLeft  = Event{1311, logrus.WarnLevel, "node that reads a feed for others failed; the store is asked"}
 	HostGoneDelayed = Event{1310, logrus.InfoLevel, "registration of a host lapsed around an outage of the store; the host is kept for now"}
 )
 
@@ -143,6 +144,7 @@
 	HostChanged,
 	HostGone,
 	HostGoneDelayed,
+	FeedReaderLeft,
 	RequestPlaced,
 	RequestNotPlaced,
 	RequestRetried,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -108,8 +108,8 @@
 		Refuse: p.Refuse, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
 	})
 	g.builder = newViewBuilder(p.Decode, g.view, log, g.viewChanged)
-	g.configs = feed.NewFollower(feed.TopicConfiguration, p.Feed, g.peerSources, log, g.builder.applyConfiguration)
-	g.hosts = feed.NewFollower(feed.TopicHosts, p.Feed, g.peerSources, log, func(changed []feed.Record) {
+	g.configs = feed.NewFollower(feed.TopicConfiguration, p.Feed, g.upstream, log, g.builder.applyConfiguration)
+	g.hosts = feed.NewFollower(feed.TopicHosts, p.Feed, g.upstream, log, func(changed []feed.Record) {
 		version, _ := g.hosts.Table().Version()
 		_, disturbed := g.hosts.Contact()
 		g.builder.applyHosts(changed, version, disturbed, time.Now())
@@ -126,7 +126,7 @@
 	g.controller.Wake()
 }
 
-func (g *Gateway) peerSources() []feed.Source { return g.peers.sources() }
+func (g *Gateway) upstream() feed.Upstream { return g.peers.upstream() }
 
 func (g *Gateway) hadTraffic() bool { return g.traffic.Load() || g.peers.heardTraffic() }
 
@@ -137,7 +137,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w; choose a free port", g.settings.Peers, err)
 	}
-	g.peers = newPeers(g.settings, g.platform.Store, g.board, g.candidate, conn, g.traffic.Load)
+	g.peers = newPeers(g.settings, g.platform.Store, g.board, g.candidate, conn, g.traffic.Load, g.ready)
 	servers, err := g.listen(ctx)
 	if err != nil {
 		return err
@@ -163,10 +163,7 @@
 }
 
 // mayLead keeps a node that does not see the fleet from leading it.
-func (g *Gateway) mayLead() bool {
-	view := g.view.Load()
-	return !g.stopping.Load() && view.Configuration != nil && view.HostsKnown
-}
+func (g *Gateway) mayLead() bool { return g.ready() }
 
 // server is a listener with its handler.
 type server struct {
@@ -175,7 +172,7 @@
 }
 
 func (g *Gateway) listen(ctx context.Context) ([]server, error) {
-	tables := map[feed.Topic]*feed.Table{feed.TopicConfiguration: g.configs.Table(), feed.TopicHosts: g.hosts.Table()}
+	followers := map[feed.Topic]*feed.Follower{feed.TopicConfiguration: g.configs, feed.TopicHosts: g.hosts}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", g.readyz)
 	scrape := http.NewServeMux()
@@ -187,7 +184,7 @@
 	}{
 		{"callers", g.settings.Callers, g.counted(g.platform.Callers(g.core))},
 		{"readiness", g.settings.Ready, ready},
-		{"peers", g.settings.Peers, feedHandler(tables)},
+		{"peers", g.settings.Peers, feedHandler(followers)},
 		{"metrics", g.settings.Metrics, scrape},
 	} {
 		if l.address == "" {
@@ -222,6 +219,13 @@
 	})
 }
 
+// ready reports whether the node knows its configuration and hosts and is not
+// stopping.
+func (g *Gateway) ready() bool {
+	view := g.view.Load()
+	return !g.stopping.Load() && view.Configuration != nil && view.HostsKnown
+}
+
 // readyz answers 200 once the node knows its configuration and hosts.
 func (g *Gateway) readyz(w http.ResponseWriter, _ *http.Request) {
 	view := g.view.Load()
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -162,8 +162,9 @@
 
 // TestPeerServesItsCopies holds that a node can read feeds from a peer.
 func TestPeerServesItsCopies(t *testing.T) {
-	table := feed.NewTable()
-	server := httptest.NewServer(feedHandler(map[feed.Topic]*feed.Table{feed.TopicHosts: table}))
+	follower := feed.NewFollower(feed.TopicHosts, nil, nil, eventlog.Discard(), nil)
+	table := follower.Table()
+	server := httptest.NewServer(feedHandler(map[feed.Topic]*feed.Follower{feed.TopicHosts: follower}))
 	defer server.Close()
 	source := &peerSource{server.URL, http.DefaultClient}
 	ctx := context.Background()
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -59,6 +59,9 @@
 type digest struct {
 	Node    string `json:"node"`
 	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	// Ready is true once the node has read the feeds, and until it stops.
+	Ready bool `json:"ready,omitempty"`
 	// InFlight counts the node's requests by host.
 	InFlight map[string]int `json:"inFlight,omitempty"`
 	// Suspects are heads of groups that stand still.
@@ -72,6 +75,8 @@
 // peer is another node.
 type peer struct {
 	address string
+	domain  string
+	ready   bool
 	heard   time.Time
 }
 
@@ -79,6 +84,7 @@
 type peers struct {
 	node    string
 	address string
+	domain  string
 	seeds   []string
 	store   table.Store
 	board   *place.Board
@@ -87,15 +93,16 @@
 	conn      net.PacketConn
 	http      *http.Client
 	traffic   func() bool
+	ready     func() bool
 
 	mu        sync.Mutex
 	known     map[string]*peer
 	hadOthers bool
 }
 
-func newPeers(s *Settings, store table.Store, board *place.Board, candidate *leader.Candidate, conn net.PacketConn, traffic func() bool) *peers {
+func newPeers(s *Settings, store table.Store, board *place.Board, candidate *leader.Candidate, conn net.PacketConn, traffic, ready func() bool) *peers {
 	p := &peers{
-		node: s.Node, address: s.Peers, seeds: s.Seeds, store: store, board: board, candidate: candidate, conn: conn, traffic: traffic,
+		node: s.Node, address: s.Peers, domain: s.FailureDomain, seeds: s.Seeds, store: store, board: board, candidate: candidate, conn: conn, traffic: traffic, ready: ready,
 		http: &http.Client{Transport: newTransport(storeIdle)}, known: map[string]*peer{},
 	}
 	for _, seed := range s.Seeds {
@@ -181,7 +188,7 @@
 func (p *peers) send(ctx context.Context) {
 	for ctx.Err() == nil {
 		content, err := json.Marshal(digest{
-			Node: p.node, Address: p.address, InFlight: p.board.InFlight(), Suspects: p.board.Suspects(time.Now()), Traffic: p.traffic(),
+			Node: p.node, Address: p.address, Domain: p.domain, Ready: p.ready(), InFlight: p.board.InFlight(), Suspects: p.board.Suspects(time.Now()), Traffic: p.traffic(),
 			Leader: p.candidate.Sign(),
 		})
 		addresses := p.addresses()
@@ -195,7 +202,7 @@
 				_, _ = p.conn.WriteTo(content, target)
 			}
 		}
-		period := digestPeriod * time.Duration(max(1, (len(addresses)+1)/digestFleet))
+		period := p.period(len(addresses))
 		select {
 		case <-ctx.Done():
 		case <-time.After(period):
@@ -231,7 +238,7 @@
 		now := time.Now()
 		p.mu.Lock()
 		if known := p.learn(d.Node, d.Address); known != nil {
-			known.heard = now
+			known.heard, known.domain, known.ready = now, d.Domain, d.Ready
 		}
 		p.hadOthers = p.hadOthers || d.Traffic
 		p.mu.Unlock()
@@ -249,24 +256,51 @@
 	return p.hadOthers
 }
 
-// sources returns peers that were heard lately, in random order.
-func (p *peers) sources() []feed.Source {
+// smallFleet is the number of nodes up to which each reads the store itself.
+// In a larger fleet one node of each failure domain reads for the others.
+const smallFleet = 8
+
+// readerBound is the age of a node's last digest, in periods of digests, from
+// which it is not chosen as reader.
+const readerBound = 6
+
+// upstream says from where this node reads the feeds.
+func (p *peers) upstream() feed.Upstream {
 	now := time.Now()
 	p.mu.Lock()
-	var addresses []string
-	for _, known := range p.known {
-		if now.Sub(known.heard) < peerBound {
-			addresses = append(addresses, known.address)
+	var live []string
+	reader := p.node
+	bound := readerBound * p.period(len(p.known))
+	for node, known := range p.known {
+		if now.Sub(known.heard) >= peerBound {
+			continue
+		}
+		live = append(live, known.address)
+		if known.domain == p.domain && now.Sub(known.heard) < bound && known.ready && node < reader {
+			reader = node
 		}
 	}
+	small := len(live) < smallFleet
+	var readerAddress string
+	if !small && reader != p.node {
+		readerAddress = p.known[reader].address
+	}
 	p.mu.Unlock()
-	slices.Sort(addresses)
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	var sources []feed.Source
-	for _, address := range addresses[:min(len(addresses), peersAsked)] {
-		sources = append(sources, &peerSource{"http://" + address, p.http})
+	slices.Sort(live)
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	up := feed.Upstream{Serves: !small && reader == p.node}
+	if readerAddress != "" {
+		up.Reader = &peerSource{"http://" + readerAddress, p.http}
+	}
+	for _, address := range live[:min(len(live), peersAsked)] {
+		up.Peers = append(up.Peers, &peerSource{"http://" + address, p.http})
 	}
-	return sources
+	return up
+}
+
+// period is the time between two digests to each of the peers.
+func (p *peers) period(peers int) time.Duration {
+	return digestPeriod * time.Duration(max(1, (peers+1)/digestFleet))
 }
 
 // peerSource reads a peer's copies of the feeds.
@@ -316,10 +350,10 @@
 }
 
 // feedHandler serves this node's copies to peers.
-func feedHandler(tables map[feed.Topic]*feed.Table) http.Handler {
+func feedHandler(followers map[feed.Topic]*feed.Follower) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathTable, func(w http.ResponseWriter, r *http.Request) {
-		t := tables[feed.Topic(r.URL.Query().Get("topic"))]
+		t := followers[feed.Topic(r.URL.Query().Get("topic"))]
 		if t == nil {
 			http.Error(w, "unknown topic", http.StatusNotFound)
 			return
@@ -333,7 +367,7 @@
 	})
 	mux.HandleFunc("GET "+pathChanges, func(w http.ResponseWriter, r *http.Request) {
 		query := r.URL.Query()
-		t := tables[feed.Topic(query.Get("topic"))]
+		t := followers[feed.Topic(query.Get("topic"))]
 		since, sinceErr := strconv.ParseInt(query.Get("since"), 10, 64)
 		wait, waitErr := time.ParseDuration(query.Get("wait"))
 		if t == nil || sinceErr != nil || waitErr != nil {
