Keep an endpoint's headers back until the first event

Ruled out: a second answer on the connection; the ids match. Change: headers go out with the first event.

--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -12,14 +12,17 @@
 
 // Periods of a follower.
 const (
-	// LongPoll bounds one wait for changes at the store, and ReaderPoll that of
-	// a node on whose copy others rely. They also bound how long a connection
-	// that went silent is trusted, so they stay below the time within which
-	// configuration must be in force.
-	LongPoll   = 1500 * time.Millisecond
+	// LongPoll bounds one wait for changes at the store. It also bounds how long
+	// a connection that went silent is trusted: keep-alive probes, in whole
+	// seconds, take three. ReaderPoll is the bound of a node on whose copy
+	// others rely: they judge it by its age.
+	LongPoll   = 2 * time.Second
 	ReaderPoll = 700 * time.Millisecond
+	// recoveryPoll is the wait of the first call after a failure, which tells
+	// at once what was missed.
+	recoveryPoll = 20 * time.Millisecond
 	// answerSlack is added to a wait before a call counts as lost.
-	answerSlack = 500 * time.Millisecond
+	answerSlack = 400 * time.Millisecond
 	// callTimeout bounds a read of a whole table.
 	callTimeout = time.Second
 	// retryPause and retryJitter separate calls after a failure.
@@ -121,6 +124,9 @@
 		if up.Serves {
 			wait = ReaderPoll
 		}
+		if f.isLost() {
+			wait = recoveryPoll
+		}
 		if f.readStore(ctx, wait) {
 			sleep(ctx, minPause)
 			continue
@@ -130,6 +136,12 @@
 	}
 }
 
+func (f *Follower) isLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
 // trusts reports whether the reader may be asked.
 func (f *Follower) trusts() bool {
 	f.mu.Lock()
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -149,6 +149,7 @@
 // outcome is what the caller saw.
 type outcome struct {
 	status  int
+	header  http.Header
 	body    string
 	aborted bool
 	took    time.Duration
@@ -168,7 +169,7 @@
 			}
 			o.aborted = true
 		}
-		o.status, o.body, o.took = recorder.Code, recorder.Body.String(), time.Since(started)
+		o.status, o.header, o.body, o.took = recorder.Code, recorder.Header(), recorder.Body.String(), time.Since(started)
 	}()
 	b.core.Serve(recorder, httptest.NewRequest(http.MethodPost, "/x", nil).WithContext(ctx), request)
 	return o
@@ -330,6 +331,21 @@
 	})
 }
 
+// TestFailureCarriesNoProof holds the fault found on the bench: a stream that
+// broke off before its first event left the endpoint's proof on the refusal.
+func TestFailureCarriesNoProof(t *testing.T) {
+	run(t, newBench(fleet.KindStream, 1, map[string]script{"a": events(0, 0, breakOff)}), func(t *testing.T, o outcome) {
+		if o.status != http.StatusBadGateway || o.header.Get("X-Proof") != "" {
+			t.Errorf("status %d with proof %q, want 502 without", o.status, o.header.Get("X-Proof"))
+		}
+	})
+	run(t, newBench(fleet.KindStream, 1, map[string]script{"a": events(2, time.Millisecond, finish)}), func(t *testing.T, o outcome) {
+		if o.header.Get("X-Proof") == "" {
+			t.Error("a whole answer lacks the endpoint's proof")
+		}
+	})
+}
+
 // TestStreamWithoutResumeIsCut holds that a stream that may not be resumed
 // neither runs twice nor looks complete.
 func TestStreamWithoutResumeIsCut(t *testing.T) {
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -67,6 +67,9 @@
 type streamCall struct {
 	*call
 	leg *leg
+	// header is that of the first endpoint's answer. It goes out with the first
+	// event: a failure before that must not carry an endpoint's proof.
+	header http.Header
 	// began is true once the caller has the status line.
 	began bool
 	// lastID is the ID of the last event that the caller has, and events
@@ -202,7 +205,7 @@
 		c.leg.progress = now
 		c.handed = true
 		if !c.began && p.reply.Status == http.StatusOK {
-			c.begin(p.reply)
+			c.header = p.reply.Header
 		}
 		return false
 	}
@@ -210,14 +213,15 @@
 	return c.recoverLeg(ctx, p, now)
 }
 
-// begin prepares the headers of the first endpoint's answer; they go out with
-// the first event.
-func (c *streamCall) begin(reply *Reply) {
+// begin sends the status line and the headers of the first endpoint's answer.
+func (c *streamCall) begin() {
 	header := c.w.Header()
-	for name, values := range reply.Header {
+	for name, values := range c.header {
 		header[name] = values
 	}
 	header.Del("Content-Length") // events of several endpoints may follow
+	c.w.WriteHeader(http.StatusOK)
+	c.began = true
 }
 
 // passOn delivers one event.
@@ -228,8 +232,7 @@
 		return false // the caller has it from the former endpoint
 	}
 	if !c.began {
-		c.w.WriteHeader(http.StatusOK)
-		c.began = true
+		c.begin()
 	}
 	_, err := c.w.Write(e.raw)
 	if err == nil {
@@ -264,8 +267,7 @@
 // complete ends the answer. An empty stream still has its status line.
 func (c *streamCall) complete() {
 	if !c.began {
-		c.w.WriteHeader(http.StatusOK)
-		c.began = true
+		c.begin()
 	}
 	c.observe("forward_longest_pause_seconds", c.maxPause)
 	c.count("answered", "")
