Exchange digests through one hub of each failure domain in large fleets

Digests that are a second old let nodes pile on the same groups. Ruled out: feeds (no node left its reader). Change: above eight nodes members tell the largest node of their domain, hubs tell each other sums and their members the rest, every 100 to 200 ms; signs of the leader are passed on; a lease that runs is not read.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -62,6 +62,7 @@
 	HostChanged     = Event{1308, logrus.InfoLevel, "registration of a host changed"}
 	HostGone        = Event{1309, logrus.InfoLevel, "registration of a host was removed"}
 	FeedReaderLeft  = Event{1311, logrus.WarnLevel, "node that reads a feed for others failed; the store is asked"}
+	HubChosen       = Event{1312, logrus.InfoLevel, "another node works for the failure domain of this one"}
 	HostGoneDelayed = Event{1310, logrus.InfoLevel, "registration of a host lapsed around an outage of the store; the host is kept for now"}
 )
 
@@ -145,6 +146,7 @@
 	HostGone,
 	HostGoneDelayed,
 	FeedReaderLeft,
+	HubChosen,
 	RequestPlaced,
 	RequestNotPlaced,
 	RequestRetried,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w; choose a free port", g.settings.Peers, err)
 	}
-	g.peers = newPeers(g.settings, g.platform.Store, g.board, g.candidate, conn, g.traffic.Load, g.ready)
+	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, candidate: g.candidate, conn: conn, traffic: g.traffic.Load, reads: g.reads, log: g.log})
 	servers, err := g.listen(ctx)
 	if err != nil {
 		return err
@@ -219,6 +219,13 @@
 	})
 }
 
+// reads reports whether the node has copies of both feeds for others.
+func (g *Gateway) reads() bool {
+	_, configuration := g.configs.Table().Version()
+	_, hosts := g.hosts.Table().Version()
+	return configuration && hosts && !g.stopping.Load()
+}
+
 // ready reports whether the node knows its configuration and hosts and is not
 // stopping.
 func (g *Gateway) ready() bool {
--- /dev/null
+++ b/internal/process/gateway/peerfeed.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/feed"
+)
+
+// maxPeerAnswer bounds a peer's copy of a table, in bytes.
+const maxPeerAnswer = 16 << 20
+
+// peerSource reads a peer's copies of the feeds.
+type peerSource struct {
+	base string
+	http *http.Client
+}
+
+// Paths of the peer listener.
+const (
+	pathTable   = "/peer/table"
+	pathChanges = "/peer/changes"
+)
+
+// Snapshot implements feed.Source.
+func (s *peerSource) Snapshot(ctx context.Context, topic feed.Topic) (feed.Batch, error) {
+	return s.get(ctx, pathTable+"?topic="+url.QueryEscape(string(topic)))
+}
+
+// Changes implements feed.Source.
+func (s *peerSource) Changes(ctx context.Context, topic feed.Topic, since int64, wait time.Duration) (feed.Batch, error) {
+	query := url.Values{"topic": {string(topic)}, "since": {strconv.FormatInt(since, 10)}, "wait": {wait.String()}}
+	return s.get(ctx, pathChanges+"?"+query.Encode())
+}
+
+func (s *peerSource) get(ctx context.Context, path string) (feed.Batch, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+path, nil)
+	if err != nil {
+		return feed.Batch{}, fmt.Errorf("build the call: %w", err)
+	}
+	response, err := s.http.Do(request)
+	if err != nil {
+		return feed.Batch{}, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusGone {
+		return feed.Batch{}, feed.ErrCompacted
+	}
+	if response.StatusCode != http.StatusOK {
+		return feed.Batch{}, fmt.Errorf("the peer answered %d; another one is asked", response.StatusCode)
+	}
+	var batch feed.Batch
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxPeerAnswer)).Decode(&batch); err != nil {
+		return feed.Batch{}, fmt.Errorf("decode the peer's answer: %w", err)
+	}
+	return batch, nil
+}
+
+// feedHandler serves this node's copies to peers.
+func feedHandler(followers map[feed.Topic]*feed.Follower) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathTable, func(w http.ResponseWriter, r *http.Request) {
+		t := followers[feed.Topic(r.URL.Query().Get("topic"))]
+		if t == nil {
+			http.Error(w, "unknown topic", http.StatusNotFound)
+			return
+		}
+		batch, loaded := t.Snapshot()
+		if !loaded {
+			http.Error(w, "nothing was read yet", http.StatusServiceUnavailable)
+			return
+		}
+		writeBatch(w, batch)
+	})
+	mux.HandleFunc("GET "+pathChanges, func(w http.ResponseWriter, r *http.Request) {
+		query := r.URL.Query()
+		t := followers[feed.Topic(query.Get("topic"))]
+		since, sinceErr := strconv.ParseInt(query.Get("since"), 10, 64)
+		wait, waitErr := time.ParseDuration(query.Get("wait"))
+		if t == nil || sinceErr != nil || waitErr != nil {
+			http.Error(w, "send a known topic, since and wait", http.StatusBadRequest)
+			return
+		}
+		batch, err := t.Changes(r.Context(), since, wait)
+		switch {
+		case errors.Is(err, feed.ErrCompacted):
+			http.Error(w, err.Error(), http.StatusGone)
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		default:
+			writeBatch(w, batch)
+		}
+	})
+	return mux
+}
+
+func writeBatch(w http.ResponseWriter, batch feed.Batch) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the peer has left.
+	_ = json.NewEncoder(w).Encode(batch)
+}
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -39,6 +39,9 @@
 	// StopTime is the time from SIGTERM to the end of the process at the
 	// latest.
 	StopTime time.Duration
+	// ProcessorShare is the part of a processor core that the node has; the
+	// largest node of a failure domain works for the others.
+	ProcessorShare float64
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int
 	// LogLevel is a logrus level name.
@@ -92,6 +95,7 @@
 			}
 			return nil
 		}},
+		{"node", "processor_share", false, "1", number(func(s *Settings) *float64 { return &s.ProcessorShare })},
 		{"node", "stop_time", false, "8s", func(s *Settings, v string) (err error) {
 			if s.StopTime, err = time.ParseDuration(v); err != nil || s.StopTime <= 0 {
 				return fmt.Errorf("write a duration, such as 8s")
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -31,9 +31,6 @@
 	validity    = 2 * time.Second
 	// takeoverMargin covers clocks that run at different rates.
 	takeoverMargin = 250 * time.Millisecond
-	// signBound is the age of the leader's last digest from which the row is
-	// read; digests come every 100 ms in a small fleet.
-	signBound = 500 * time.Millisecond
 	// watchPeriod is how often a node without signs of a leader reads the
 	// row; jitter keeps nodes apart.
 	watchPeriod = 300 * time.Millisecond
@@ -96,7 +93,6 @@
 	// expires is when another's lease with the present version ends, where a
 	// sign told so.
 	expires time.Duration
-	heard   time.Duration
 	// lost is true while calls of the table service fail.
 	lost     bool
 	released bool
@@ -117,19 +113,23 @@
 	return c.row.Term, true
 }
 
-// Sign returns what to tell other nodes, or nil where this node does not lead.
+// Sign returns what to tell other nodes: this node's lease, or what it has
+// heard of another's. It is nil where no lease runs.
 func (c *Candidate) Sign() *Sign {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	left := c.validUntil - c.clock()
-	if c.released || c.row.Holder != c.holder || left <= 0 {
+	left := c.expires - c.clock()
+	if c.row.Holder == c.holder {
+		left = c.validUntil - c.clock()
+	}
+	if c.released || left <= 0 {
 		return nil
 	}
 	return &Sign{Version: c.version, Left: left}
 }
 
-// Heard takes in another node's sign. The time on its way only makes the
-// lease seem longer.
+// Heard takes in another node's sign, its own or one that it passes on. The
+// time on its way only makes the lease seem longer.
 func (c *Candidate) Heard(s Sign) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -138,11 +138,13 @@
 	}
 	now := c.clock()
 	if s.Version > c.version {
-		c.version, c.seenAt = s.Version, now
+		c.version, c.seenAt, c.expires = s.Version, now, 0
 		c.row = row{}
 	}
+	if c.row.Holder == c.holder {
+		return // this node's own lease, passed on
+	}
 	c.expires = max(c.expires, now+s.Left)
-	c.heard = now
 }
 
 // Run campaigns until ctx ends. mayLead is asked before this node takes the
@@ -208,11 +210,12 @@
 	return c.released
 }
 
-// hasSign reports whether a leader gave a sign lately.
+// hasSign reports whether a lease that a sign told of still runs. Until its end
+// nobody can take the row, so there is nothing to read.
 func (c *Candidate) hasSign() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.heard > 0 && c.clock()-c.heard < signBound
+	return c.expires > 0 && c.clock() <= c.expires+takeoverMargin
 }
 
 // read reads the row and notes since when it has been as it is.
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -431,7 +431,7 @@
 		b := newBench(fleet.KindIdempotent, 2, map[string]script{"a": lost, "b": lost})
 		b.start()
 		for _, node := range []string{"n1", "n2", "n3"} {
-			b.core.Board.Merge(node, nil, nil, time.Now())
+			b.core.Board.Merge(node, nil, 1, nil, time.Now())
 		}
 		const requests = 100
 		for range requests {
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -66,10 +66,11 @@
 	answerTime time.Duration
 }
 
-// remote is what another node reported.
+// remote is what another node reported, for itself or for several.
 type remote struct {
 	at       time.Time
 	inFlight map[string]int
+	nodes    int
 }
 
 // NewBoard returns an empty board.
@@ -185,11 +186,12 @@
 	return counts
 }
 
-// Merge takes over what another node reported.
-func (b *Board) Merge(node string, inFlight map[string]int, suspects []string, now time.Time) {
+// Merge takes over what was reported under a name: the requests of that many
+// nodes by host. It replaces the former report of that name.
+func (b *Board) Merge(name string, inFlight map[string]int, nodes int, suspects []string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.remotes[node] = remote{now, inFlight}
+	b.remotes[name] = remote{now, inFlight, nodes}
 	for _, id := range suspects {
 		r := b.record(id)
 		// A host that has just answered here is not stalled.
@@ -206,12 +208,34 @@
 	live := 1
 	for _, r := range b.remotes {
 		if now.Sub(r.at) <= remoteBound {
-			live++
+			live += r.nodes
 		}
 	}
 	return live
 }
 
+// Report is what was reported under one name.
+type Report struct {
+	// InFlight counts the requests of Nodes nodes by host.
+	InFlight map[string]int
+	Nodes    int
+}
+
+// Reported returns what other nodes reported lately, by name.
+func (b *Board) Reported(now time.Time) map[string]Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reported := make(map[string]Report, len(b.remotes))
+	for name, r := range b.remotes {
+		if now.Sub(r.at) > remoteBound {
+			delete(b.remotes, name)
+			continue
+		}
+		reported[name] = Report{r.inFlight, r.nodes}
+	}
+	return reported
+}
+
 // Forget drops hosts that are no longer registered and have no requests.
 func (b *Board) Forget(view *fleet.View) {
 	b.mu.Lock()
--- a/internal/request/place/board_test.go
+++ b/internal/request/place/board_test.go
@@ -76,7 +76,7 @@
 		counts[choice.Host.ID]++
 		for j, other := range boards {
 			if j != i%len(boards) {
-				other.Merge(fmt.Sprint(i%len(boards)), board.InFlight(), nil, start)
+				other.Merge(fmt.Sprint(i%len(boards)), board.InFlight(), 1, nil, start)
 			}
 		}
 	}
@@ -119,7 +119,7 @@
 		t.Errorf("request was given to %s, want the idle a after its sign", id)
 	}
 	other := NewBoard()
-	other.Merge("node", nil, []string{"b"}, start)
+	other.Merge("node", nil, 1, []string{"b"}, start)
 	if !other.Suspected("b", start) {
 		t.Error("a suspicion of another node is not taken over")
 	}
@@ -155,7 +155,7 @@
 // count for ever.
 func TestDigestsOfSilentNodesExpire(t *testing.T) {
 	v, b, q := view(openHead("a")), NewBoard(), Query{Service: engineService(), Model: "m"}
-	b.Merge("dead", map[string]int{"a": 10}, nil, start)
+	b.Merge("dead", map[string]int{"a": 10}, 1, nil, start)
 	if _, refused := b.Choose(v, q, start); refused == nil {
 		t.Error("a full group took a request")
 	}
