Report the last change of a record that changed several times; spread choices in large fleets

Change: a table reports one change for each key; the random part of a choice grows with the nodes. TestTableReportsTheLastChangeOfAKey failed before.

--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -39,6 +39,18 @@
 	}
 }
 
+// TestTableReportsTheLastChangeOfAKey holds the fault found on the bench: a
+// feed that tells three revisions of one record at once left the first one in
+// force.
+func TestTableReportsTheLastChangeOfAKey(t *testing.T) {
+	table := NewTable()
+	table.Apply(Batch{Version: 1, Whole: true})
+	changed := table.Apply(Batch{Records: []Record{record("a", 2), record("b", 3), record("a", 4), {Key: "b", Version: 5, Deleted: true}}, Version: 5})
+	if len(changed) != 2 || changed[0].Key != "a" || changed[0].Version != 4 || changed[1].Key != "b" || !changed[1].Deleted {
+		t.Errorf("changes %+v, want a at 4 and the deletion of b", changed)
+	}
+}
+
 // TestTableWholeRemovesAbsentRecords holds that a whole read deletes what it
 // does not hold, and that readers behind learn of it.
 func TestTableWholeRemovesAbsentRecords(t *testing.T) {
--- a/internal/connection/feed/table.go
+++ b/internal/connection/feed/table.go
@@ -57,9 +57,19 @@
 	return changed
 }
 
-// merge applies the records of b. The caller holds mu.
+// merge applies the records of b and returns the last change of each key. The
+// caller holds mu.
 func (t *Table) merge(b Batch) []Record {
+	latest := map[string]int{}
 	var changed []Record
+	note := func(r Record) {
+		if at, again := latest[r.Key]; again {
+			changed[at] = r
+			return
+		}
+		latest[r.Key] = len(changed)
+		changed = append(changed, r)
+	}
 	present := make(map[string]bool, len(b.Records))
 	for _, r := range b.Records {
 		present[r.Key] = !r.Deleted
@@ -69,9 +79,9 @@
 		}
 		if !r.Deleted {
 			t.records[r.Key] = r
-			changed = append(changed, r)
+			note(r)
 		} else if known {
-			changed = append(changed, t.remove(r.Key, r.Version))
+			note(t.remove(r.Key, r.Version))
 		}
 	}
 	if !b.Whole {
@@ -79,7 +89,7 @@
 	}
 	for key := range t.records {
 		if !present[key] {
-			changed = append(changed, t.remove(key, b.Version))
+			note(t.remove(key, b.Version))
 		}
 	}
 	return changed
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -25,6 +25,9 @@
 	// localBonus is the load, as a part of the batch, by which an endpoint in
 	// the node's own failure domain is preferred: bytes between domains cost.
 	localBonus = 0.04
+	// spreadPerNode is the number of requests that a group may get from another
+	// node between two reports.
+	spreadPerNode = 0.6
 	// errorWeight is the load, as a part of the batch, that a host which
 	// always fails counts in addition.
 	errorWeight = 3.0
@@ -147,7 +150,19 @@
 			score += 1
 		}
 	}
-	return score + rand.Float64()/float64(limit)
+	return score + rand.Float64()*b.spread(now)/float64(limit)
+}
+
+// spread is the random part of a score, in requests. Nodes that decide on the
+// same report at the same time must not all choose the least loaded group.
+func (b *Board) spread(now time.Time) float64 {
+	nodes := 1
+	for _, r := range b.remotes {
+		if now.Sub(r.at) <= remoteBound {
+			nodes += r.nodes
+		}
+	}
+	return max(1, spreadPerNode*float64(nodes))
 }
 
 // returnAfter estimates when a refused request finds room: a full fleet of
