--- a/cmd/currantladder/check.go
+++ b/cmd/currantladder/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"currantladder.example/currantladder/internal/process/gateway"
 	"currantladder.example/currantladder/internal/process/settings"
 )
 
@@ -13,10 +14,21 @@
 	var file string
 	sub.AddPositionalValue(&file, "FILE", 1, true, "The settings file.")
 	return command{sub: sub, run: func(context.Context) error {
-		if _, err := settings.Load(file); err != nil {
+		if err := checkSettings(file); err != nil {
 			return err
 		}
 		fmt.Fprintf(stdout, "%s has no faults\n", file)
 		return nil
 	}}
 }
+
+// checkSettings checks the settings of a managed node, or of one with declared
+// groups.
+func checkSettings(file string) error {
+	if gateway.IsSettings(file) {
+		_, err := gateway.LoadSettings(file)
+		return err
+	}
+	_, err := settings.Load(file)
+	return err
+}
--- a/cmd/currantladder/explain.go
+++ b/cmd/currantladder/explain.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"net/url"
+	"os"
 	"time"
 
+	"currantladder.example/currantladder/internal/process/explain"
 	"currantladder.example/currantladder/internal/process/operatorapi"
 	"currantladder.example/currantladder/internal/version/object"
 )
@@ -20,11 +22,16 @@
 	c.attach(sub)
 	var target string
 	sub.AddPositionalValue(&target, "KIND/NAME", 1, true, "An object, group/NAME for a replica group, or request/ID for a request.")
+	var log string
+	sub.String(&log, "", "log", "Read a request's story from this file of log lines, - for standard input, instead of asking a node.")
 	return command{sub: sub, run: func(ctx context.Context) error {
 		kind, name, err := splitKey(target)
 		if err != nil {
 			return err
 		}
+		if log != "" {
+			return explainFromLog(log, kind, name)
+		}
 		if kind == groupAlias {
 			kind = string(object.KindReplicaGroup)
 		}
@@ -39,3 +46,35 @@
 		return nil
 	}}
 }
+
+// requestAlias is the kind under which requests are explained.
+const requestAlias = "request"
+
+// explainFromLog prints the story of a request out of the logs of one or more
+// nodes.
+func explainFromLog(path, kind, id string) error {
+	if kind != requestAlias {
+		return fmt.Errorf("%w: logs explain request/ID only, not %s/%s", errUsage, kind, id)
+	}
+	source := os.Stdin
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return fmt.Errorf("open the log: %w", err)
+		}
+		defer file.Close()
+		source = file
+	}
+	lines, skipped, err := explain.ReadLog(source)
+	if err != nil {
+		return err
+	}
+	story := explain.Request(lines, id)
+	if len(story) == 0 {
+		return fmt.Errorf("no line of %d is about request %s (%d others were no events); ask for the logs of all nodes", len(lines), id, skipped)
+	}
+	for _, line := range story {
+		fmt.Fprintln(stdout, line)
+	}
+	return nil
+}
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"currantladder.example/currantladder/internal/connection/feed"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -185,3 +188,35 @@
 		t.Error("a peer served a topic that it does not follow")
 	}
 }
+
+// TestSettingsPageListsEveryKey holds docs/SETTINGS-GATEWAY.md to the code.
+func TestSettingsPageListsEveryKey(t *testing.T) {
+	content, err := os.ReadFile("../../../docs/SETTINGS-GATEWAY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got, want []string
+	section := ""
+	for line := range strings.Lines(string(content)) {
+		line = strings.TrimSpace(line)
+		if name, ok := strings.CutPrefix(line, "## ["); ok {
+			section = strings.TrimSuffix(name, "]")
+		}
+		if strings.HasPrefix(line, "| `") {
+			got = append(got, section+" "+line)
+		}
+	}
+	for _, k := range settingsKeys() {
+		value := "`" + k.fallback + "`"
+		switch {
+		case k.required:
+			value = "required"
+		case k.fallback == "":
+			value = "none"
+		}
+		want = append(want, fmt.Sprintf("%s | `%s` | %s | %s |", k.section, k.name, value, k.meaning))
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("docs/SETTINGS-GATEWAY.md (-code +page):\n%s", diff)
+	}
+}
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -53,7 +53,9 @@
 	section, name string
 	required      bool
 	fallback      string
-	parse         func(s *Settings, value string) error
+	// meaning is the text of docs/SETTINGS-GATEWAY.md.
+	meaning string
+	parse   func(s *Settings, value string) error
 }
 
 func settingsKeys() []setting {
@@ -80,33 +82,33 @@
 		}
 	}
 	return []setting{
-		{"node", "name", true, "", text(func(s *Settings) *string { return &s.Node })},
-		{"node", "region", false, "", text(func(s *Settings) *string { return &s.Region })},
-		{"node", "failure_domain", true, "", text(func(s *Settings) *string { return &s.FailureDomain })},
-		{"node", "first_start", false, "false", func(s *Settings, v string) (err error) {
+		{"node", "name", true, "", "name of the node, unique in the fleet", text(func(s *Settings) *string { return &s.Node })},
+		{"node", "region", false, "", "region of the node", text(func(s *Settings) *string { return &s.Region })},
+		{"node", "failure_domain", true, "", "failure domain of the node; hosts of the same one are preferred", text(func(s *Settings) *string { return &s.FailureDomain })},
+		{"node", "first_start", false, "false", "true where the whole fleet starts for the first time: loads of weights are quick then", func(s *Settings, v string) (err error) {
 			if s.FirstStart, err = strconv.ParseBool(v); err != nil {
 				return fmt.Errorf("write true or false")
 			}
 			return nil
 		}},
-		{"node", "memory_mb", false, "256", func(s *Settings, v string) (err error) {
+		{"node", "memory_mb", false, "256", "megabytes of memory that the process may use", func(s *Settings, v string) (err error) {
 			if s.MemoryMB, err = strconv.Atoi(v); err != nil || s.MemoryMB < minMemoryMB {
 				return fmt.Errorf("write a whole number of %d or more", minMemoryMB)
 			}
 			return nil
 		}},
-		{"node", "processor_share", false, "1", number(func(s *Settings) *float64 { return &s.ProcessorShare })},
-		{"node", "stop_time", false, "8s", func(s *Settings, v string) (err error) {
+		{"node", "processor_share", false, "1", "part of a processor core; the largest node of a failure domain works for the others", number(func(s *Settings) *float64 { return &s.ProcessorShare })},
+		{"node", "stop_time", false, "8s", "time from SIGTERM to the end of the process at the latest", func(s *Settings, v string) (err error) {
 			if s.StopTime, err = time.ParseDuration(v); err != nil || s.StopTime <= 0 {
 				return fmt.Errorf("write a duration, such as 8s")
 			}
 			return nil
 		}},
-		{"listen", "callers", true, "", address(func(s *Settings) *string { return &s.Callers })},
-		{"listen", "ready", true, "", address(func(s *Settings) *string { return &s.Ready })},
-		{"listen", "peers", true, "", address(func(s *Settings) *string { return &s.Peers })},
-		{"listen", "metrics", false, "", address(func(s *Settings) *string { return &s.Metrics })},
-		{"peers", "seeds", false, "", func(s *Settings, v string) error {
+		{"listen", "callers", true, "", "IP:port for callers", address(func(s *Settings) *string { return &s.Callers })},
+		{"listen", "ready", true, "", "IP:port of the readiness check, GET /readyz", address(func(s *Settings) *string { return &s.Ready })},
+		{"listen", "peers", true, "", "IP:port for other nodes, TCP and UDP", address(func(s *Settings) *string { return &s.Peers })},
+		{"listen", "metrics", false, "", "IP:port of GET /metrics; none without it", address(func(s *Settings) *string { return &s.Metrics })},
+		{"peers", "seeds", false, "", "IP:port, separated by commas, of peers that are tried before others are known", func(s *Settings, v string) error {
 			for part := range strings.SplitSeq(v, ",") {
 				if _, err := netip.ParseAddrPort(strings.TrimSpace(part)); err != nil {
 					return fmt.Errorf("write IP:port, separated by commas: %w", err)
@@ -115,10 +117,10 @@
 			}
 			return nil
 		}},
-		{"store", "address", true, "", address(func(s *Settings) *string { return &s.Store })},
-		{"retry", "ratio", false, "0.1", number(func(s *Settings) *float64 { return &s.RetryRatio })},
-		{"retry", "slack", false, "20", number(func(s *Settings) *float64 { return &s.RetrySlack })},
-		{"log", "level", false, "info", text(func(s *Settings) *string { return &s.LogLevel })},
+		{"store", "address", true, "", "IP:port of the platform's store", address(func(s *Settings) *string { return &s.Store })},
+		{"retry", "ratio", false, "0.1", "second sends of all nodes, as a share of the requests within 10 s", number(func(s *Settings) *float64 { return &s.RetryRatio })},
+		{"retry", "slack", false, "20", "second sends of all nodes within 10 s in addition", number(func(s *Settings) *float64 { return &s.RetrySlack })},
+		{"log", "level", false, "info", "lowest level that is logged", text(func(s *Settings) *string { return &s.LogLevel })},
 	}
 }
 
