Find the next hub of another failure domain at once

Cause: TestMembersFollowTheNextHub: three seconds after a hub's death the other domains did not count its domain, as hubs search each other one candidate in half a second, ten of them in five seconds. Ruled out: the members, which had turned to the next largest node in time. Change: the three fittest candidates are told at once, beside the search.

--- a/internal/process/gateway/digest.go
+++ b/internal/process/gateway/digest.go
@@ -33,8 +33,10 @@
 	// heard.
 	hubSilence = 900 * time.Millisecond
 	hubFailure = 15 * time.Second
-	// searchTicks is the number of periods after which a hub tries another
-	// node of a domain from whose hub it hears nothing.
+	// likelyHubs is the number of a domain's fittest nodes that are told while
+	// nothing is heard from its hub; beside them one other node is tried for
+	// searchTicks periods.
+	likelyHubs  = 3
 	searchTicks = 5
 	// maxDigestBytes bounds a datagram.
 	maxDigestBytes = 32 << 10
@@ -237,10 +239,17 @@
 				found = true
 			}
 		}
-		if !found {
-			name := candidates[tick/searchTicks%len(candidates)]
+		if found {
+			continue
+		}
+		likely := min(len(candidates), likelyHubs)
+		others := candidates[likely:]
+		for _, name := range candidates[:likely] {
 			out = append(out, letter{p.known[name].Address, sum})
 		}
+		if len(others) > 0 {
+			out = append(out, letter{p.known[others[tick/searchTicks%len(others)]].Address, sum})
+		}
 	}
 	return out
 }
