Leave hosts to a model that lacks much instead of pairing them up for one that has enough

Ruled out: the rebalancing, which turned them back one domain at a time. Change: a model that has its share forms no further group while another has less than three quarters of its own.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -132,7 +132,11 @@
 		}
 	}
 	played := s.playFaults(ctx)
-	if !s.serveWithin(ctx, recoverLimit) {
+	if served := s.serveWithin(ctx, recoverLimit); ctx.Err() != nil {
+		endLoad()
+		callers.Wait()
+		return Report{}, fmt.Errorf("seed %d was interrupted: %w", s.options.Seed, ctx.Err())
+	} else if !served {
 		s.ledger.Break("not all nodes serve %v after the last fault", recoverLimit)
 	}
 	asked, served := s.asked.Load(), s.served.Load()
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -392,6 +392,16 @@
 	return models
 }
 
+// satisfied reports whether a model has what it should while another lacks much:
+// hosts then stay free until that one can be completed, which takes more of
+// them at a time.
+func (p *planner) satisfied(m *fleet.Model) bool {
+	if p.ratio(m) < 1 {
+		return false
+	}
+	return slices.ContainsFunc(p.Engine.Models, func(other fleet.Model) bool { return p.ratio(&other) < neededShare })
+}
+
 // domains returns the free hosts by fabric domain.
 func (p *planner) domains() map[string][]*fleet.Host {
 	domains := map[string][]*fleet.Host{}
@@ -412,6 +422,9 @@
 func (p *planner) formOne() bool {
 	domains := p.domains()
 	for _, m := range p.models() {
+		if p.satisfied(m) {
+			continue
+		}
 		best := ""
 		var bestHosts []*fleet.Host
 		for _, domain := range slices.Sorted(maps.Keys(domains)) {
--- a/internal/version/formation/plan_test.go
+++ b/internal/version/formation/plan_test.go
@@ -267,6 +267,23 @@
 	}
 }
 
+// TestSatisfiedModelLeavesHostsForANeedyOne plays the fault found in a recorded
+// day: after many losses hosts paired up for the small model far beyond its
+// target, and none were left for the large one.
+func TestSatisfiedModelLeavesHostsForANeedyOne(t *testing.T) {
+	var hosts []*fleet.Host
+	for epoch := range int64(4) { // 8 of 24 hosts: all that the small model should have
+		hosts = append(hosts, openGroup("d", "small", epoch+1, 2)...)
+	}
+	for i := range 16 {
+		hosts = append(hosts, spare(fmt.Sprintf("s%02d", i), fmt.Sprintf("e%d", i/3), "small"))
+	}
+	plan := MakePlan(input(hosts...))
+	if got := orders(plan, OpJoin); len(got) != 0 {
+		t.Errorf("joins %v for a model that has all it should, while the other has no group", got)
+	}
+}
+
 // TestPlanSettles plays random losses on simulated hosts that carry out every
 // order, and holds in each step that no host is in two groups and no group
 // opens without all members; in the end no more orders are given.
--- a/internal/version/formation/stage.go
+++ b/internal/version/formation/stage.go
@@ -17,7 +17,7 @@
 func (s *stager) run() {
 	models := s.models()
 	for _, m := range models {
-		if s.completeGroup(m) {
+		if s.satisfied(m) || s.completeGroup(m) {
 			break
 		}
 	}
@@ -79,8 +79,9 @@
 	return false
 }
 
-// neededShare is the ratio of two models' shares of their targets below which
-// a spare of the better one is given to the other.
+// neededShare is the share of its target below which a model lacks much. It is
+// also the ratio of two models' shares below which a spare of the better one is
+// given to the other.
 const neededShare = 0.75
 
 // addSpare loads the model onto one idle host where the domain has groups of
