--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -31,6 +31,9 @@
 	// minPause separates two calls while changes come one after another, so
 	// that they are read in batches.
 	minPause = 100 * time.Millisecond
+	// readerPause is the same for a node on whose copy others rely: in a large
+	// fleet some host changes at nearly every moment.
+	readerPause = 200 * time.Millisecond
 	// peerWait bounds one wait for changes at another node, peerSlack the time
 	// until its answer.
 	peerWait  = 400 * time.Millisecond
@@ -120,15 +123,15 @@
 			f.readReader(ctx, up.Reader)
 			continue
 		}
-		wait := LongPoll
+		wait, pause := LongPoll, minPause
 		if up.Serves {
-			wait = ReaderPoll
+			wait, pause = ReaderPoll, readerPause
 		}
 		if f.isLost() {
 			wait = recoveryPoll
 		}
 		if f.readStore(ctx, wait) {
-			sleep(ctx, minPause)
+			sleep(ctx, pause)
 			continue
 		}
 		f.askPeers(ctx, up.Peers)
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -29,8 +29,10 @@
 	// rosterPeriod is how often the rows of all nodes are read; nodes also
 	// learn of each other by digests.
 	rosterPeriod = 10 * time.Second
-	rosterRetry  = 500 * time.Millisecond
-	rosterCall   = time.Second
+	// largeRoster is the same in a large fleet, where hubs know the nodes.
+	largeRoster = 30 * time.Second
+	rosterRetry = 500 * time.Millisecond
+	rosterCall  = time.Second
 	// peersAsked bounds the peers that are asked for a feed in one turn.
 	peersAsked = 2
 )
@@ -101,7 +103,7 @@
 func (p *peers) roster(ctx context.Context) {
 	registered := false
 	for ctx.Err() == nil {
-		pause := rosterPeriod + rand.N(rosterPeriod/4)
+		pause := p.rosterPause()
 		if !registered {
 			registered = p.register(ctx) == nil
 		}
@@ -115,6 +117,16 @@
 	}
 }
 
+func (p *peers) rosterPause() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	period := rosterPeriod
+	if len(p.known)+1 > smallFleet {
+		period = largeRoster
+	}
+	return period + rand.N(period/4)
+}
+
 func (p *peers) register(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, rosterCall)
 	defer cancel()
--- a/internal/version/formation/plan_test.go
+++ b/internal/version/formation/plan_test.go
@@ -284,6 +284,36 @@
 	}
 }
 
+// TestRebalancePreparesSeveralDomains plays a recovery in which only the small
+// model serves: loads for the large one begin in more than one domain, within
+// the budget.
+func TestRebalancePreparesSeveralDomains(t *testing.T) {
+	var hosts []*fleet.Host
+	for d := range 4 {
+		domain := fmt.Sprintf("d%d", d)
+		for g := range int64(2) {
+			hosts = append(hosts, openGroup(domain, "small", int64(10*d)+g+1, 2)...)
+		}
+		hosts = append(hosts, spare("b"+domain, domain, "big"), spare("c"+domain, domain, "big"))
+	}
+	plan := MakePlan(input(hosts...))
+	domains := map[string]int{}
+	for _, o := range plan.Orders {
+		if o.Operation == OpStage && o.Model == "big" {
+			domains[o.HostID[:2]]++
+		}
+	}
+	if len(domains) < 2 {
+		t.Errorf("loads of the large model begin in %v, want several domains", domains)
+	}
+	if n := len(orders(plan, OpStage)); n > 6 {
+		t.Errorf("%d loads, over the budget of 6", n)
+	}
+	if closes := orders(plan, OpClose); len(closes) != 0 {
+		t.Errorf("groups %v close before the weights are there", closes)
+	}
+}
+
 // TestPlanSettles plays random losses on simulated hosts that carry out every
 // order, and holds in each step that no host is in two groups and no group
 // opens without all members; in the end no more orders are given.
--- a/internal/version/formation/rebalance.go
+++ b/internal/version/formation/rebalance.go
@@ -12,25 +12,44 @@
 // loads would cost more than the better balance brings.
 const unevenShare = 0.6
 
-// rebalance turns groups of a model that is well served into one of a model
+// maxMoves bounds the domains that are prepared at a time.
+const maxMoves = 3
+
+// rebalance turns groups of a model that is well served into ones of a model
 // that is not. The weights are loaded beside the work of the groups; only when
 // all of them are there, the groups close.
 func (p *planner) rebalance() {
-	models := p.models()
-	if len(models) < 2 || p.LoadsFree {
+	if len(p.Engine.Models) < 2 || p.LoadsFree {
 		return
 	}
+	serving, forming := maps.Clone(p.plan.Serving), maps.Clone(p.plan.Forming)
+	moved := map[string]bool{}
+	for range maxMoves {
+		if !p.rebalanceOnce(moved) {
+			break
+		}
+	}
+	p.plan.Serving, p.plan.Forming = serving, forming
+}
+
+// rebalanceOnce plans one move and counts it as done, so that the next one
+// sees its effect. moved are the domains that have one already.
+func (p *planner) rebalanceOnce(moved map[string]bool) bool {
+	models := p.models()
 	needy, rich := models[0], models[len(models)-1]
-	if p.ratio(needy) >= unevenShare*p.ratio(rich) || p.plan.Forming[needy.Name] > 0 {
-		return
+	if p.ratio(needy) >= unevenShare*p.ratio(rich) {
+		return false
 	}
-	move := p.cheapestMove(needy, rich)
+	move := p.cheapestMove(needy, rich, moved)
 	if move == nil || !p.improves(needy, rich, len(move.groups)) {
-		return
+		return false
 	}
+	moved[move.domain] = true
 	for _, h := range move.hosts {
 		p.reserved[h.ID] = true
 	}
+	p.plan.Forming[needy.Name]++
+	p.plan.Serving[rich.Name] -= len(move.groups)
 	if move.lacking == 0 {
 		for _, g := range move.groups {
 			p.order(Order{
@@ -38,17 +57,19 @@
 				Reason: "its hosts are needed for " + needy.Name,
 			})
 		}
-		return
+		return true
 	}
 	for _, h := range move.hosts {
 		if p.staging(h) == "" && !slices.Contains(h.StagedModels, needy.Name) {
 			p.load(h, needy, "prepares a group of a model that is served less")
 		}
 	}
+	return true
 }
 
 // move is a set of groups to give up in one domain.
 type move struct {
+	domain string
 	groups []*group
 	// hosts are the free hosts and members that would form the new group.
 	hosts []*fleet.Host
@@ -57,11 +78,14 @@
 }
 
 // cheapestMove finds the domain in which the fewest loads are lacking.
-func (p *planner) cheapestMove(needy, rich *fleet.Model) *move {
+func (p *planner) cheapestMove(needy, rich *fleet.Model, moved map[string]bool) *move {
 	free := p.domains()
 	var best *move
 	for _, domain := range slices.Sorted(maps.Keys(p.serving)) {
-		m := &move{hosts: slices.Clone(free[domain])}
+		if moved[domain] {
+			continue
+		}
+		m := &move{domain: domain, hosts: slices.Clone(free[domain])}
 		for _, g := range p.serving[domain] {
 			if len(m.hosts) >= needy.Size {
 				break
