Load idle hosts as further spares of the largest model

Ruled out: the ceiling on loads. Change: hosts that hold nothing load the largest model of their domain.

--- a/internal/version/formation/plan_test.go
+++ b/internal/version/formation/plan_test.go
@@ -314,6 +314,27 @@
 	}
 }
 
+// TestIdleHostsBecomeSparesOfTheLargestModel plays the first start in a domain
+// of 19 hosts with groups of 8 and 4: of the three that are left, one is a
+// spare of the small model and two of the large one, which loses members most
+// often.
+func TestIdleHostsBecomeSparesOfTheLargestModel(t *testing.T) {
+	hosts := openGroup("d", "big", 1, 8)
+	hosts = append(hosts, openGroup("d", "small", 2, 4)...)
+	hosts = append(hosts, openGroup("d", "small", 3, 4)...)
+	hosts = append(hosts, host("x", "d"), host("y", "d"), host("z", "d"))
+	in := input(hosts...)
+	in.Engine.Models[0].Size, in.Engine.Models[1].Size = 8, 4
+	in.LoadsFree = true
+	counts := map[string]int{}
+	for _, o := range MakePlan(in).Orders {
+		counts[o.Operation.String()+" "+o.Model]++
+	}
+	if counts["stage big"] != 2 || counts["stage small"] != 1 || len(counts) != 2 {
+		t.Errorf("orders %v, want two loads of the large model and one of the small one", counts)
+	}
+}
+
 // TestPlanSettles plays random losses on simulated hosts that carry out every
 // order, and holds in each step that no host is in two groups and no group
 // opens without all members; in the end no more orders are given.
--- a/internal/version/formation/stage.go
+++ b/internal/version/formation/stage.go
@@ -25,6 +25,22 @@
 	for _, m := range models {
 		s.addSpare(m)
 	}
+	for _, m := range models {
+		s.useIdle(m)
+	}
+}
+
+// useIdle loads the model onto the hosts that hold nothing, where the domain
+// has groups of it. The largest model comes first: it loses members most often.
+func (s *stager) useIdle(m *fleet.Model) {
+	if s.domainGroups[s.domain][m.Name] == 0 {
+		return
+	}
+	for _, h := range s.hosts {
+		if s.staging(h) == "" && !s.reserved[h.ID] && h.LoadedModel == "" && len(h.StagedModels) == 0 {
+			s.load(h, m, "further spare for the domain")
+		}
+	}
 }
 
 // having returns the hosts that hold the model or are loading it.
