--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -205,6 +205,11 @@
 func (b *Board) LiveNodes(now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.liveNodes(now)
+}
+
+// liveNodes is LiveNodes. The caller holds mu.
+func (b *Board) liveNodes(now time.Time) int {
 	live := 1
 	for _, r := range b.remotes {
 		if now.Sub(r.at) <= remoteBound {
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -15,6 +15,14 @@
 	urgentShare = 1.0
 	middleShare = 0.95
 	lowShare    = 0.8
+	// earlyFill is the part of the places of a large fleet from which requests
+	// are refused by chance, and fullFill that from which all are: its reports
+	// are some hundred milliseconds old, and beyond the engines' batches
+	// requests queue until nearly all answers are late.
+	earlyFill = 0.78
+	fullFill  = 1.0
+	// promptNodes is the number of nodes up to which reports are prompt.
+	promptNodes = 8
 	// plainQueueFactor bounds the requests at an endpoint of a plain service,
 	// in multiples of its slots.
 	plainQueueFactor = 3
@@ -87,7 +95,7 @@
 			best, bestScore = Choice{host, load, limit}, score
 		}
 	}
-	if best.Host == nil {
+	if best.Host == nil || rand.Float64() < b.earlyRefusal(q, refusal, now) {
 		refusal.ReturnAfter = b.returnAfter(q, refusal)
 		return Choice{}, refusal
 	}
@@ -95,6 +103,16 @@
 	return best, nil
 }
 
+// earlyRefusal is the part of requests that are refused although places are
+// free, so that those that are served are on time.
+func (b *Board) earlyRefusal(q Query, seen *Refusal, now time.Time) float64 {
+	if q.Service.Engine == nil || seen.Limit == 0 || b.liveNodes(now) <= promptNodes {
+		return 0
+	}
+	fill := float64(seen.Load) / float64(seen.Limit)
+	return min(max((fill-earlyFill)/(fullFill-earlyFill), 0), 1)
+}
+
 // serves reports whether the host may take the request now.
 func (b *Board) serves(host *fleet.Host, q Query, now time.Time) bool {
 	if host.State != fleet.HostReady {
