Spare a store that refuses a node; leave the hub's part to nodes that can read

Ruled out: the leader's row (no call while a lease runs). Change: the store is tried after 0.15 to 2 s while peers are fresh; a node whose copies are older than 3 s is no hub. TestFollowerSparesAStoreThatRefuses.

--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -214,3 +214,31 @@
 	s.mu.Unlock()
 	return s.scriptedSource.Changes(ctx, topic, since, wait)
 }
+
+// TestFollowerSparesAStoreThatRefuses holds that a node whom the store turns
+// away for long, beside peers with fresh copies, calls it seldom.
+func TestFollowerSparesAStoreThatRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		origin := NewTable()
+		origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Whole: true})
+		store := &countingSource{scriptedSource: scriptedSource{table: origin}}
+		peer := &scriptedSource{table: origin}
+		follower := NewFollower(TopicHosts, store, func() Upstream { return Upstream{Peers: []Source{peer}} }, eventlog.Discard(), func([]Record) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		store.set(true, false)
+		before := store.count()
+		time.Sleep(20 * time.Second)
+		if calls := store.count() - before; calls > 16 {
+			t.Errorf("%d calls in 20 s of a store that refuses this node", calls)
+		}
+		store.set(false, false)
+		origin.Apply(Batch{Records: []Record{record("b", 2)}, Version: 2})
+		time.Sleep(time.Second)
+		if version, _ := follower.Table().Version(); version != 2 {
+			t.Errorf("version %d a second after a change, want 2", version)
+		}
+	})
+}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -25,9 +25,12 @@
 	answerSlack = 400 * time.Millisecond
 	// callTimeout bounds a read of a whole table.
 	callTimeout = time.Second
-	// retryPause and retryJitter separate calls after a failure.
-	retryPause  = 150 * time.Millisecond
-	retryJitter = 150 * time.Millisecond
+	// retryPause and retryJitter separate calls after a failure. While peers
+	// have a fresh copy, the store is tried less and less often, up to
+	// maxStorePause.
+	retryPause    = 150 * time.Millisecond
+	retryJitter   = 150 * time.Millisecond
+	maxStorePause = 2 * time.Second
 	// minPause separates two calls while changes come one after another, so
 	// that they are read in batches.
 	minPause = 100 * time.Millisecond
@@ -75,6 +78,10 @@
 	lost      bool
 	// direct is until when the reader is not asked.
 	direct time.Time
+	// storePause is the pause between two tries of a store that fails, and
+	// storeAt when the next one is due.
+	storePause time.Duration
+	storeAt    time.Time
 }
 
 // NewFollower returns a follower that does nothing until Run.
@@ -130,15 +137,37 @@
 		if f.isLost() {
 			wait = recoveryPoll
 		}
-		if f.readStore(ctx, wait) {
+		if f.storeIsDue() && f.readStore(ctx, wait) {
 			sleep(ctx, pause)
 			continue
 		}
-		f.askPeers(ctx, up.Peers)
+		f.planStore(f.askPeers(ctx, up.Peers))
 		sleep(ctx, retryPause+rand.N(retryJitter))
 	}
 }
 
+func (f *Follower) storeIsDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !time.Now().Before(f.storeAt)
+}
+
+// planStore plans the next try of a store that has failed.
+func (f *Follower) planStore(peersAreFresh bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if !peersAreFresh {
+		f.storePause, f.storeAt = 0, time.Time{}
+		return
+	}
+	if now.Before(f.storeAt) {
+		return
+	}
+	f.storePause = min(max(2*f.storePause, retryPause), maxStorePause)
+	f.storeAt = now.Add(f.storePause)
+}
+
 func (f *Follower) isLost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -214,19 +243,31 @@
 	f.notify(changed)
 }
 
-// askPeers reads once from the first other node that answers.
-func (f *Follower) askPeers(ctx context.Context, peers []Source) {
+// askPeers reads once from the first other node that answers, and reports
+// whether its copy is fresh.
+func (f *Follower) askPeers(ctx context.Context, peers []Source) bool {
 	for _, peer := range peers {
 		batch, err := f.read(ctx, peer, peerWait, peerSlack)
 		if err != nil {
 			continue // the next peer is asked; the store's failure is logged
 		}
 		before, _ := f.table.Version()
+		f.noteCopy(batch)
 		f.apply(batch)
 		if after, _ := f.table.Version(); after != before {
 			f.log.Log(eventlog.FeedFromPeer, eventlog.Fields{"topic": f.topic, "from_version": before, "version": after})
 		}
-		return
+		return batch.ConfirmedAgo <= maxCopyAge
+	}
+	return false
+}
+
+// noteCopy notes how old a peer's copy is, while the store itself is lost.
+func (f *Follower) noteCopy(b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := time.Now().Add(-b.ConfirmedAgo); at.After(f.confirmed) {
+		f.confirmed = at
 	}
 }
 
@@ -255,6 +296,7 @@
 	}
 	regained := f.lost && b.ConfirmedAgo <= maxCopyAge
 	f.lost = f.lost && !regained
+	f.storePause, f.storeAt = 0, time.Time{}
 	f.mu.Unlock()
 	if regained {
 		version, _ := f.table.Version()
--- a/internal/process/gateway/digest.go
+++ b/internal/process/gateway/digest.go
@@ -89,10 +89,11 @@
 			known.failed = now.Add(hubFailure)
 		}
 	}
-	best := p.node
+	// A node that cannot read the feeds itself leaves it to any other one.
+	best, unfit := p.node, !p.reads()
 	for _, name := range p.candidates(p.self.Domain) {
-		if !now.Before(p.known[name].failed) && p.before(name, best) {
-			best = name
+		if !now.Before(p.known[name].failed) && (unfit || p.before(name, best)) {
+			best, unfit = name, false
 		}
 	}
 	if best != p.chosen {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -45,6 +45,9 @@
 	releaseTimeout = time.Second
 	// closeTimeout bounds the orderly close of idle connections.
 	closeTimeout = 300 * time.Millisecond
+	// freshCopy is the age from which a node does not offer its copies of the
+	// feeds; the store confirms them at least every two seconds.
+	freshCopy = 3 * time.Second
 	// housekeeping is the period of small duties.
 	housekeeping = 200 * time.Millisecond
 	// memoryShare is the part of the node's memory at which the runtime
@@ -233,11 +236,16 @@
 	})
 }
 
-// reads reports whether the node has copies of both feeds for others.
+// reads reports whether the node has fresh copies of both feeds for others.
 func (g *Gateway) reads() bool {
-	_, configuration := g.configs.Table().Version()
-	_, hosts := g.hosts.Table().Version()
-	return configuration && hosts && !g.stopping.Load()
+	for _, follower := range []*feed.Follower{g.configs, g.hosts} {
+		_, loaded := follower.Table().Version()
+		confirmed, _ := follower.Contact()
+		if !loaded || time.Since(confirmed) > freshCopy {
+			return false
+		}
+	}
+	return !g.stopping.Load()
 }
 
 // ready reports whether the node knows its configuration and hosts and is not
