--- a/cmd/currantladder/gateway.go
+++ b/cmd/currantladder/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
@@ -44,5 +46,34 @@
 	writer := eventlog.NewAsyncWriter(os.Stdout)
 	defer writer.Close()
 	log := eventlog.New(writer, level, loaded.Node).Limited(writer)
+	stop := logReloads(path, log)
+	defer stop()
 	return platform.NewNode(loaded, log).Run(ctx)
 }
+
+// logReloads checks the settings again at each SIGHUP and logs the result, until
+// the returned function is called. Listeners and addresses belong to the
+// process: changed ones apply at the next start.
+func logReloads(path string, log *eventlog.Logger) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-hangups:
+				fields := eventlog.Fields{"path": path}
+				if _, err := gateway.LoadSettings(path); err != nil {
+					fields["error"] = err.Error()
+				}
+				log.Log(eventlog.SettingsRead, fields)
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(done)
+	}
+}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -43,10 +43,10 @@
 	peerSlack = 300 * time.Millisecond
 	// maxCopyAge is the age from which a reader's copy is not trusted: longer
 	// than its poll, and short enough to ask the store in time.
-	maxCopyAge = time.Second
+	maxCopyAge = 1400 * time.Millisecond
 	// distrust is how long a node reads from the store after its reader has
 	// failed it.
-	distrust = 3 * time.Second
+	distrust = 1500 * time.Millisecond
 )
 
 // Upstream says from where a node reads.
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -303,6 +303,7 @@
 		if refused := c.start(ctx); refused == nil {
 			c.Log.Log(eventlog.RequestRetried, eventlog.Fields{
 				"request": c.request.ID, "host": failed.ID, "error": p.err.Error(), "handed": p.handed, "after_event": c.lastID, "to": c.leg.host.ID,
+				"faulty_host": faultyHost(p.reply),
 			})
 			return false
 		}
@@ -320,6 +321,14 @@
 	return true
 }
 
+// faultyHost is the member because of which a group refused, or "".
+func faultyHost(r *Reply) string {
+	if r == nil {
+		return ""
+	}
+	return r.FaultyHost
+}
+
 // cut ends an answer as incomplete.
 func (c *streamCall) cut(reason string) {
 	c.count("cut", "")
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -65,10 +65,7 @@
 	Other bool
 	// FaultyHost is the member of a group because of which it refused, or "".
 	FaultyHost string
-	// KnownLength is true where the end of the body can be told from a loss
-	// of the connection.
-	KnownLength bool
-	Body        io.ReadCloser
+	Body       io.ReadCloser
 }
 
 // Endpoint sends attempts. Errors are *endpoint.CallError.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -49,6 +49,7 @@
 		sleepFor(r)
 		n.signal(syscall.SIGCONT)
 	}},
+	{"reload node", func(s *Soak, r *rand.Rand) { s.anyNode(r).signal(syscall.SIGHUP) }},
 	{"kill all nodes", func(s *Soak, r *rand.Rand) {
 		for _, n := range s.nodes {
 			n.end(syscall.SIGKILL, stopLimit)
