--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -157,9 +157,22 @@
 	age time.Duration
 }
 
-func (s *datedSource) Changes(ctx context.Context, topic Topic, since int64, wait time.Duration) (Batch, error) {
-	batch, err := s.scriptedSource.Changes(ctx, topic, since, wait)
-	batch.ConfirmedAgo = s.age
+// grow makes the copy as old as age, and cuts it off from what follows.
+func (s *datedSource) grow(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table, s.age = NewTable(), age
+}
+
+func (s *datedSource) Changes(ctx context.Context, _ Topic, since int64, wait time.Duration) (Batch, error) {
+	s.mu.Lock()
+	down, table, age := s.down, s.table, s.age
+	s.mu.Unlock()
+	if down {
+		return Batch{}, errors.New("down")
+	}
+	batch, err := table.Changes(ctx, since, wait)
+	batch.ConfirmedAgo = age
 	return batch, err
 }
 
@@ -169,7 +182,7 @@
 func TestFollowerLeavesAReaderInTime(t *testing.T) {
 	for name, harm := range map[string]func(reader *datedSource){
 		"dead":  func(r *datedSource) { r.set(true, false) },
-		"stale": func(r *datedSource) { r.table, r.age = NewTable(), maxCopyAge+time.Millisecond },
+		"stale": func(r *datedSource) { r.grow(maxCopyAge + time.Millisecond) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
