--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -41,6 +41,16 @@
 // since they count apart from each other and at other moments.
 const budgetReserve = 0.3
 
+// Part is the part of the budget that one of so many nodes may use for
+// requests that are sent to maxAttempts endpoints at most.
+func (b Budget) Part(nodes, maxAttempts int) retry.Policy {
+	return retry.Policy{
+		Share:       b.Ratio * (1 - budgetReserve),
+		Reserve:     b.Slack * (1 - budgetReserve) / float64(max(nodes, 1)),
+		MaxAttempts: maxAttempts,
+	}
+}
+
 // Options are the parts that a Core works with.
 type Options struct {
 	View     *fleet.Holder
@@ -227,15 +237,11 @@
 // mayRetry reports whether the request may be sent once more, and counts the
 // retry against the budget if so.
 func (s *call) mayRetry(now time.Time) bool {
-	nodes := float64(s.Board.LiveNodes(now))
-	policy := retry.Policy{
-		Share:       s.Budget.Ratio * (1 - budgetReserve),
-		Reserve:     s.Budget.Slack * (1 - budgetReserve) / nodes,
-		MaxAttempts: s.route.MaxAttempts,
-	}
+	nodes := s.Board.LiveNodes(now)
+	policy := s.Budget.Part(nodes, s.route.MaxAttempts)
 	allowed := s.retries.Allow(retry.Attempt{Rank: s.service.Name, Policy: policy, Made: len(s.tried), Idempotent: true}, now)
 	if !allowed && len(s.tried) < s.route.MaxAttempts {
-		s.Log.Log(eventlog.RetryBudgetSpent, eventlog.Fields{"request": s.request.ID, "service": s.service.Name, "nodes": int(nodes)})
+		s.Log.Log(eventlog.RetryBudgetSpent, eventlog.Fields{"request": s.request.ID, "service": s.service.Name, "nodes": nodes})
 	}
 	return allowed
 }
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -17,19 +17,6 @@
 
 // Times of streams.
 const (
-	// stallFactor and stallSlack turn the length of a pass into the silence
-	// after which a group is suspect or stalled. Passes end within tens of
-	// milliseconds of the engine's model; the slack covers the network and
-	// the schedule of a busy node.
-	stallFactor = 1.15
-	stallSlack  = 100 * time.Millisecond
-	// firstEventSlack is added while a leg has given nothing: engines take a
-	// fixed time before the first token, which they do not declare.
-	firstEventSlack = 300 * time.Millisecond
-	// lonelyFactor is the silence of one stream, in multiples of that of a
-	// stalled group, after which it moves although the group goes on: it was
-	// preempted or its connection is dead.
-	lonelyFactor = 3
 	// checkPeriod is how often a stream looks for silence.
 	checkPeriod = 25 * time.Millisecond
 	// pumpCapacity is the number of events that one attempt may be ahead of
@@ -363,61 +350,38 @@
 	c.leg = nil
 }
 
-// silence holds the times after which a leg's silence has a meaning.
-type silence struct {
-	// suspect: most passes are shorter; the group takes no new request until
-	// it gives a sign.
-	suspect time.Duration
-	// stalled: no pass of a healthy group is longer; its streams move.
-	stalled time.Duration
-	// first is stalled for a leg that has given nothing yet.
-	first time.Duration
-}
-
-func (c *streamCall) silence() silence {
-	engine, model := c.service.Engine, c.leg.model
-	if engine == nil || model == nil {
-		stalled := c.route.PauseTarget + stallSlack
-		return silence{stalled, stalled, stalled + c.route.Target}
+func (c *streamCall) silence() place.Silence {
+	if c.service.Engine == nil || c.leg.model == nil {
+		return place.PlainSilence(c.route.Target, c.route.PauseTarget)
 	}
-	scaled := func(pieces int) time.Duration {
-		return time.Duration(stallFactor*float64(engine.PassTime(model, pieces))) + stallSlack
-	}
-	stalled := scaled(engine.StepsPerPass)
-	return silence{scaled(1), stalled, stalled + firstEventSlack + engine.ReadTime(model, c.request.PromptTokens)}
+	return place.EngineSilence(c.service.Engine, c.leg.model, c.request.PromptTokens)
 }
 
 // checkSilence suspects a group that gives nothing, and moves the stream where
 // the group stands still.
 func (c *streamCall) checkSilence(ctx context.Context, now time.Time) {
 	own := now.Sub(c.leg.progress)
-	limits := c.silence()
-	if own < limits.suspect {
-		return
-	}
 	group := own
 	if at := c.Board.Progress(c.leg.host.ID); !at.IsZero() {
 		group = min(own, now.Sub(at))
 	}
-	if c.leg.events > 0 && group >= limits.suspect || group >= limits.first {
+	limits := c.silence()
+	suspect, move := limits.Judge(place.Silent{Own: own, Group: group, Began: c.leg.events > 0, Suspected: c.Board.Suspected(c.leg.host.ID, now)})
+	if suspect {
 		c.suspect(now, group, limits)
 	}
-	limit := limits.stalled
-	if c.leg.events == 0 && !c.Board.Suspected(c.leg.host.ID, now) {
-		limit = limits.first
-	}
-	if group >= limit || own >= lonelyFactor*limit {
+	if move {
 		c.move(ctx, now, own)
 	}
 }
 
-func (c *streamCall) suspect(now time.Time, silent time.Duration, limits silence) {
+func (c *streamCall) suspect(now time.Time, silent time.Duration, limits place.Silence) {
 	if !c.Board.Suspect(c.leg.host.ID, now) {
 		return
 	}
 	c.Log.Log(eventlog.GroupSuspected, eventlog.Fields{
 		"request": c.request.ID, "host": c.leg.host.ID, "group": c.leg.host.Group.Name, "epoch": c.leg.host.Group.Epoch,
-		"silent_ms": silent.Milliseconds(), "suspect_ms": limits.suspect.Milliseconds(), "stalled_ms": limits.stalled.Milliseconds(),
+		"silent_ms": silent.Milliseconds(), "suspect_ms": limits.Suspect.Milliseconds(), "stalled_ms": limits.Stalled.Milliseconds(),
 		"events": c.leg.events,
 	})
 }
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -6,6 +6,7 @@
 package place
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -49,6 +50,8 @@
 	mu      sync.Mutex
 	hosts   map[string]*record
 	remotes map[string]remote
+	// random draws from [0, 1).
+	random func() float64
 }
 
 // record is the state of one host.
@@ -74,8 +77,12 @@
 }
 
 // NewBoard returns an empty board.
-func NewBoard() *Board {
-	return &Board{hosts: make(map[string]*record), remotes: make(map[string]remote)}
+func NewBoard() *Board { return NewBoardFrom(rand.Float64) }
+
+// NewBoardFrom returns an empty board whose choices depend on the given source
+// of random numbers in [0, 1) alone.
+func NewBoardFrom(random func() float64) *Board {
+	return &Board{hosts: make(map[string]*record), remotes: make(map[string]remote), random: random}
 }
 
 func (b *Board) record(id string) *record {
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -95,7 +94,7 @@
 			best, bestScore = Choice{host, load, limit}, score
 		}
 	}
-	if best.Host == nil || rand.Float64() < b.earlyRefusal(q, refusal, now) {
+	if best.Host == nil || b.random() < b.earlyRefusal(q, refusal, now) {
 		refusal.ReturnAfter = b.returnAfter(q, refusal)
 		return Choice{}, refusal
 	}
@@ -168,7 +167,7 @@
 			score += 1
 		}
 	}
-	return score + rand.Float64()*b.spread(now)/float64(limit)
+	return score + b.random()*b.spread(now)/float64(limit)
 }
 
 // spread is the random part of a score, in requests. Nodes that decide on the
@@ -199,6 +198,6 @@
 	}
 	excess := float64(r.Load - r.Limit + r.Candidates)
 	wait := time.Duration(excess / rate * float64(time.Second))
-	spread := 0.7 + 0.6*rand.Float64()
+	spread := 0.7 + 0.6*b.random()
 	return min(max(time.Duration(spread*float64(wait)), minReturn), maxReturn)
 }
