Spread requests by levelling the groups instead of at random

Cause: all nodes choose on the same reports, which are 0.1 s old, or some tenths of a second over hubs. The random part of 0.6 requests a node kept them from meeting at the emptiest group, but put noise of 3.6 requests (six nodes) to 50 (85) on every choice. Found in the model of the served system: with noise a batch is overfull beside one with room, and first events are late.

Change: the requests that began since the reports are estimated, and a request goes to each of the emptiest groups with the chance that levels them. A node draws the reports towards its own spread, the more so the more own requests it has to judge by.

--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -32,9 +34,14 @@
 	// localBonus is the load, as a part of the batch, by which an endpoint in
 	// the node's own failure domain is preferred: bytes between domains cost.
 	localBonus = 0.04
-	// spreadPerNode is the number of requests that a group may get from another
-	// node between two reports.
-	spreadPerNode = 0.6
+	// reportWorth is the number of own requests a host at which a node trusts
+	// their spread as much as the others' reports.
+	reportWorth = 3.0
+	// promptUnseen and hubUnseen are the parts of the running requests that
+	// began after the reports, which are about 0.1 s old between few nodes and
+	// some tenths over hubs; requests last about a second.
+	promptUnseen = 0.1
+	hubUnseen    = 0.4
 	// errorWeight is the load, as a part of the batch, that a host which
 	// always fails counts in addition.
 	errorWeight = 3.0
@@ -76,30 +83,91 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	refusal := &Refusal{ReturnAfter: minReturn}
-	best, bestScore := Choice{}, 0.0
+	var candidates []candidate
+	own := 0
 	for _, host := range view.ServiceHosts(q.Service.Name) {
 		if !b.serves(host, q, now) {
 			continue
 		}
-		limit := hostLimit(host, q)
-		load := b.load(host.ID, now)
-		refusal.Candidates++
-		refusal.Load += load
-		refusal.Limit += limit
-		if load >= limit {
-			continue
-		}
-		score := b.score(host, q, load, limit, now)
-		if best.Host == nil || score < bestScore {
-			best, bestScore = Choice{host, load, limit}, score
+		c := candidate{host: host, limit: hostLimit(host, q), reported: b.load(host.ID, now)}
+		if r := b.hosts[host.ID]; r != nil {
+			c.own = r.inFlight
 		}
+		own += c.own
+		refusal.Candidates++
+		refusal.Load += c.reported
+		refusal.Limit += c.limit
+		candidates = append(candidates, c)
 	}
-	if best.Host == nil || b.random() < b.earlyRefusal(q, refusal, now) {
+	b.estimate(candidates, q, own, refusal.Load, now)
+	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return max(c.load, float64(c.reported)) >= float64(c.limit) })
+	if len(candidates) == 0 || b.random() < b.earlyRefusal(q, refusal, now) {
 		refusal.ReturnAfter = b.returnAfter(q, refusal)
 		return Choice{}, refusal
 	}
-	b.record(best.Host.ID).inFlight++
-	return best, nil
+	chosen := b.fill(candidates, max(1, b.unseenPart(now)*float64(refusal.Load)))
+	b.record(chosen.host.ID).inFlight++
+	return Choice{chosen.host, chosen.reported, chosen.limit}, nil
+}
+
+// candidate is a host that may take a request.
+type candidate struct {
+	host *fleet.Host
+	// own is the number of this node's requests at the host, reported that of
+	// all nodes as this one knows it.
+	own, reported, limit int
+	// load estimates the requests at the host; cost is load with additions for
+	// doubtful and far hosts, in requests.
+	load, cost float64
+}
+
+// estimate sets load and cost. Reports are old, and all nodes act on the same
+// ones; but what a node sends it knows. So the load is drawn towards what it
+// would be if the others spread their requests as this node does, the more so
+// the more requests of its own the node has to judge by.
+func (b *Board) estimate(candidates []candidate, q Query, own, reported int, now time.Time) {
+	weight, scale := 0.0, 0.0
+	if own > 0 {
+		mean := float64(own) / float64(len(candidates))
+		weight, scale = mean/(mean+reportWorth), float64(reported)/float64(own)
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		c.load = (1-weight)*float64(c.reported) + weight*scale*float64(c.own)
+		c.cost = c.load + b.penalty(c.host, q, now)*float64(c.limit)
+	}
+}
+
+// fill chooses a host so that the requests which all nodes send on the same
+// reports raise the cheapest hosts to one level, as water fills a basin.
+func (b *Board) fill(candidates []candidate, requests float64) candidate {
+	slices.SortFunc(candidates, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.cost, y.cost), cmp.Compare(x.host.ID, y.host.ID))
+	})
+	level, sum, filled := 0.0, 0.0, 0
+	for i, c := range candidates {
+		if i > 0 && c.cost >= level {
+			break
+		}
+		sum += c.cost
+		filled = i + 1
+		level = (requests + sum) / float64(filled)
+	}
+	at := b.random() * requests
+	for _, c := range candidates[:filled] {
+		if at -= level - c.cost; at < 0 {
+			return c
+		}
+	}
+	return candidates[0]
+}
+
+// unseenPart is the part of the running requests that began after the reports.
+func (b *Board) unseenPart(now time.Time) float64 {
+	if b.liveNodes(now) <= promptNodes {
+		return promptUnseen
+	}
+	return hubUnseen
 }
 
 // earlyRefusal is the part of requests that are refused although places are
@@ -153,33 +221,20 @@
 	return max(int(share*float64(q.Service.Engine.Slots)), 1)
 }
 
-// score is the part of the host's limit that is taken, with additions for
-// doubtful and far hosts; the lowest is chosen. A random part keeps nodes with
-// the same view from choosing the same host.
-func (b *Board) score(host *fleet.Host, q Query, load, limit int, now time.Time) float64 {
-	score := float64(load) / float64(limit)
+// penalty is what a doubtful host costs and a near one spares, in parts of its
+// limit.
+func (b *Board) penalty(host *fleet.Host, q Query, now time.Time) float64 {
+	penalty := 0.0
 	if host.FailureDomain == q.FailureDomain {
-		score -= localBonus
+		penalty -= localBonus
 	}
 	if r := b.hosts[host.ID]; r != nil {
-		score += errorWeight * r.errorShare
+		penalty += errorWeight * r.errorShare
 		if q.Service.Engine == nil && now.Before(r.avoidUntil) {
-			score += 1
-		}
-	}
-	return score + b.random()*b.spread(now)/float64(limit)
-}
-
-// spread is the random part of a score, in requests. Nodes that decide on the
-// same report at the same time must not all choose the least loaded group.
-func (b *Board) spread(now time.Time) float64 {
-	nodes := 1
-	for _, r := range b.remotes {
-		if now.Sub(r.at) <= remoteBound {
-			nodes += r.nodes
+			penalty++
 		}
 	}
-	return max(1, spreadPerNode*float64(nodes))
+	return penalty
 }
 
 // returnAfter estimates when a refused request finds room: a full fleet of
