--- a/cmd/currantladder/main.go
+++ b/cmd/currantladder/main.go
@@ -38,7 +38,7 @@
 // runMain parses the arguments and runs the command that they name. It blocks
 // until the command has ended.
 func runMain(ctx context.Context, args []string) error {
-	commands := append(operatorCommands(), newServeCommand(), newGatewayCommand(), newSoakCommand(), newDemoCommand(), newStandinCommand())
+	commands := append(operatorCommands(), newServeCommand(), newGatewayCommand(), newSoakCommand(), newExperimentCommand(), newDemoCommand(), newStandinCommand())
 	parser := flaggy.NewParser("currantladder")
 	parser.Description = "Serves models that span several hosts."
 	for _, c := range commands {
