--- a/internal/version/formation/form.go
+++ b/internal/version/formation/form.go
@@ -64,7 +64,7 @@
 	return slices.ContainsFunc(p.Engine.Models, func(other fleet.Model) bool { return p.ratio(&other) < neededShare })
 }
 
-// domains returns the free hosts by fabric domain.
+// domains returns the free hosts by fabric domain, sorted by ID.
 func (p *planner) domains() map[string][]*fleet.Host {
 	domains := map[string][]*fleet.Host{}
 	for _, id := range slices.Sorted(maps.Keys(p.free)) {
@@ -74,54 +74,74 @@
 	return domains
 }
 
+// former forms groups from the free hosts of each domain. It keeps what it has
+// found out of a domain until a group takes hosts from there: the first plan
+// of a large fleet forms hundreds of groups.
+type former struct {
+	*planner
+	free  map[string][]*fleet.Host
+	names []string
+	sizes map[string]int
+	// usable are the hosts of a domain that can start a model, by both names.
+	usable map[string]map[string][]*fleet.Host
+}
+
 // form forms groups while a model has a domain with enough hosts that can
 // start it at once.
 func (p *planner) form() {
-	for p.formOne() {
+	f := &former{planner: p, free: p.domains(), sizes: map[string]int{}, usable: map[string]map[string][]*fleet.Host{}}
+	f.names = slices.Sorted(maps.Keys(f.free))
+	for _, h := range p.Hosts {
+		f.sizes[h.FabricDomain]++
+	}
+	for _, name := range f.names {
+		f.look(name)
+	}
+	for f.formOne() {
 	}
 }
 
-func (p *planner) formOne() bool {
-	domains := p.domains()
-	for _, m := range p.models() {
-		if p.satisfied(m) {
+// look finds out what the free hosts of a domain can start.
+func (f *former) look(domain string) {
+	f.usable[domain] = map[string][]*fleet.Host{}
+	for i := range f.Engine.Models {
+		m := &f.Engine.Models[i]
+		f.usable[domain][m.Name] = f.planner.usable(f.free[domain], m)
+	}
+}
+
+func (f *former) formOne() bool {
+	for _, m := range f.models() {
+		if f.satisfied(m) {
 			continue
 		}
 		best := ""
 		var bestHosts []*fleet.Host
-		for _, domain := range slices.Sorted(maps.Keys(domains)) {
-			hosts := p.usable(domains[domain], m)
+		for _, domain := range f.names {
+			hosts := f.usable[domain][m.Name]
 			spare := 0
-			if p.LoadsFree {
-				spare = p.domainSize(domain) / domainHostsPerSpare
+			if f.LoadsFree {
+				spare = f.sizes[domain] / domainHostsPerSpare
 			}
 			if len(hosts) < m.Size+spare {
 				continue
 			}
-			if bestHosts == nil || p.domainGroups[domain][m.Name] < p.domainGroups[best][m.Name] ||
-				p.domainGroups[domain][m.Name] == p.domainGroups[best][m.Name] && len(hosts) > len(bestHosts) {
+			if bestHosts == nil || f.domainGroups[domain][m.Name] < f.domainGroups[best][m.Name] ||
+				f.domainGroups[domain][m.Name] == f.domainGroups[best][m.Name] && len(hosts) > len(bestHosts) {
 				best, bestHosts = domain, hosts
 			}
 		}
 		if bestHosts != nil {
-			p.join(m, bestHosts[:m.Size])
+			taken := bestHosts[:m.Size]
+			f.join(m, taken)
+			f.free[best] = slices.DeleteFunc(f.free[best], func(h *fleet.Host) bool { return slices.Contains(taken, h) })
+			f.look(best)
 			return true
 		}
 	}
 	return false
 }
 
-// domainSize counts the hosts of a fabric domain.
-func (p *planner) domainSize(domain string) int {
-	n := 0
-	for _, h := range p.Hosts {
-		if h.FabricDomain == domain {
-			n++
-		}
-	}
-	return n
-}
-
 // usable returns the hosts that can start the model without the weight store,
 // or all of them before traffic; those that had it last come first.
 func (p *planner) usable(hosts []*fleet.Host, m *fleet.Model) []*fleet.Host {
