--- a/internal/process/explain/logs.go
+++ b/internal/process/explain/logs.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"currantladder.example/currantladder/internal/process/eventlog"
 )
 
 // maxLogLine bounds one line of a log, in bytes.
@@ -113,7 +115,7 @@
 	}
 	first, last := own[0].Time.Add(-aroundRequest), own[len(own)-1].Time.Add(aroundRequest)
 	for _, l := range lines {
-		if l.Fields["request"] == nil && !l.Time.Before(first) && !l.Time.After(last) && about(l, subjects) {
+		if l.Fields["request"] != id && tellsOfAll(l) && !l.Time.Before(first) && !l.Time.After(last) && about(l, subjects) {
 			own = append(own, l)
 		}
 	}
@@ -121,6 +123,12 @@
 	return own
 }
 
+// tellsOfAll reports whether a line is about more than one request. A suspicion
+// names the request that noticed it, and touches all others of the group.
+func tellsOfAll(l Line) bool {
+	return l.Fields["request"] == nil || l.Event == eventlog.GroupSuspected.Number
+}
+
 func about(l Line, subjects map[string]bool) bool {
 	for _, name := range []string{"host", "group"} {
 		if text, ok := l.Fields[name].(string); ok && subjects[text] {
--- a/internal/process/explain/logs_test.go
+++ b/internal/process/explain/logs_test.go
@@ -37,3 +37,20 @@
 		t.Errorf("an unknown request has the story %v", got)
 	}
 }
+
+// TestSuspicionOfAnotherRequestIsTold holds that the story of a stream that
+// moved names the suspicion of its group, although another request noticed it.
+func TestSuspicionOfAnotherRequestIsTold(t *testing.T) {
+	const suspicion = `{"event":1360,"group":"m.1","host":"h1","level":"warning","msg":"all streams of a group stand still; it takes no request for now","node":"n2","request":"r2","time":"2026-01-01T00:00:01.8Z"}` + "\n"
+	lines, _, err := ReadLog(strings.NewReader(exampleLog + suspicion))
+	if err != nil {
+		t.Fatal(err)
+	}
+	story := Request(lines, "r1")
+	if len(story) != 4 || story[2].Event != 1360 {
+		t.Errorf("story %v, want the suspicion before the move", story)
+	}
+	if own := Request(lines, "r2"); len(own) != 3 {
+		t.Errorf("story of the request that noticed it: %v, want its two lines and the dead member's", own)
+	}
+}
