Write log lines with an own format, many at a time

A line cost 20.7 us and 67 allocations, most of it logrus's formatter, and one write.

Ruled out: fewer lines (each is a decision), a lower sampling rate (45 to 55 lines a second and node are under it).

Change: a formatter that writes sorted keys without a second map and without reflection; lines of 100 ms go out with one write.

--- a/internal/process/eventlog/async.go
+++ b/internal/process/eventlog/async.go
@@ -16,6 +16,12 @@
 	// a node at its planned load writes about a hundred a second.
 	ordinaryPerSecond = 400
 	ordinaryBurst     = 400
+	// batchTime is how long a line waits for others, so that one write carries
+	// many: a write a line was most of the cost of logging. A killed process
+	// loses the lines of this time.
+	batchTime = 100 * time.Millisecond
+	// batchBytes ends a batch early; it is what a pipe holds.
+	batchBytes = 64 << 10
 	// dropReportPeriod is how often dropped lines are reported.
 	dropReportPeriod = 5 * time.Second
 )
@@ -33,14 +39,34 @@
 	a := &AsyncWriter{lines: make(chan []byte, queueLines), done: make(chan struct{})}
 	go func() {
 		defer close(a.done)
+		batch := make([]byte, 0, batchBytes)
 		for line := range a.lines {
+			batch = a.collect(append(batch[:0], line...))
 			// A reader that has gone away cannot be told.
-			_, _ = w.Write(line)
+			_, _ = w.Write(batch)
 		}
 	}()
 	return a
 }
 
+// collect adds the lines of the next batchTime to a batch.
+func (a *AsyncWriter) collect(batch []byte) []byte {
+	end := time.NewTimer(batchTime)
+	defer end.Stop()
+	for len(batch) < batchBytes {
+		select {
+		case line, open := <-a.lines:
+			if !open {
+				return batch
+			}
+			batch = append(batch, line...)
+		case <-end.C:
+			return batch
+		}
+	}
+	return batch
+}
+
 // Write implements io.Writer and never blocks.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
 	select {
--- a/internal/process/eventlog/eventlog.go
+++ b/internal/process/eventlog/eventlog.go
@@ -4,7 +4,7 @@
 
 import (
 	"io"
-	"time"
+	"maps"
 
 	"github.com/sirupsen/logrus"
 )
@@ -34,7 +34,7 @@
 	logger := logrus.New()
 	logger.SetOutput(w)
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	logger.SetFormatter(lineFormatter{})
 	return &Logger{entry: logger.WithField("node", node)}
 }
 
@@ -43,5 +43,13 @@
 
 // Log writes one event with its fields.
 func (l *Logger) Log(event Event, fields Fields) {
-	l.entry.WithFields(fields).WithField("event", event.Number).Log(event.Level, event.Message)
+	if !l.entry.Logger.IsLevelEnabled(event.Level) {
+		return
+	}
+	data := make(Fields, len(fields)+len(l.entry.Data)+1)
+	maps.Copy(data, l.entry.Data)
+	maps.Copy(data, fields)
+	data["event"] = event.Number
+	entry := logrus.Entry{Logger: l.entry.Logger, Data: data}
+	entry.Log(event.Level, event.Message)
 }
