Bound the orders that are sent at a time

The first plan's 3,000 joins are sent at once, each on a connection of its own.

Change: 256 orders at a time; one that a later plan has replaced meanwhile is not sent.

--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -43,6 +43,10 @@
 	// loadsFreeLimit bounds the time after the start in which loads count as
 	// free; callers come some seconds after the hosts.
 	loadsFreeLimit = 9 * time.Second
+	// maxOrdersOnWay bounds the orders that are sent at a time: each has a
+	// connection of its own, and a first plan may hold more of them than a node
+	// may have descriptors. It is far above what a repair needs.
+	maxOrdersOnWay = 256
 	// loadWindow is the time over which loads from the weight store are
 	// counted.
 	loadWindow = 5 * time.Second
@@ -72,6 +76,8 @@
 type Controller struct {
 	Options
 	wake chan struct{}
+	// onWay holds a token for each order that is being sent.
+	onWay chan struct{}
 
 	mu         sync.Mutex
 	term       int64
@@ -95,7 +101,7 @@
 // NewController returns a controller that does nothing until Run.
 func NewController(o Options) *Controller {
 	return &Controller{
-		Options: o, wake: make(chan struct{}, 1), intents: map[string]Intent{}, stages: map[string]Intent{},
+		Options: o, wake: make(chan struct{}, 1), onWay: make(chan struct{}, maxOrdersOnWay), intents: map[string]Intent{}, stages: map[string]Intent{},
 		conditions: map[string]Condition{}, probing: map[string]time.Time{}, members: map[string]*fleet.Host{}, started: time.Now(),
 	}
 }
@@ -243,13 +249,9 @@
 	}
 	intent := Intent{Order: o, Sent: now, Life: host.Life()}
 	c.mu.Lock()
-	if o.Operation == OpStage {
-		c.stages[o.HostID] = intent
-		if !loadsFree {
-			c.loads = append(c.loads, now)
-		}
-	} else {
-		c.intents[o.HostID] = intent
+	c.ordersLike(o)[o.HostID] = intent
+	if o.Operation == OpStage && !loadsFree {
+		c.loads = append(c.loads, now)
 	}
 	c.mu.Unlock()
 	c.Log.Log(eventlog.OrderSent, eventlog.Fields{
@@ -261,6 +263,15 @@
 }
 
 func (c *Controller) send(ctx context.Context, o Order, host *fleet.Host, intent Intent) {
+	select {
+	case <-ctx.Done():
+		return
+	case c.onWay <- struct{}{}:
+		defer func() { <-c.onWay }()
+	}
+	if !c.holds(intent) {
+		return // a later plan has given the host another order meanwhile
+	}
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if _, leads := c.Leads(); !leads {
@@ -273,11 +284,7 @@
 	intent.Answered = err == nil
 	intent.Refused = errors.Is(err, ErrOrderRefused)
 	c.mu.Lock()
-	target := c.intents
-	if o.Operation == OpStage {
-		target = c.stages
-	}
-	if current := target[o.HostID]; current.Sent.Equal(intent.Sent) {
+	if target := c.ordersLike(o); target[o.HostID].Sent.Equal(intent.Sent) {
 		target[o.HostID] = intent
 	}
 	c.mu.Unlock()
@@ -287,6 +294,22 @@
 	}
 }
 
+// ordersLike returns the last orders of the kind: stages run beside all others.
+// The caller holds mu.
+func (c *Controller) ordersLike(o Order) map[string]Intent {
+	if o.Operation == OpStage {
+		return c.stages
+	}
+	return c.intents
+}
+
+// holds reports whether an intent is still the last one of its host.
+func (c *Controller) holds(intent Intent) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ordersLike(intent.Order)[intent.Order.HostID].Sent.Equal(intent.Sent)
+}
+
 // rememberMembers keeps the members of open groups, so that one whose
 // registration lapses can be asked whether it lives.
 func (c *Controller) rememberMembers(view *fleet.View) {
