--- a/internal/experiment/leader.go
+++ b/internal/experiment/leader.go
@@ -10,14 +10,8 @@
 	"currantladder.example/currantladder/internal/version/formation"
 )
 
-// Times of the leader, as in package formation's controller.
-const (
-	planPeriod = 200 * time.Millisecond
-	// probeTime is what two probes of a member without an answer take.
-	probeTime = 240 * time.Millisecond
-	// loadWindow is the span over which loads are counted.
-	loadWindow = 5 * time.Second
-)
+// probeTime is what two probes of a member without an answer take.
+const probeTime = 240 * time.Millisecond
 
 // leader plans groups as the elected node does. It sees hosts by their reports
 // and suspects from the nodes' boards.
@@ -43,7 +37,7 @@
 	l.intents, l.stages = map[string]formation.Intent{}, map[string]formation.Intent{}
 	l.conditions, l.probing = map[string]formation.Condition{}, map[string]bool{}
 	l.epoch = 1
-	l.every(planPeriod, l.plan)
+	l.every(formation.PlanPeriod, l.plan)
 }
 
 func (l *leader) plan() {
@@ -62,7 +56,7 @@
 }
 
 func (l *leader) input(view *fleet.View) formation.Input {
-	l.loads = slices.DeleteFunc(l.loads, func(at time.Duration) bool { return l.now-at > loadWindow })
+	l.loads = slices.DeleteFunc(l.loads, func(at time.Duration) bool { return l.now-at > formation.LoadWindow })
 	active := 0
 	for id, i := range l.stages {
 		h := view.Host(id)
@@ -73,11 +67,10 @@
 		}
 	}
 	engine := l.service.Engine
-	perWindow := int(engine.LoadsPerSecond * loadWindow.Seconds() / 2)
 	return formation.Input{
 		Now: l.time(), Engine: engine, Hosts: view.ServiceHosts(serviceName), Conditions: maps.Clone(l.conditions),
 		Intents: maps.Clone(l.intents), Stages: maps.Clone(l.stages), LoadsFree: l.now < l.hosts.traffic,
-		LoadBudget: min(engine.ConcurrentLoads-active, perWindow-len(l.loads)), FirstEpoch: l.epoch,
+		LoadBudget: formation.LoadBudget(engine, active, len(l.loads)), FirstEpoch: l.epoch,
 	}
 }
 
--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -6,19 +6,12 @@
 	"slices"
 	"time"
 
+	"currantladder.example/currantladder/internal/request/forward"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/retry"
 	"currantladder.example/currantladder/internal/version/fleet"
 )
 
-// Times of nodes, as in package forward.
-const (
-	checkPeriod    = 25 * time.Millisecond
-	moveRetryPause = 100 * time.Millisecond
-	// noEndpointReturn is told where no group can run a request.
-	noEndpointReturn = 500 * time.Millisecond
-)
-
 // node is one entry node. It decides with the product's own board, limits of
 // silence and retry budget, unless the policy replaces them.
 type node struct {
@@ -96,7 +89,7 @@
 func (n *node) refuse(c *call, none *place.Refusal) {
 	after := none.ReturnAfter
 	if none.Candidates == 0 {
-		after = noEndpointReturn
+		after = forward.NoEndpointReturn
 	}
 	n.finish(c, func() { c.refused(after) })
 }
@@ -139,7 +132,7 @@
 			l.group.add(l.task)
 		}
 	})
-	n.after(checkPeriod, func() { n.check(c, l) })
+	n.after(forward.CheckPeriod, func() { n.check(c, l) })
 	return nil
 }
 
@@ -214,7 +207,7 @@
 	if c.over || c.leg != l || !n.alive {
 		return
 	}
-	n.after(checkPeriod, func() { n.check(c, l) })
+	n.after(forward.CheckPeriod, func() { n.check(c, l) })
 	if !n.policy.moves {
 		return
 	}
@@ -238,7 +231,7 @@
 	if n.now < c.nextMove || len(c.tried) >= c.kind.MaxAttempts {
 		return
 	}
-	c.nextMove = n.now + moveRetryPause
+	c.nextMove = n.now + forward.MoveRetryPause
 	if !n.mayRetry(c) {
 		return
 	}
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -23,9 +23,9 @@
 	// startupReturn is when a caller may return that came before the node had
 	// a configuration.
 	startupReturn = 500 * time.Millisecond
-	// noEndpointReturn is when a caller may return whose request no endpoint
+	// NoEndpointReturn is when a caller may return whose request no endpoint
 	// can run at present.
-	noEndpointReturn = 500 * time.Millisecond
+	NoEndpointReturn = 500 * time.Millisecond
 )
 
 // Budget bounds second sends. One node may use its part of what all nodes
@@ -145,7 +145,7 @@
 	}
 	s.service = configuration.Services[pickTarget(s.route.Targets, rand.Float64())]
 	if s.service == nil {
-		return refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "the route's service is not configured; the operator must add it").After(noEndpointReturn)
+		return refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "the route's service is not configured; the operator must add it").After(NoEndpointReturn)
 	}
 	return nil
 }
@@ -211,7 +211,7 @@
 		"hosts_age_ms": time.Since(view.HostsRead).Milliseconds(), "attempt": len(s.tried) + 1,
 	})
 	if none.Candidates == 0 {
-		return place.Choice{}, refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "no endpoint can run the request at present; send it again").After(noEndpointReturn)
+		return place.Choice{}, refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "no endpoint can run the request at present; send it again").After(NoEndpointReturn)
 	}
 	return place.Choice{}, refusal.New(refusal.KindOverloaded, http.StatusTooManyRequests, "all endpoints are full; send the request again after the given time").After(none.ReturnAfter)
 }
@@ -266,7 +266,7 @@
 	if s.handed {
 		return refusal.Unknown(refusal.KindDeadline, http.StatusGatewayTimeout, "the time of the request is over; it may have run")
 	}
-	return refusal.New(refusal.KindDeadline, http.StatusServiceUnavailable, "the time of the request is over before an endpoint took it").After(noEndpointReturn)
+	return refusal.New(refusal.KindDeadline, http.StatusServiceUnavailable, "the time of the request is over before an endpoint took it").After(NoEndpointReturn)
 }
 
 // callerLeft reports that the caller has closed its connection.
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -92,9 +92,9 @@
 	case r.answer != nil:
 		s.deliver(r.answer)
 	case errors.Is(r.err, errNotRun):
-		s.refuse(refusal.New(refusal.KindOverloaded, http.StatusServiceUnavailable, "the endpoint refused the request; send it again").After(noEndpointReturn))
+		s.refuse(refusal.New(refusal.KindOverloaded, http.StatusServiceUnavailable, "the endpoint refused the request; send it again").After(NoEndpointReturn))
 	case !r.handed:
-		s.refuse(refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "no endpoint could be reached; send the request again").After(noEndpointReturn))
+		s.refuse(refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "no endpoint could be reached; send the request again").After(NoEndpointReturn))
 	default:
 		s.refuse(refusal.Unknown(refusal.KindIncomplete, http.StatusBadGateway, "the endpoint's answer was lost; the request may have run"))
 	}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -17,13 +17,13 @@
 
 // Times of streams.
 const (
-	// checkPeriod is how often a stream looks for silence.
-	checkPeriod = 25 * time.Millisecond
+	// CheckPeriod is how often a stream looks for silence.
+	CheckPeriod = 25 * time.Millisecond
 	// pumpCapacity is the number of events that one attempt may be ahead of
 	// the caller; a slow caller then slows the endpoint down.
 	pumpCapacity = 16
-	// moveRetryPause separates two searches for another group.
-	moveRetryPause = 100 * time.Millisecond
+	// MoveRetryPause separates two searches for another group.
+	MoveRetryPause = 100 * time.Millisecond
 )
 
 // pumped is one step of an attempt: its reply, an event, or its end.
@@ -78,7 +78,7 @@
 		return
 	}
 	defer func() { c.endLeg(place.OutcomeAbandoned) }()
-	ticker := time.NewTicker(checkPeriod)
+	ticker := time.NewTicker(CheckPeriod)
 	defer ticker.Stop()
 	for {
 		done := false
@@ -303,7 +303,7 @@
 	case c.handed:
 		c.refuse(refusal.Unknown(refusal.KindIncomplete, http.StatusBadGateway, "the endpoint's answer was lost; the request may have run"))
 	default:
-		c.refuse(refusal.New(refusal.KindOverloaded, http.StatusServiceUnavailable, "the endpoint refused the request; send it again").After(noEndpointReturn))
+		c.refuse(refusal.New(refusal.KindOverloaded, http.StatusServiceUnavailable, "the endpoint refused the request; send it again").After(NoEndpointReturn))
 	}
 	return true
 }
@@ -392,7 +392,7 @@
 	if now.Before(c.nextMove) || !c.route.Repeatable() || len(c.tried) >= c.route.MaxAttempts {
 		return
 	}
-	c.nextMove = now.Add(moveRetryPause)
+	c.nextMove = now.Add(MoveRetryPause)
 	old := c.leg
 	if !c.mayRetry(now) {
 		return
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -17,9 +17,9 @@
 
 // Times and bounds of a controller.
 const (
-	// planPeriod is the time between two plans without a change of the fleet;
+	// PlanPeriod is the time between two plans without a change of the fleet;
 	// a change starts one at once, at most every planPause.
-	planPeriod = 200 * time.Millisecond
+	PlanPeriod = 200 * time.Millisecond
 	planPause  = 30 * time.Millisecond
 	// orderTimeout bounds an order. Hosts answer within milliseconds; one that
 	// does not is judged by its reports.
@@ -47,9 +47,9 @@
 	// connection of its own, and a first plan may hold more of them than a node
 	// may have descriptors. It is far above what a repair needs.
 	maxOrdersOnWay = 256
-	// loadWindow is the time over which loads from the weight store are
+	// LoadWindow is the time over which loads from the weight store are
 	// counted.
-	loadWindow = 5 * time.Second
+	LoadWindow = 5 * time.Second
 )
 
 // Leadership says whether this node may give orders, and under which term.
@@ -116,7 +116,7 @@
 
 // Run plans until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(planPeriod)
+	ticker := time.NewTicker(PlanPeriod)
 	defer ticker.Stop()
 	for {
 		select {
@@ -204,7 +204,7 @@
 func (c *Controller) input(service *fleet.Service, view *fleet.View, now time.Time) Input {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loads = slices.DeleteFunc(c.loads, func(at time.Time) bool { return now.Sub(at) > loadWindow })
+	c.loads = slices.DeleteFunc(c.loads, func(at time.Time) bool { return now.Sub(at) > LoadWindow })
 	active := 0
 	for id, i := range c.stages {
 		h := view.Host(id)
@@ -216,8 +216,7 @@
 			active++
 		}
 	}
-	perWindow := int(service.Engine.LoadsPerSecond * loadWindow.Seconds() / 2)
-	budget := min(service.Engine.ConcurrentLoads-active, perWindow-len(c.loads))
+	budget := LoadBudget(service.Engine, active, len(c.loads))
 	return Input{
 		Now: now, Engine: service.Engine, Hosts: view.ServiceHosts(service.Name), Unregistered: c.unregistered(service.Name, view),
 		Conditions: maps.Clone(c.conditions), Intents: maps.Clone(c.intents), Stages: maps.Clone(c.stages),
@@ -226,6 +225,15 @@
 	}
 }
 
+// LoadBudget is the number of loads from the weight store that may begin, with
+// so many under way and so many begun within LoadWindow. Half of the store's
+// rate is left to the loads of joins and of a former leader, which are not
+// counted here.
+func LoadBudget(engine *fleet.Engine, underWay, begun int) int {
+	perWindow := int(engine.LoadsPerSecond * LoadWindow.Seconds() / 2)
+	return min(engine.ConcurrentLoads-underWay, perWindow-begun)
+}
+
 // note logs the plan where it differs from the last one.
 func (c *Controller) note(service *fleet.Service, plan Plan, view *fleet.View) {
 	text := ""
