--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -138,8 +138,9 @@
 	}
 }
 
-// fill chooses a host so that the requests which all nodes send on the same
-// reports raise the cheapest hosts to one level, as water fills a basin.
+// fill chooses a host by water-filling: so many requests of all nodes on the
+// same reports raise the cheapest hosts to one level, and each of them is chosen
+// with the chance of its part.
 func (b *Board) fill(candidates []candidate, requests float64) candidate {
 	slices.SortFunc(candidates, func(x, y candidate) int {
 		return cmp.Or(cmp.Compare(x.cost, y.cost), cmp.Compare(x.host.ID, y.host.ID))
