--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -80,7 +80,7 @@
 		}
 		t.arrived = g.clock.now
 		g.waiting = append(g.waiting, t)
-		g.work()
+		g.nextPass()
 	})
 }
 
@@ -99,8 +99,8 @@
 	return total
 }
 
-// work begins a pass where there is something to do.
-func (g *group) work() {
+// nextPass begins a pass where there is something to do.
+func (g *group) nextPass() {
 	if g.passing || g.stalled || g.broken {
 		return
 	}
@@ -215,7 +215,7 @@
 			t.finish(endComplete)
 		}
 	}
-	g.work()
+	g.nextPass()
 }
 
 // stall stops the group; after the stall time it breaks.
@@ -259,5 +259,5 @@
 // close lets the group finish its work.
 func (g *group) close(closed func()) {
 	g.closing, g.closed = true, closed
-	g.work()
+	g.nextPass()
 }
--- a/internal/experiment/play.go
+++ b/internal/experiment/play.go
@@ -63,8 +63,8 @@
 
 func newPlay(sheet *Sheet, policy Policy) *play {
 	// The second word of the seed only has to be fixed.
-	const stream = 0x9e3779b97f4a7c15
-	source := rand.NewPCG(sheet.Run.Seed, stream)
+	const sequence = 0x9e3779b97f4a7c15
+	source := rand.NewPCG(sheet.Run.Seed, sequence)
 	p := &play{
 		clock: &clock{}, sheet: sheet, policy: policy, service: sheet.service(), source: source, random: rand.New(source),
 		budget: forward.Budget{Ratio: sheet.Run.RetryRatio, Slack: sheet.Run.RetrySlack},
--- a/internal/version/formation/form.go
+++ b/internal/version/formation/form.go
@@ -74,14 +74,16 @@
 	return domains
 }
 
-// former forms groups from the free hosts of each domain. It keeps what it has
-// found out of a domain until a group takes hosts from there: the first plan
-// of a large fleet forms hundreds of groups.
-type former struct {
+// groupBuilder forms groups from the free hosts of each domain. It keeps what
+// it has found out of a domain until a group takes hosts from there: the first
+// plan of a large fleet forms hundreds of groups.
+type groupBuilder struct {
 	*planner
-	free  map[string][]*fleet.Host
-	names []string
-	sizes map[string]int
+	// freeHosts and sizes (of all hosts) are by domain, names are the domains in
+	// order.
+	freeHosts map[string][]*fleet.Host
+	sizes     map[string]int
+	names     []string
 	// usable are the hosts of a domain that can start a model, by both names.
 	usable map[string]map[string][]*fleet.Host
 }
@@ -89,53 +91,53 @@
 // form forms groups while a model has a domain with enough hosts that can
 // start it at once.
 func (p *planner) form() {
-	f := &former{planner: p, free: p.domains(), sizes: map[string]int{}, usable: map[string]map[string][]*fleet.Host{}}
-	f.names = slices.Sorted(maps.Keys(f.free))
+	b := &groupBuilder{planner: p, freeHosts: p.domains(), sizes: map[string]int{}, usable: map[string]map[string][]*fleet.Host{}}
+	b.names = slices.Sorted(maps.Keys(b.freeHosts))
 	for _, h := range p.Hosts {
-		f.sizes[h.FabricDomain]++
+		b.sizes[h.FabricDomain]++
 	}
-	for _, name := range f.names {
-		f.look(name)
+	for _, name := range b.names {
+		b.findUsable(name)
 	}
-	for f.formOne() {
+	for b.formOne() {
 	}
 }
 
-// look finds out what the free hosts of a domain can start.
-func (f *former) look(domain string) {
-	f.usable[domain] = map[string][]*fleet.Host{}
-	for i := range f.Engine.Models {
-		m := &f.Engine.Models[i]
-		f.usable[domain][m.Name] = f.planner.usable(f.free[domain], m)
+// findUsable finds out what the free hosts of a domain can start.
+func (b *groupBuilder) findUsable(domain string) {
+	b.usable[domain] = map[string][]*fleet.Host{}
+	for i := range b.Engine.Models {
+		m := &b.Engine.Models[i]
+		b.usable[domain][m.Name] = b.planner.usable(b.freeHosts[domain], m)
 	}
 }
 
-func (f *former) formOne() bool {
-	for _, m := range f.models() {
-		if f.satisfied(m) {
+func (b *groupBuilder) formOne() bool {
+	for _, m := range b.models() {
+		if b.satisfied(m) {
 			continue
 		}
 		best := ""
 		var bestHosts []*fleet.Host
-		for _, domain := range f.names {
-			hosts := f.usable[domain][m.Name]
+		for _, domain := range b.names {
+			hosts := b.usable[domain][m.Name]
 			spare := 0
-			if f.LoadsFree {
-				spare = f.sizes[domain] / domainHostsPerSpare
+			if b.LoadsFree {
+				spare = b.sizes[domain] / domainHostsPerSpare
 			}
 			if len(hosts) < m.Size+spare {
 				continue
 			}
-			if bestHosts == nil || f.domainGroups[domain][m.Name] < f.domainGroups[best][m.Name] ||
-				f.domainGroups[domain][m.Name] == f.domainGroups[best][m.Name] && len(hosts) > len(bestHosts) {
+			if bestHosts == nil || b.domainGroups[domain][m.Name] < b.domainGroups[best][m.Name] ||
+				b.domainGroups[domain][m.Name] == b.domainGroups[best][m.Name] && len(hosts) > len(bestHosts) {
 				best, bestHosts = domain, hosts
 			}
 		}
 		if bestHosts != nil {
 			taken := bestHosts[:m.Size]
-			f.join(m, taken)
-			f.free[best] = slices.DeleteFunc(f.free[best], func(h *fleet.Host) bool { return slices.Contains(taken, h) })
-			f.look(best)
+			b.join(m, taken)
+			b.freeHosts[best] = slices.DeleteFunc(b.freeHosts[best], func(h *fleet.Host) bool { return slices.Contains(taken, h) })
+			b.findUsable(best)
 			return true
 		}
 	}
