Wait for the head before the members of its group are reused

The head of an open group was partitioned from the store and still listed as ready; when another member's registration lapsed, dissolveGroup and closeGroup took the group for one that never opened and its hosts joined another group at once. The same could come about for a head that only the leader could not reach (free after lostHeadTimeout), for a closed head that a late open reopens, and under a new leader without memory of orders.

Ruled out: waiting for the report (a head that is partitioned from the store reports nothing until it lapses).

Change: only a group that this leader formed and never ordered to open is free at once. Any other head is ordered to leave, and its members stay in use until it confirms; if it cannot be reached, the members leave first. A lost leave to a closing head is repeated.

TestLeavingMemberLetsTheGroupFinish expected joins as soon as the head was listed as ready; it now expects the leave first, and the joins after its confirmation, which is stricter.

--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -54,6 +54,9 @@
 	// own connection, and the first plan may contain more orders than a node may
 	// have file descriptors. A repair needs far fewer.
 	maxOrdersInFlight = 256
+	// unopenedTTL is how long a group that was never ordered to open is recorded. A
+	// group without a record ends like one that may serve.
+	unopenedTTL = time.Minute
 	// LoadWindow is the time over which started loads from the weight store are
 	// counted.
 	LoadWindow = 5 * time.Second
@@ -100,6 +103,9 @@
 	// registered, by host ID.
 	members    map[string]*fleet.Host
 	loadStarts []time.Time
+	// unopened contains when the first join was sent, by name of the groups formed
+	// in this term that were not ordered to open.
+	unopened map[string]time.Time
 	// hostCount is the number of hosts last seen, hostCountSince when it changed.
 	hostCount       int
 	hostCountSince  time.Time
@@ -112,6 +118,7 @@
 	return &Controller{
 		Options: o, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight), sentOrders: map[string]SentOrder{}, sentStageOrders: map[string]SentOrder{},
 		conditions: map[string]Condition{}, lastProbed: map[string]time.Time{}, members: map[string]*fleet.Host{}, started: time.Now(),
+		unopened: map[string]time.Time{},
 	}
 }
 
@@ -182,6 +189,7 @@
 	if c.term != term || c.ledSince.IsZero() {
 		if c.term != term {
 			c.epoch = term * epochsPerTerm
+			clear(c.unopened)
 		}
 		c.term = term
 		c.ledSince = now
@@ -234,10 +242,24 @@
 		Now: now, Engine: service.Engine, Hosts: view.ServiceHosts(service.Name), Unregistered: c.unregisteredMembers(service.Name, view),
 		Conditions: maps.Clone(c.conditions), LastOrders: maps.Clone(c.sentOrders), LastStageOrders: maps.Clone(c.sentStageOrders),
 		UnlimitedLoads: c.FirstStart && !c.Traffic() && now.Sub(c.started) < unlimitedLoadsTimeout,
-		LoadBudget:     budget, FirstEpoch: c.epoch + 1,
+		LoadBudget:     budget, FirstEpoch: c.epoch + 1, Unopened: c.unopenedGroups(now),
 	}
 }
 
+// unopenedGroups returns the names of the groups in unopened, without those that
+// were formed too long ago to be recorded any further. The caller holds mu.
+func (c *Controller) unopenedGroups(now time.Time) map[string]bool {
+	names := make(map[string]bool, len(c.unopened))
+	for name, formed := range c.unopened {
+		if now.Sub(formed) > unopenedTTL {
+			delete(c.unopened, name)
+			continue
+		}
+		names[name] = true
+	}
+	return names
+}
+
 // LoadBudget returns the number of loads from the weight store that may begin
 // now, given the loads in flight and those started within LoadWindow. Half of
 // the store's rate is left for the loads of joins and of a former leader, which
@@ -274,6 +296,14 @@
 	if o.Operation == OpStage && !unlimitedLoads {
 		c.loadStarts = append(c.loadStarts, now)
 	}
+	switch o.Operation {
+	case OpJoin:
+		if _, known := c.unopened[o.Group]; !known {
+			c.unopened[o.Group] = now
+		}
+	case OpOpen:
+		delete(c.unopened, o.Group)
+	}
 	c.mu.Unlock()
 	c.Log.Log(eventlog.OrderSent, eventlog.Fields{
 		"order": o.Operation.String(), "host": o.HostID, "group": o.Group, "epoch": o.Epoch, "model": o.Model, "members": o.Members,
--- a/internal/version/formation/order.go
+++ b/internal/version/formation/order.go
@@ -53,7 +53,9 @@
 	Group     string
 	Epoch     int64
 	Model     string
-	// Members are the host IDs of a join in rank order, the head first.
+	// Members are the host IDs of the group in rank order, the head first and ""
+	// where missing. They are set in a join and in a leave that ends a group at its
+	// head.
 	Members []string
 	// Reason appears in logs only.
 	Reason string
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -75,6 +75,10 @@
 	Demand map[string]float64
 	// FirstEpoch is the epoch of the next new group. Each group gets a higher one.
 	FirstEpoch int64
+	// Unopened contains the names of the groups that this node formed and never
+	// ordered to open, while it has led without a break. Any other group may serve
+	// even if its head is listed as ready.
+	Unopened map[string]bool
 }
 
 // group is a replica group as its members report it.
@@ -96,6 +100,17 @@
 	return g.members[0]
 }
 
+// memberIDs returns the host IDs of the members by rank, "" where missing.
+func (g *group) memberIDs() []string {
+	ids := make([]string, len(g.members))
+	for rank, h := range g.members {
+		if h != nil {
+			ids[rank] = h.ID
+		}
+	}
+	return ids
+}
+
 // Plan is the result of MakePlan: the orders to send now, and counts of groups
 // and spares.
 type Plan struct {
@@ -120,6 +135,8 @@
 	free map[string]*fleet.Host
 	// inUse are the hosts that this plan must not assign to another group.
 	inUse map[string]bool
+	// ended contains the names of the groups whose head has confirmed that it left.
+	ended map[string]bool
 	// reserved are the hosts set aside for a group that is being prepared.
 	reserved map[string]bool
 	// domainGroups counts wanted groups by domain and model.
@@ -129,10 +146,11 @@
 // MakePlan returns the orders that bring the fleet closer to its target.
 func MakePlan(in Input) Plan {
 	p := &planner{
-		Input: in, groups: map[string]*group{}, serving: map[string][]*group{}, free: map[string]*fleet.Host{}, inUse: map[string]bool{}, reserved: map[string]bool{},
+		Input: in, groups: map[string]*group{}, serving: map[string][]*group{}, free: map[string]*fleet.Host{}, inUse: map[string]bool{}, reserved: map[string]bool{}, ended: map[string]bool{},
 		domainGroups: map[string]map[string]int{},
 		plan:         Plan{NextEpoch: in.FirstEpoch, Serving: map[string]int{}, Forming: map[string]int{}, Spares: map[string]int{}},
 	}
+	p.collectEnded()
 	p.collectGroups()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		p.planGroup(p.groups[name])
@@ -161,6 +179,16 @@
 
 func (p *planner) addOrder(o Order) { p.plan.Orders = append(p.plan.Orders, o) }
 
+// collectEnded finds the groups whose head has confirmed that it left.
+func (p *planner) collectEnded() {
+	for _, h := range p.Hosts {
+		last, ok := p.LastOrders[h.ID]
+		if ok && last.Instance == h.Instance() && last.Answered && last.Order.Operation == OpLeave && len(last.Order.Members) > 0 && last.Order.Members[0] == h.ID {
+			p.ended[last.Order.Group] = true
+		}
+	}
+}
+
 // collectGroups rebuilds the groups from reports and from joins in flight.
 func (p *planner) collectGroups() {
 	for _, h := range slices.Concat(p.Hosts, p.Unregistered) {
@@ -196,6 +224,8 @@
 // planGroup decides what one group needs.
 func (p *planner) planGroup(g *group) {
 	switch {
+	case p.ended[g.name]:
+		// its members are free
 	case g.joinInFlight && p.canStillComplete(g):
 		p.keepGroup(g, false)
 	case p.isIncomplete(g):
@@ -258,6 +288,7 @@
 func (p *planner) openWhenReady(g *group) {
 	head := g.head()
 	if head.Group.State == fleet.MemberReady && p.closeOrdered(g) {
+		p.endMembershipOfHead(g, "the group is closed")
 		return
 	}
 	p.keepGroup(g, head.Group.State == fleet.MemberOpen)
@@ -275,11 +306,18 @@
 	p.addOrder(Order{Operation: OpOpen, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "all members are ready"})
 }
 
+// lastOrderAbout returns the last order to the host if it was sent to its present
+// start and names the group.
+func (p *planner) lastOrderAbout(g *group, h *fleet.Host) (SentOrder, bool) {
+	last, ok := p.LastOrders[h.ID]
+	return last, ok && last.Instance == h.Instance() && last.Order.Group == g.name
+}
+
 // closeOrdered reports whether the last order to the group's head was to close
-// it, so that its members may be used for another group.
+// it, or to leave after that, so that its members may be used for another group.
 func (p *planner) closeOrdered(g *group) bool {
-	last, ok := p.LastOrders[g.head().ID]
-	return ok && last.Instance == g.head().Instance() && last.Order.Operation == OpClose && last.Order.Group == g.name && !last.Refused
+	last, ok := p.lastOrderAbout(g, g.head())
+	return ok && (last.Order.Operation == OpClose && !last.Refused || last.Order.Operation == OpLeave)
 }
 
 // dissolveGroup ends a group that has lost a member. Its survivors become free
@@ -287,35 +325,50 @@
 func (p *planner) dissolveGroup(g *group) {
 	head := g.head()
 	if head == nil || head.Group.Name != g.name {
-		p.orderMembersToLeave(g)
+		p.orderMembersToLeave(g, "the head is no longer registered")
 		return
 	}
 	if p.Conditions[head.ID].Lost {
 		if p.Now.Sub(p.Conditions[head.ID].Since) < lostHeadTimeout {
 			p.markInUse(g)
+			return
 		}
+		// The head may serve callers that reach it.
+		p.orderMembersToLeave(g, "the head cannot be reached")
 		return
 	}
-	if last, ok := p.orderInFlight(head); ok && last.Order.Operation == OpLeave && last.Order.Group == g.name {
-		if !last.Answered {
-			p.markInUse(g)
+	p.endMembershipOfHead(g, "a member is lost")
+}
+
+// endMembershipOfHead makes the head leave the group. The members stay in use
+// until the head has confirmed it, unless the head cannot serve. A head that is
+// listed as ready may serve: its reports are old while it is partitioned from the
+// store, and a lost open order may be carried out late.
+func (p *planner) endMembershipOfHead(g *group, reason string) {
+	head := g.head()
+	switch head.Group.State {
+	case fleet.MemberBroken:
+		return // a broken head never serves again; a join replaces it
+	case fleet.MemberReady, fleet.MemberJoining:
+		if p.Unopened[g.name] {
+			return
 		}
-		return
-	}
-	if head.Group.State == fleet.MemberReady || head.Group.State == fleet.MemberJoining || head.Group.State == fleet.MemberBroken {
-		return // a head that does not serve needs no order; a join replaces it
 	}
 	p.markInUse(g)
-	p.addOrder(Order{Operation: OpLeave, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "a member is lost"})
+	if last, ok := p.lastOrderAbout(g, head); ok && last.Order.Operation == OpLeave && p.Now.Sub(last.Sent) < orderEffectTimeout {
+		return
+	}
+	p.addOrder(Order{Operation: OpLeave, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Members: g.memberIDs(), Reason: reason})
 }
 
 // isRegistered reports whether the host is in the host list.
 func (p *planner) isRegistered(h *fleet.Host) bool { return !slices.Contains(p.Unregistered, h) }
 
-// orderMembersToLeave makes the survivors leave a group whose head is no longer
-// registered. The head may be partitioned from the store and still consider the
-// group open, so a member must not join another group before it has left.
-func (p *planner) orderMembersToLeave(g *group) {
+// orderMembersToLeave makes the survivors leave a group whose head is not
+// registered or cannot be reached. The head may be partitioned from the store or
+// from this node and still consider the group open, so a member must not join
+// another group before it has left.
+func (p *planner) orderMembersToLeave(g *group, reason string) {
 	for _, h := range g.members {
 		if p.isLost(h) || h.Group.Name != g.name || !p.isRegistered(h) {
 			continue
@@ -324,7 +377,7 @@
 		if last, ok := p.orderInFlight(h); ok && last.Order.Operation == OpLeave && last.Order.Group == g.name {
 			continue // already ordered; its effect is not reported yet
 		}
-		p.addOrder(Order{Operation: OpLeave, HostID: h.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "the head is no longer registered"})
+		p.addOrder(Order{Operation: OpLeave, HostID: h.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: reason})
 	}
 }
 
@@ -332,20 +385,19 @@
 // group if that takes longer than closeTimeout.
 func (p *planner) closeGroup(g *group) {
 	head := g.head()
-	switch head.Group.State {
-	case fleet.MemberReady, fleet.MemberJoining, fleet.MemberBroken:
-		return
-	case fleet.MemberOpen:
+	last, ok := p.lastOrderAbout(g, head)
+	closeSent := ok && last.Order.Operation == OpClose
+	switch {
+	case head.Group.State != fleet.MemberOpen && head.Group.State != fleet.MemberClosing:
+		p.endMembershipOfHead(g, "a member is leaving")
+	case ok && last.Order.Operation == OpLeave,
+		head.Group.State == fleet.MemberClosing && closeSent && p.Now.Sub(last.Sent) > closeTimeout:
+		p.endMembershipOfHead(g, "the head did not finish its work in time")
+	case head.Group.State == fleet.MemberClosing || closeSent && p.Now.Sub(last.Sent) < orderEffectTimeout:
 		p.markInUse(g)
-		if last, ok := p.orderInFlight(head); ok && last.Order.Operation == OpClose && last.Order.Group == g.name {
-			return
-		}
-		p.addOrder(Order{Operation: OpClose, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "a member is leaving"})
-	default: // closing
+	default:
 		p.markInUse(g)
-		if last, ok := p.LastOrders[head.ID]; ok && last.Order.Operation == OpClose && last.Order.Group == g.name && p.Now.Sub(last.Sent) > closeTimeout {
-			p.addOrder(Order{Operation: OpLeave, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "the head did not finish its work in time"})
-		}
+		p.addOrder(Order{Operation: OpClose, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "a member is leaving"})
 	}
 }
 
--- a/internal/version/formation/plan_test.go
+++ b/internal/version/formation/plan_test.go
@@ -234,6 +234,11 @@
 		t.Fatalf("got leave orders to %v after closing for more than %v, want one to the head", got, closeTimeout)
 	}
 	hosts[0].Group.State = fleet.MemberReady
+	leave := MakePlan(in)
+	if got := orders(leave, OpLeave); !slices.Equal(got, []string{hosts[0].ID}) || len(leave.Orders) != 1 {
+		t.Fatalf("got orders %v for the closed head, want only a leave order to it", leave.Orders)
+	}
+	in.LastOrders[hosts[0].ID] = SentOrder{Order: leave.Orders[0], Sent: now, Instance: hosts[0].Instance(), Answered: true}
 	want := []string{hosts[0].ID, "s"}
 	slices.Sort(want)
 	if got := orders(MakePlan(in), OpJoin); !slices.Equal(got, want) {
