Probe a bounded number of hosts at a time; the largest nodes lead

Change: at most 32 hosts are probed and 64 orders sent at a time, a host is not probed twice at once, and a probe that ends late because this process was not scheduled does not count. Nodes with a smaller share of a core leave the lease to larger ones for 1.5 s and make no store calls for it meanwhile.

TestManySuspectedGroupsAreNotLost without the limit: 282 of 400 answering hosts count as lost; with it none.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -169,7 +169,9 @@
 	defer cancelBackground()
 	for _, run := range []func(context.Context){
 		g.configs.Run, g.hosts.Run, g.peers.runRoster, g.peers.runSender, g.controller.Run, g.housekeep,
-		func(ctx context.Context) { g.candidate.Run(ctx, g.mayLead) },
+		func(ctx context.Context) {
+			g.candidate.Run(ctx, leader.Eligibility{MayLead: g.ready, Deference: g.peers.electionDeference})
+		},
 		func(ctx context.Context) { g.log.ReportDrops(ctx.Done()) },
 	} {
 		g.background.Go(func() { run(backgroundCtx) })
@@ -185,10 +187,6 @@
 	return nil
 }
 
-// mayLead reports whether this node may become the leader: it must have loaded
-// its configuration and the host list.
-func (g *Gateway) mayLead() bool { return g.ready() }
-
 // server is an HTTP server with its listener.
 type server struct {
 	http     *http.Server
@@ -262,7 +260,7 @@
 }
 
 // ready reports whether the node has loaded its configuration and the host list
-// and is not stopping.
+// and is not stopping. Only then may it lead.
 func (g *Gateway) ready() bool {
 	view := g.view.Load()
 	return !g.stopping.Load() && view.Configuration != nil && view.HostsKnown
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -37,6 +37,13 @@
 	rosterBackoff = 500 * time.Millisecond
 	// rosterTimeout limits one read of the rows, and one registration.
 	rosterTimeout = time.Second
+	// smallNodeDeference is how much longer than the largest nodes a smaller one
+	// waits before it takes the leadership. It covers the time in which one of them
+	// notices a free lease and writes the row.
+	smallNodeDeference = 1500 * time.Millisecond
+	// rosterWait is how long an election waits for the first read of all nodes'
+	// rows.
+	rosterWait = 500 * time.Millisecond
 	// maxFeedPeers limits the peers that are asked for a feed in one round.
 	maxFeedPeers = 2
 )
@@ -94,6 +101,8 @@
 	// was chosen.
 	chosenHub   string
 	hubChosenAt time.Time
+	// rosterRead is true once the rows of all nodes were read.
+	rosterRead bool
 	// trafficElsewhere is true once another node has received a request.
 	trafficElsewhere bool
 }
@@ -173,6 +182,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.rosterRead = true
 	for _, r := range rows {
 		var row nodeRow
 		if json.Unmarshal(r.Value, &row) != nil || row.Address == "" {
@@ -199,6 +209,23 @@
 	return other
 }
 
+// electionDeference returns how long this node leaves a free leadership to others.
+// The leader plans for all hosts and sends them orders, so the nodes with the
+// largest share of a core come first.
+func (p *peers) electionDeference() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.rosterRead {
+		return rosterWait
+	}
+	for _, other := range p.byName {
+		if other.Share > p.self.Share {
+			return smallNodeDeference
+		}
+	}
+	return 0
+}
+
 // othersHadTraffic reports whether another node has received a request.
 func (p *peers) othersHadTraffic() bool {
 	p.mu.Lock()
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -92,7 +92,9 @@
 	clock  Clock
 	log    *eventlog.Logger
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// started is when Run began.
+	started     time.Duration
 	version     table.Version
 	row         row
 	ownLeaseEnd time.Duration
@@ -158,11 +160,24 @@
 	c.otherLeaseEnd = max(c.otherLeaseEnd, now+notice.Remaining)
 }
 
-// Run takes part in the election until ctx ends. This node takes the lease only
-// if mayLead returns true.
-func (c *Candidate) Run(ctx context.Context, mayLead func() bool) {
+// Eligibility says whether and when a node may take the lease. Its functions must
+// not block.
+type Eligibility struct {
+	// MayLead reports whether the node may take the lease at present.
+	MayLead func() bool
+	// Deference is how much longer than other nodes this one waits after the end of
+	// a lease, or after its start, before it calls the table service. Nodes that
+	// are better suited lead unless all of them have failed.
+	Deference func() time.Duration
+}
+
+// Run takes part in the election until ctx ends.
+func (c *Candidate) Run(ctx context.Context, e Eligibility) {
+	c.mu.Lock()
+	c.started = c.clock()
+	c.mu.Unlock()
 	for ctx.Err() == nil {
-		delay, err := c.step(ctx, mayLead)
+		delay, err := c.step(ctx, e)
 		if err != nil && ctx.Err() == nil {
 			c.recordFailure(err)
 			delay = failureBackoff
@@ -176,7 +191,7 @@
 
 // step renews this node's lease, or reads the row and takes the lease if it is
 // free. It returns the delay until the next step.
-func (c *Candidate) step(ctx context.Context, mayLead func() bool) (time.Duration, error) {
+func (c *Candidate) step(ctx context.Context, e Eligibility) (time.Duration, error) {
 	stepCtx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
 	watchDelay := watchInterval + rand.N(watchJitter)
@@ -189,7 +204,7 @@
 		}
 		c.recordSuccess()
 		return renewInterval, nil
-	case c.otherLeaseRuns():
+	case c.otherLeaseRuns() || c.defers(e.Deference()):
 		return watchDelay, nil
 	}
 	stored, err := c.readRow(stepCtx)
@@ -197,7 +212,7 @@
 		return 0, err
 	}
 	c.recordSuccess()
-	if !c.isFree(stored) || !mayLead() {
+	if !c.isFree(stored) || !e.MayLead() {
 		return watchDelay, nil
 	}
 	if err := c.writeRow(stepCtx, row{Holder: c.holder, Term: stored.Term + 1}); err != nil {
@@ -232,6 +247,18 @@
 	return c.otherLeaseEnd > 0 && c.clock() <= c.otherLeaseEnd+takeoverMargin
 }
 
+// defers reports whether this node still leaves the lease to better suited nodes:
+// the start of the node, the end of the last lease known from a notice, or the last
+// sight of a new version of the row is at most the given time ago.
+func (c *Candidate) defers(deference time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if deference <= 0 {
+		return false
+	}
+	return c.clock() <= max(c.started, c.otherLeaseEnd, c.versionSeenAt)+deference
+}
+
 // readRow reads the row and records when its version was first seen.
 func (c *Candidate) readRow(ctx context.Context) (row, error) {
 	got, err := c.rows.Get(ctx, rowKey)
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -82,10 +83,17 @@
 	cancel     map[string]context.CancelFunc
 	mu         sync.Mutex
 	silenced   map[string]bool
+	// deference is how long nodes defer to the others; it is not changed after the
+	// start.
+	deference map[string]time.Duration
 }
 
-func newElection(names ...string) *election {
-	e := &election{rows: &fakeRows{unreachable: map[string]bool{}}, candidates: map[string]*Candidate{}, cancel: map[string]context.CancelFunc{}, silenced: map[string]bool{}}
+func newElection(names ...string) *election { return newElectionWith(nil, names...) }
+
+// newElectionWith returns an election in which the nodes with a deference wait for
+// the others.
+func newElectionWith(deference map[string]time.Duration, names ...string) *election {
+	e := &election{deference: deference, rows: &fakeRows{unreachable: map[string]bool{}}, candidates: map[string]*Candidate{}, cancel: map[string]context.CancelFunc{}, silenced: map[string]bool{}}
 	started := time.Now()
 	for _, name := range names {
 		e.candidates[name] = New(client{e.rows, name}, name, func() time.Duration { return time.Since(started) + time.Second }, eventlog.Discard())
@@ -93,7 +101,10 @@
 	for _, name := range names {
 		ctx, cancel := context.WithCancel(context.Background())
 		e.cancel[name] = cancel
-		go e.candidates[name].Run(ctx, func() bool { return true })
+		go e.candidates[name].Run(ctx, Eligibility{
+			MayLead:   func() bool { return true },
+			Deference: func() time.Duration { return e.deference[name] },
+		})
 		go e.sendNotices(ctx, name)
 	}
 	return e
@@ -250,3 +261,30 @@
 		}
 	})
 }
+
+// TestBetterSuitedNodeLeads verifies that a node which defers takes the lease only
+// once no other node has taken it for its deference, and until then makes no call
+// to the table service. It guards against a past failure: in a fleet of 295 nodes
+// the smallest ones led, too slow for the orders of 925 hosts, and all of them read
+// the row whenever the lease was free.
+func TestBetterSuitedNodeLeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const deference = 1500 * time.Millisecond
+		e := newElectionWith(map[string]time.Duration{"small-1": deference, "small-2": deference}, "small-1", "small-2", "large-1", "large-2")
+		defer e.stop()
+		first, term, _ := e.waitForLeader(t, 0, 2*time.Second)
+		if !strings.HasPrefix(first, "large") {
+			t.Fatalf("%s leads at first, want a large node", first)
+		}
+		e.cancel[first]()
+		second, term, waited := e.waitForLeader(t, term, 5*time.Second)
+		if !strings.HasPrefix(second, "large") || waited > leaseTTL+time.Second {
+			t.Fatalf("%s leads after %v, want the other large node within %v", second, waited, leaseTTL+time.Second)
+		}
+		e.cancel[second]()
+		third, _, waited := e.waitForLeader(t, term, 10*time.Second)
+		if !strings.HasPrefix(third, "small") || waited > leaseTTL+deference+time.Second {
+			t.Errorf("%s leads after %v, want a small node within %v", third, waited, leaseTTL+deference+time.Second)
+		}
+	})
+}
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -30,6 +30,15 @@
 	// probeAttempts is the number of consecutive probes without an answer after
 	// which a host counts as lost.
 	probeAttempts = 2
+	// maxProbeDelay is how long after its timeout a probe may end. A probe that ends
+	// later says nothing about the host, because this process was not scheduled in
+	// time. maxProbeTries limits the probes, such ones included.
+	maxProbeDelay = 50 * time.Millisecond
+	maxProbeTries = 8
+	// maxProbesInFlight limits the hosts that are probed at a time. When many groups
+	// are suspected at once, a node with a fifth of a core could not handle all
+	// answers before the probes time out.
+	maxProbesInFlight = 32
 	// reprobeInterval is the minimum time between two regular probes of a host
 	// that is suspected, lost, slow or unregistered.
 	reprobeInterval = 600 * time.Millisecond
@@ -50,10 +59,10 @@
 	// which loads are limited even without traffic. Callers arrive some seconds
 	// after the hosts.
 	unlimitedLoadsTimeout = 9 * time.Second
-	// maxOrdersInFlight limits the orders that are sent at a time. Each uses its
-	// own connection, and the first plan may contain more orders than a node may
-	// have file descriptors. A repair needs far fewer.
-	maxOrdersInFlight = 256
+	// maxOrdersInFlight limits the orders that are sent at a time. The first plan
+	// may contain an order for each host, more than a node may have file descriptors
+	// or can handle before the calls time out.
+	maxOrdersInFlight = 64
 	// unopenedTTL is how long a group that was never ordered to open is recorded. A
 	// group without a record ends like one that may serve.
 	unopenedTTL = time.Minute
@@ -88,6 +97,8 @@
 	wake chan struct{}
 	// orderSlots is a semaphore that limits the orders in flight.
 	orderSlots chan struct{}
+	// probeSlots is a semaphore that limits the hosts that are probed at a time.
+	probeSlots chan struct{}
 
 	// mu protects the fields below, except lastSummary, which only Run uses.
 	mu              sync.Mutex
@@ -99,6 +110,8 @@
 	sentStageOrders map[string]SentOrder
 	conditions      map[string]Condition
 	lastProbed      map[string]time.Time
+	// probing contains the hosts that are being probed or wait for it.
+	probing map[string]bool
 	// members are the members of open groups, except the heads, as last
 	// registered, by host ID.
 	members    map[string]*fleet.Host
@@ -116,9 +129,9 @@
 // NewController returns a controller that does nothing until Run.
 func NewController(o Options) *Controller {
 	return &Controller{
-		Options: o, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight), sentOrders: map[string]SentOrder{}, sentStageOrders: map[string]SentOrder{},
+		Options: o, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight), probeSlots: make(chan struct{}, maxProbesInFlight), sentOrders: map[string]SentOrder{}, sentStageOrders: map[string]SentOrder{},
 		conditions: map[string]Condition{}, lastProbed: map[string]time.Time{}, members: map[string]*fleet.Host{}, started: time.Now(),
-		unopened: map[string]time.Time{},
+		unopened: map[string]time.Time{}, probing: map[string]bool{},
 	}
 }
 
@@ -441,10 +454,31 @@
 	c.mu.Unlock()
 }
 
-// probe probes a host until it answers or counts as lost. It blocks for up to
-// probeAttempts times probeTimeout.
+// probe probes a host until it answers or counts as lost, unless a probe of the
+// host is under way. It blocks until there is a slot, and then for up to
+// maxProbeTries times probeTimeout.
 func (c *Controller) probe(ctx context.Context, host *fleet.Host) {
-	for range probeAttempts {
+	c.mu.Lock()
+	underWay := c.probing[host.ID]
+	c.probing[host.ID] = true
+	c.mu.Unlock()
+	if underWay {
+		return
+	}
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.probing, host.ID)
+	}()
+	select {
+	case <-ctx.Done():
+		return
+	case c.probeSlots <- struct{}{}:
+		defer func() { <-c.probeSlots }()
+	}
+	unanswered := 0
+	for tries := 0; unanswered < probeAttempts; tries++ {
+		started := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		timeFactor, err := c.Orderer.Probe(callCtx, host.Address, host.ID)
 		cancel()
@@ -455,7 +489,15 @@
 			c.recordProbeReply(host, timeFactor)
 			return
 		}
+		if time.Since(started) <= probeTimeout+maxProbeDelay || tries >= maxProbeTries {
+			unanswered++
+		}
 	}
+	c.recordLoss(host)
+}
+
+// recordLoss updates the condition of a host that answered no probe.
+func (c *Controller) recordLoss(host *fleet.Host) {
 	c.mu.Lock()
 	previous := c.conditions[host.ID]
 	if !previous.Lost {
--- a/internal/version/formation/controller_test.go
+++ b/internal/version/formation/controller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -80,3 +81,59 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// slowNode answers each probe, but handles one at a time, as a node with a small
+// share of a core does.
+type slowNode struct {
+	countingOrderer
+	processor chan struct{}
+}
+
+// Probe implements Orderer. It takes 2 ms of the processor.
+func (o *slowNode) Probe(ctx context.Context, _, _ string) (float64, error) {
+	select {
+	case o.processor <- struct{}{}:
+		defer func() { <-o.processor }()
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	time.Sleep(2 * time.Millisecond)
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	return 1, nil
+}
+
+// TestManySuspectedGroupsAreNotLost guards against a past failure: when many
+// groups of 16 were suspected at once, a node with a fifth of a core probed all
+// their members together, so that the probes of healthy hosts timed out. The hosts
+// counted as lost, and nearly all large groups of the fleet were dissolved.
+func TestManySuspectedGroupsAreNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var list []*fleet.Host
+		var heads []string
+		for d := range int64(25) {
+			group := openGroup(fmt.Sprintf("d%02d", d), "big", d+1, 16)
+			heads = append(heads, group[0].ID)
+			list = append(list, group...)
+		}
+		holder := &fleet.ViewHolder{}
+		configuration := &fleet.Configuration{Services: map[string]*fleet.Service{"models": {Name: "models", Engine: largeEngine()}}}
+		holder.Store(fleet.NewView(configuration, list, 1, time.Now(), true))
+		c := NewController(Options{
+			View: holder, Orderer: &slowNode{processor: make(chan struct{}, 1)}, Leads: func() (int64, bool) { return 1, true },
+			StalledHeads: func() []string { return heads }, Traffic: func() bool { return true }, Log: eventlog.Discard(), Metrics: tally.NoopScope,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go c.Run(ctx)
+		time.Sleep(5 * time.Second)
+		c.mu.Lock()
+		lost := len(c.conditions)
+		c.mu.Unlock()
+		cancel()
+		time.Sleep(time.Second) // lets the probes in flight end
+		if lost != 0 {
+			t.Errorf("%d of %d answering hosts count as lost or slow, want none", lost, len(list))
+		}
+	})
+}
--- a/internal/version/formation/plan_test.go
+++ b/internal/version/formation/plan_test.go
@@ -354,7 +354,7 @@
 // that orders stop some time after the last change.
 func TestPlanSettles(t *testing.T) {
 	for seed := range 200 {
-		s := newSimulation(t, int64(seed))
+		s := newSmallSimulation(t, int64(seed))
 		for range 60 {
 			s.changeHosts()
 			s.step()
--- a/internal/version/formation/simulation_test.go
+++ b/internal/version/formation/simulation_test.go
@@ -10,26 +10,46 @@
 	"currantladder.example/currantladder/internal/version/fleet"
 )
 
-// simulation plans for simulated hosts and applies the orders to them, in steps
-// of one second.
+// simulation plans for simulated hosts and applies the orders to them in steps.
 type simulation struct {
-	t     *testing.T
-	rand  *rand.Rand
-	now   time.Time
-	hosts []*fleet.Host
+	t      *testing.T
+	rand   *rand.Rand
+	engine *fleet.Engine
+	// stepTime separates two plans. A join takes one step, and a load loadTime, or
+	// one step if that is 0.
+	stepTime   time.Duration
+	loadTime   time.Duration
+	loadBudget int
+	now        time.Time
+	hosts      []*fleet.Host
 	// memberLists are the host IDs of the members by group, from the join orders.
 	memberLists map[string][]string
-	// effects are the effects of orders that show in the next step, by host ID or
-	// "stage " and host ID.
-	effects         map[string]func()
+	// effects are the effects of orders that do not show yet, by host ID or "stage "
+	// and host ID.
+	effects         map[string]effect
 	epoch           int64
 	hostsAdded      int
 	sentOrders      map[string]SentOrder
 	sentStageOrders map[string]SentOrder
 }
 
-func newSimulation(t *testing.T, seed int64) *simulation {
-	s := &simulation{t: t, rand: rand.New(rand.NewSource(seed)), now: now, memberLists: map[string][]string{}, effects: map[string]func(){}, epoch: 1, sentOrders: map[string]SentOrder{}, sentStageOrders: map[string]SentOrder{}}
+// effect is what an order does to its host at a later time.
+type effect struct {
+	due   time.Time
+	apply func()
+}
+
+// newSimulation returns a simulation without hosts.
+func newSimulation(t *testing.T, seed int64, e *fleet.Engine) *simulation {
+	return &simulation{
+		t: t, rand: rand.New(rand.NewSource(seed)), engine: e, stepTime: time.Second, loadBudget: 4, now: now, epoch: 1,
+		memberLists: map[string][]string{}, effects: map[string]effect{}, sentOrders: map[string]SentOrder{}, sentStageOrders: map[string]SentOrder{},
+	}
+}
+
+// newSmallSimulation returns a simulation of 24 hosts in three fabric domains.
+func newSmallSimulation(t *testing.T, seed int64) *simulation {
+	s := newSimulation(t, seed, engine())
 	for range 24 {
 		s.addHost()
 	}
@@ -60,14 +80,16 @@
 
 // step plans, applies the orders and returns their number.
 func (s *simulation) step() int {
-	s.now = s.now.Add(time.Second)
-	for id, effect := range s.effects {
-		effect()
-		delete(s.effects, id)
+	s.now = s.now.Add(s.stepTime)
+	for id, e := range s.effects {
+		if !s.now.Before(e.due) {
+			e.apply()
+			delete(s.effects, id)
+		}
 	}
 	plan := MakePlan(Input{
-		Now: s.now, Engine: engine(), Hosts: s.hosts, Conditions: map[string]Condition{}, LastOrders: s.sentOrders, LastStageOrders: s.sentStageOrders,
-		LoadBudget: 4, FirstEpoch: s.epoch,
+		Now: s.now, Engine: s.engine, Hosts: s.hosts, Conditions: map[string]Condition{}, LastOrders: s.sentOrders, LastStageOrders: s.sentStageOrders,
+		LoadBudget: s.loadBudget, FirstEpoch: s.epoch,
 	})
 	s.epoch = plan.NextEpoch
 	seen := map[string]bool{}
@@ -75,7 +97,7 @@
 		if o.Operation == OpStage {
 			s.sentStageOrders[o.HostID] = SentOrder{Order: o, Sent: s.now, Instance: s.host(o.HostID).Instance(), Answered: true}
 			h, model := s.host(o.HostID), o.Model
-			s.effects["stage "+o.HostID] = func() { h.StagedModels = []string{model} }
+			s.effects["stage "+o.HostID] = effect{s.now.Add(max(s.loadTime, s.stepTime)), func() { h.StagedModels = []string{model} }}
 			continue
 		}
 		if seen[o.HostID] {
@@ -105,11 +127,11 @@
 		s.checkMayJoin(h, o)
 		s.memberLists[o.Group] = o.Members
 		h.Group = fleet.Membership{Name: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, h.ID), State: fleet.MemberJoining}
-		s.effects[h.ID] = func() {
+		s.effects[h.ID] = effect{s.now.Add(s.stepTime), func() {
 			if h.Group.Name == o.Group {
 				h.Group.State, h.LoadedModel, h.StagedModels = fleet.MemberReady, o.Model, []string{o.Model}
 			}
-		}
+		}}
 	case OpOpen:
 		for _, id := range s.memberLists[o.Group] {
 			if m := s.host(id); m == nil || m.Group.Name != o.Group || m.Group.State != fleet.MemberReady {
