--- a/internal/process/gateway/network.go
+++ b/internal/process/gateway/network.go
@@ -36,8 +36,10 @@
 	callerIdleTimeout = 2 * time.Minute
 	// callerHeaderTimeout limits reading the header of a request.
 	callerHeaderTimeout = 10 * time.Second
-	// maxCallerHeaderBytes limits the header of a request.
+	// maxCallerHeaderBytes limits the header of a request, and maxAnswerHeaderBytes
+	// the header of an answer, informational answers before it included.
 	maxCallerHeaderBytes = 64 << 10
+	maxAnswerHeaderBytes = 64 << 10
 )
 
 var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
@@ -65,6 +67,8 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableKeepAlives:   idleTimeout == 0,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 }
 
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -23,6 +23,10 @@
 // answer to this request.
 var errUnverifiedAnswer = errors.New("answer carries no endpoint proof or belongs to another request")
 
+// errAnswerTooLarge reports an answer larger than endpoint.MaxAnswerBytes. It is
+// not delivered, because a part would look like the whole answer.
+var errAnswerTooLarge = errors.New("answer is too large")
+
 // errNotRun reports that the endpoint declared that it did not run the request.
 var errNotRun = errors.New("endpoint did not run the request")
 
@@ -134,7 +138,7 @@
 	if reply.NotRun && !reply.WrongRequest {
 		return attemptResult{err: errNotRun}
 	}
-	content, err := io.ReadAll(io.LimitReader(reply.Body, endpoint.MaxAnswerBytes))
+	content, err := readWholeBody(reply.Body)
 	if err != nil {
 		return attemptResult{mayHaveRun: true, err: err}
 	}
@@ -144,6 +148,15 @@
 	return attemptResult{mayHaveRun: true, answer: &answer{reply.Status, reply.Header, content}}
 }
 
+// readWholeBody reads a body of at most endpoint.MaxAnswerBytes.
+func readWholeBody(body io.Reader) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, endpoint.MaxAnswerBytes+1))
+	if err == nil && len(content) > endpoint.MaxAnswerBytes {
+		return nil, errAnswerTooLarge
+	}
+	return content, err
+}
+
 // deliver writes a complete answer to the caller.
 func (s *requestState) deliver(a *answer) {
 	header := s.w.Header()
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -146,7 +146,7 @@
 		return
 	}
 	if reply.Status != http.StatusOK {
-		content, err := io.ReadAll(io.LimitReader(reply.Body, endpoint.MaxAnswerBytes))
+		content, err := readWholeBody(reply.Body)
 		if err == nil {
 			err = &statusError{answer{reply.Status, reply.Header, content}}
 		}
