Contain a panic in the request that caused it

Cause, found by reading for the users' list of failures elsewhere: the goroutine of a stream's attempt had no recover, so a panic there ended the process; a panic of a plain attempt kept its place at the host for good.

Change: a panic ends its request, is logged as event 1361 with its stack, and the place is released.

TestPanicEndsOnlyItsRequest without the change: the test process panics. After: it passes for all three kinds.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -79,6 +79,7 @@
 	StreamIncomplete   = Event{1358, logrus.WarnLevel, "stream was ended as incomplete"}
 	RetryBudgetSpent   = Event{1359, logrus.WarnLevel, "retry budget is exhausted; a request is not retried"}
 	GroupSuspected     = Event{1360, logrus.WarnLevel, "all streams of a group are stalled; it takes no requests for now"}
+	RequestPanicked    = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
 
 // Events of group formation, 1400 to 1449.
@@ -158,6 +159,7 @@
 	StreamIncomplete,
 	RetryBudgetSpent,
 	GroupSuspected,
+	RequestPanicked,
 	LeaderElected,
 	LeaderLost,
 	LeaderUnknown,
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -105,6 +107,12 @@
 func (c *Core) Serve(w http.ResponseWriter, r *http.Request, request *Request) {
 	view := c.View.Load()
 	s := &requestState{Core: c, request: request, w: w}
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.logPanic(cause)
+			panic(http.ErrAbortHandler)
+		}
+	}()
 	if refused := s.authorize(view); refused != nil {
 		s.refuse(refused)
 		return
@@ -120,6 +128,14 @@
 	s.servePlain(ctx)
 }
 
+// logPanic logs the cause of a panic, unless it aborts an answer as intended.
+func (s *requestState) logPanic(cause any) {
+	if cause == http.ErrAbortHandler {
+		return
+	}
+	s.Log.Log(eventlog.RequestPanicked, eventlog.Fields{"request": s.request.ID, "panic": fmt.Sprint(cause), "stack": string(debug.Stack())})
+}
+
 // authorize looks up the route, the account and the service of the request.
 func (s *requestState) authorize(view *fleet.View) *refusal.Error {
 	configuration := view.Configuration
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -443,3 +443,22 @@
 		}
 	})
 }
+
+// TestPanicEndsOnlyItsRequest verifies that a panic while a request is handled ends
+// that request without a success, and releases its place at the host.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	panics := func(context.Context, *Request, Attempt) (*Reply, error) { panic("unexpected") }
+	for _, kind := range []fleet.Kind{fleet.KindNonIdempotent, fleet.KindIdempotent, fleet.KindStream} {
+		t.Run(kind.String(), func(t *testing.T) {
+			setup := newTestSetup(kind, 1, map[string]hostBehavior{"a": panics})
+			serveOnce(t, setup, func(t *testing.T, got callerResult) {
+				if !got.aborted && got.status < http.StatusInternalServerError {
+					t.Errorf("got status %d, want an aborted answer or a server error", got.status)
+				}
+				if inFlight := setup.core.Board.InFlight(); len(inFlight) != 0 {
+					t.Errorf("got requests in flight %v after the panic, want none", inFlight)
+				}
+			})
+		})
+	}
+}
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -115,16 +115,16 @@
 		defer cancel()
 		ctx = attemptCtx
 	}
+	outcome := place.OutcomeFailed
+	defer func() { s.Board.Ended(host.ID, outcome, time.Since(started), time.Now()) }()
 	result := s.sendAndRead(ctx, host)
 	result.host = host
-	outcome := place.OutcomeAnswered
 	switch {
 	case errors.Is(result.err, errNotRun):
 		outcome = place.OutcomeRefused
-	case result.err != nil:
-		outcome = place.OutcomeFailed
+	case result.err == nil:
+		outcome = place.OutcomeAnswered
 	}
-	s.Board.Ended(host.ID, outcome, time.Since(started), time.Now())
 	return result
 }
 
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -26,6 +26,9 @@
 	MoveBackoff = 100 * time.Millisecond
 )
 
+// errAttemptPanicked reports an attempt whose handling panicked.
+var errAttemptPanicked = errors.New("handling of the attempt panicked")
+
 // attemptUpdate is one result of a running attempt: its reply, an event, or its
 // end.
 type attemptUpdate struct {
@@ -128,6 +131,13 @@
 			return false
 		}
 	}
+	defer func() {
+		// A panic in this goroutine would end the whole process.
+		if cause := recover(); cause != nil {
+			s.logPanic(cause)
+			report(attemptUpdate{err: errAttemptPanicked, mayHaveRun: true})
+		}
+	}()
 	reply, err := s.Endpoint.Send(ctx, s.request, toSend)
 	if err != nil {
 		report(attemptUpdate{err: err, mayHaveRun: endpoint.MayHaveBeenSent(err)})
