Read feeds from deputies while a hub fails; wait for hubs at the first start

Ruled out: waiting for the hub at every start.

Change: the two preferred nodes of a failure domain replace its hub; the others read from them and call a failing store every 1.5 s. At the first start nodes wait up to 3 s for roster and hub; a node with a hub does not read the roster again; small nodes defer until the roster is known. Members of suspected groups are probed every second.

Tests: TestMembersReadFromDeputies, TestMembersSpareAFailingStore, TestDeputiesOfAHub, TestStartingNodesAwaitTheirHub, TestSmallNodesDeferInElections.

--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -163,6 +163,13 @@
 	s.table, s.age = NewTable(), age
 }
 
+// follow connects the copy to the given table again.
+func (s *agedSource) follow(table *Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table, s.age = table, 0
+}
+
 func (s *agedSource) Changes(ctx context.Context, _ Topic, since int64, wait time.Duration) (Batch, error) {
 	s.mu.Lock()
 	down, table, age := s.down, s.table, s.age
@@ -256,3 +263,65 @@
 		}
 	})
 }
+
+// TestMembersReadFromDeputies verifies that a node whose hub serves a stale copy
+// reads from a deputy, which notices the same a moment later, and does not call the
+// store. It guards against a past failure: all 295 nodes of a fleet called the store
+// at once whenever their hubs had lost it for a moment.
+func TestMembersReadFromDeputies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		origin := NewTable()
+		origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
+		store := &countingSource{fakeSource: fakeSource{table: origin}}
+		hub, deputy := &agedSource{fakeSource: &fakeSource{table: origin}}, &agedSource{fakeSource: &fakeSource{table: origin}}
+		up := Upstream{Hub: hub, Deputies: []Source{deputy}}
+		follower := NewFollower(TopicHosts, store, func() Upstream { return up }, eventlog.Discard(), func([]Record) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		hub.freezeCopy(maxCopyAge + time.Millisecond)
+		deputy.freezeCopy(maxCopyAge + time.Millisecond)
+		origin.Apply(Batch{Records: []Record{record("b", 2)}, Version: 2})
+		time.Sleep(300 * time.Millisecond)
+		deputy.follow(origin)
+		time.Sleep(5 * time.Second)
+		if version, _ := follower.Table().Version(); version != 2 {
+			t.Errorf("got version %d, want 2", version)
+		}
+		if calls := store.count(); calls != 0 {
+			t.Errorf("got %d calls to the store while a deputy was fresh, want none", calls)
+		}
+	})
+}
+
+// TestMembersSpareAFailingStore verifies that a node whose hub and deputies have
+// lost the store, too, calls it rarely, and has the change two seconds after the hub
+// has it.
+func TestMembersSpareAFailingStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		origin := NewTable()
+		origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
+		store := &countingSource{fakeSource: fakeSource{table: origin}}
+		hub, deputy := &agedSource{fakeSource: &fakeSource{table: origin}}, &agedSource{fakeSource: &fakeSource{table: origin}}
+		up := Upstream{Hub: hub, Deputies: []Source{deputy}}
+		follower := NewFollower(TopicHosts, store, func() Upstream { return up }, eventlog.Discard(), func([]Record) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		store.set(true, false)
+		hub.freezeCopy(maxCopyAge + time.Millisecond)
+		deputy.freezeCopy(maxCopyAge + time.Millisecond)
+		time.Sleep(9 * time.Second)
+		if calls := store.count(); calls > 6 {
+			t.Errorf("got %d calls in 9 s to a store that has failed, want at most 6", calls)
+		}
+		hub.follow(origin)
+		origin.Apply(Batch{Records: []Record{record("b", 2)}, Version: 2})
+		time.Sleep(2 * time.Second)
+		if version, _ := follower.Table().Version(); version != 2 {
+			t.Errorf("got version %d two seconds after the hub has a fresh copy, want 2", version)
+		}
+	})
+}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -47,15 +47,30 @@
 	// is longer than a hub's long poll, and short enough to switch to the store
 	// in time.
 	maxCopyAge = 1400 * time.Millisecond
-	// hubQuarantine is how long a node reads from the store after its hub failed
-	// or supplied a stale copy.
+	// hubAwaitInterval is the time between two checks for a hub after the start.
+	hubAwaitInterval = 20 * time.Millisecond
+	// hubQuarantine is how long a node reads from the deputies after its hub failed
+	// or supplied a stale copy, and from the store after all deputies did.
 	hubQuarantine = 1500 * time.Millisecond
+	// deputyGracePeriod is how long after the failure of its hub a node waits for a
+	// fresh copy from the deputies, which notice the failure at the same time.
+	deputyGracePeriod = 700 * time.Millisecond
+	// memberStoreInterval is the minimum time between two calls of a node to a
+	// failing store if it has deputies. They learn earlier that the store is back.
+	memberStoreInterval = 1500 * time.Millisecond
 )
 
 // Upstream lists the other nodes that a node may read from.
 type Upstream struct {
 	// Hub is the node that reads the store on behalf of this one, or nil.
 	Hub Source
+	// Deputies replace the hub, in this order, while it fails. They are empty at the
+	// hub and at the deputies themselves, which read from the store then.
+	Deputies []Source
+	// AwaitsHub is true shortly after the start of a node in a large fleet, until
+	// its hub has been found. The node then does not read from the store, since all
+	// nodes may have started together.
+	AwaitsHub bool
 	// ServesOthers is true if other nodes read from this one.
 	ServesOthers bool
 	// Peers are read from, in this order, while the store does not answer.
@@ -79,8 +94,10 @@
 	lastConfirmed time.Time
 	lastFailure   time.Time
 	storeLost     bool
-	// hubQuarantinedUntil is the time until which the hub is not read from.
-	hubQuarantinedUntil time.Time
+	// hubQuarantinedUntil is the time until which the hub is not read from, and
+	// deputiesQuarantinedUntil the same for the deputies.
+	hubQuarantinedUntil      time.Time
+	deputiesQuarantinedUntil time.Time
 	// storeBackoff is the delay between calls to a failing store, and
 	// nextStoreCall is when the next one is due.
 	storeBackoff  time.Duration
@@ -131,10 +148,18 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		up := f.upstream()
+		if up.AwaitsHub {
+			sleep(ctx, hubAwaitInterval)
+			continue
+		}
 		if up.Hub != nil && f.hubIsUsable() {
 			f.readFromHub(ctx, up.Hub)
 			continue
 		}
+		if f.readFromDeputies(ctx, up.Deputies) || len(up.Deputies) > 0 && f.hubFailedLately() {
+			sleep(ctx, minPollInterval)
+			continue
+		}
 		wait, interval := longPollTimeout, minPollInterval
 		if up.ServesOthers {
 			wait, interval = hubLongPollTimeout, hubPollInterval
@@ -146,7 +171,11 @@
 			sleep(ctx, interval)
 			continue
 		}
-		f.scheduleStoreCall(f.readFromPeers(ctx, up.Peers))
+		minDelay := time.Duration(0)
+		if len(up.Deputies) > 0 {
+			minDelay = memberStoreInterval
+		}
+		f.scheduleStoreCall(f.readFromPeers(ctx, up.Peers), minDelay)
 		sleep(ctx, retryBackoff+rand.N(maxRetryJitter))
 	}
 }
@@ -157,21 +186,20 @@
 	return !time.Now().Before(f.nextStoreCall)
 }
 
-// scheduleStoreCall sets the time of the next call to a failing store. Unless
-// peers have supplied a fresh copy, it is due in the next round of Run.
-func (f *Follower) scheduleStoreCall(peersAreFresh bool) {
+// scheduleStoreCall sets the time of the next call to a failing store, at least
+// minDelay after this one. The delay grows while peers supply a fresh copy.
+func (f *Follower) scheduleStoreCall(peersAreFresh bool, minDelay time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if !peersAreFresh {
-		f.storeBackoff, f.nextStoreCall = 0, time.Time{}
-		return
-	}
-	if now.Before(f.nextStoreCall) {
+	if now.Before(f.nextStoreCall) && (peersAreFresh || minDelay > 0) {
 		return
 	}
 	f.storeBackoff = min(max(2*f.storeBackoff, retryBackoff), maxStoreBackoff)
-	f.nextStoreCall = now.Add(f.storeBackoff)
+	if !peersAreFresh {
+		f.storeBackoff = 0
+	}
+	f.nextStoreCall = now.Add(max(f.storeBackoff, minDelay))
 }
 
 func (f *Follower) storeIsLost() bool {
@@ -187,6 +215,18 @@
 	return !time.Now().Before(f.hubQuarantinedUntil)
 }
 
+// hubFailedLately reports whether the hub failed within the deputies' grace period.
+func (f *Follower) hubFailedLately() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hubFailedLatelyLocked()
+}
+
+// hubFailedLatelyLocked implements hubFailedLately. The caller must hold mu.
+func (f *Follower) hubFailedLatelyLocked() bool {
+	return time.Until(f.hubQuarantinedUntil) > hubQuarantine-deputyGracePeriod
+}
+
 // readFromHub makes one call to the hub. A hub that does not answer, or whose
 // copy is stale, is quarantined.
 func (f *Follower) readFromHub(ctx context.Context, hub Source) {
@@ -212,6 +252,34 @@
 	f.log.Log(eventlog.FeedHubFailed, fields)
 }
 
+// readFromDeputies makes one call to the first deputy with a fresh copy and reports
+// whether there was one.
+func (f *Follower) readFromDeputies(ctx context.Context, deputies []Source) bool {
+	f.mu.Lock()
+	quarantined := time.Now().Before(f.deputiesQuarantinedUntil)
+	f.mu.Unlock()
+	if quarantined {
+		return false
+	}
+	for _, deputy := range deputies {
+		batch, err := f.read(ctx, deputy, recoveryPollTimeout, peerReplyMargin)
+		if ctx.Err() != nil {
+			return true
+		}
+		if err == nil && batch.ConfirmedAgo <= maxCopyAge {
+			f.recordAnswer(batch)
+			f.apply(batch)
+			return true
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.hubFailedLatelyLocked() {
+		f.deputiesQuarantinedUntil = time.Now().Add(hubQuarantine)
+	}
+	return false
+}
+
 // readFromStore makes one call to the store and reports whether it answered.
 func (f *Follower) readFromStore(ctx context.Context, wait time.Duration) bool {
 	batch, err := f.read(ctx, f.store, wait, storeReplyMargin)
--- a/internal/process/gateway/digest_test.go
+++ b/internal/process/gateway/digest_test.go
@@ -132,6 +132,72 @@
 	})
 }
 
+// TestStartingNodesAwaitTheirHub verifies that at the first start of a large fleet
+// only the hubs follow the store, and any other node if no hub answers it for
+// firstStartWait. A node that starts again does not wait, as callers do.
+func TestStartingNodesAwaitTheirHub(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(30)
+		following := func(firstStart bool) (count int) {
+			for _, node := range f.nodes {
+				node.rosterRead, node.firstStart = true, firstStart
+				if up := node.upstream(); !up.AwaitsHub && up.Hub == nil {
+					count++
+				}
+			}
+			return count
+		}
+		if got := following(true); got != 3 {
+			t.Errorf("%d of 30 starting nodes follow the store, want the 3 hubs", got)
+		}
+		if got := following(false); got != 30 {
+			t.Errorf("%d of 30 nodes that start again follow the store, want all", got)
+		}
+		time.Sleep(firstStartWait)
+		if got := following(true); got != 30 {
+			t.Errorf("%d of 30 nodes follow the store after %v without a digest, want all", got, firstStartWait)
+		}
+	})
+}
+
+// TestDeputiesOfAHub verifies that the members of a failure domain agree on two
+// deputies, which have none themselves.
+func TestDeputiesOfAHub(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(30)
+		for range 20 {
+			f.round()
+		}
+		without := 0
+		for name, node := range f.nodes {
+			switch got := len(node.upstream().Deputies); got {
+			case 0:
+				without++
+			case maxDeputies:
+			default:
+				t.Errorf("%s has %d deputies, want %d or none", name, got, maxDeputies)
+			}
+		}
+		if want := 3 * (1 + maxDeputies); without != want {
+			t.Errorf("%d nodes have no deputies, want the hub and the deputies of each domain, %d", without, want)
+		}
+	})
+}
+
+// TestSmallNodesDeferInElections verifies that a node waits before it takes the
+// leadership if it knows a node with a larger share of a core.
+func TestSmallNodesDeferInElections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(30)
+		for name, node := range f.nodes {
+			node.rosterRead = true
+			if got, want := node.electionDeference() > 0, node.self.Share < 0.8; got != want {
+				t.Errorf("%s with a share of %.1f defers: %t, want %t", name, node.self.Share, got, want)
+			}
+		}
+	})
+}
+
 // TestDigestsGrowLinearlyWithNodes verifies that hubs keep the number of digests
 // about linear in the number of nodes: four times the nodes send at most 4.4
 // times the digests.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w; choose a free port", g.settings.Peers, err)
 	}
-	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, hasFreshFeeds: g.hasFreshFeeds, log: g.log})
+	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, firstStart: g.settings.FirstStart, hasFreshFeeds: g.hasFreshFeeds, log: g.log})
 	servers, err := g.listen(ctx)
 	if err != nil {
 		return err
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -41,9 +41,20 @@
 	// waits before it takes the leadership. It covers the time in which one of them
 	// notices a free lease and writes the row.
 	smallNodeDeference = 1500 * time.Millisecond
-	// rosterWait is how long an election waits for the first read of all nodes'
-	// rows.
+	// firstRosterDelay separates the registration of a node from its first read of
+	// all rows when the whole fleet starts for the first time. Several hundred nodes
+	// need this long to register.
+	firstRosterDelay = time.Second
+	// rosterWait is how long after its start a node waits for the first read of all
+	// rows before it takes part in an election.
 	rosterWait = 500 * time.Millisecond
+	// firstStartWait is how long a node waits for the rows and for its hub when the
+	// whole fleet starts for the first time. Callers arrive seconds later. A node
+	// that starts again follows the store at once.
+	firstStartWait = 3 * time.Second
+	// maxDeputies is the number of nodes of a failure domain that replace its hub
+	// while it fails.
+	maxDeputies = 2
 	// maxFeedPeers limits the peers that are asked for a feed in one round.
 	maxFeedPeers = 2
 )
@@ -80,6 +91,8 @@
 	conn      net.PacketConn
 	// hadTraffic reports whether this node has received a request.
 	hadTraffic func() bool
+	// firstStart is true if the whole fleet starts for the first time.
+	firstStart bool
 	// hasFreshFeeds reports whether this node can serve fresh copies of the
 	// feeds.
 	hasFreshFeeds func() bool
@@ -92,6 +105,8 @@
 	node string
 	self nodeRow
 	http *http.Client
+	// started is when the node started.
+	started time.Time
 
 	mu sync.Mutex
 	// byName contains the known peers by node name, and seeds that have not been
@@ -110,7 +125,7 @@
 func newPeers(s *Settings, o peersOptions) *peers {
 	p := &peers{
 		peersOptions: o, node: s.Node, self: nodeRow{Address: s.Peers, Domain: s.FailureDomain, Share: s.ProcessorShare},
-		http: &http.Client{Transport: newTransport(storeIdleTimeout)}, byName: map[string]*peer{},
+		http: &http.Client{Transport: newTransport(storeIdleTimeout)}, byName: map[string]*peer{}, started: time.Now(),
 	}
 	for _, seed := range s.Seeds {
 		if seed != s.Peers {
@@ -120,21 +135,29 @@
 	return p
 }
 
-// runRoster registers the node and reads the rows of all nodes until ctx ends.
+// runRoster registers the node and reads the rows of all nodes until ctx ends. A
+// node that has a hub does not read them again, because the hub knows the nodes.
 func (p *peers) runRoster(ctx context.Context) {
 	registered := false
 	for ctx.Err() == nil {
-		delay := p.jitteredRosterInterval()
 		if !registered {
 			registered = p.register(ctx) == nil
+			if registered && p.firstStart {
+				sleep(ctx, firstRosterDelay)
+			}
 		}
-		if err := p.readRoster(ctx); err != nil || !registered {
-			delay = rosterBackoff // the feed followers log the failure of the store
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay):
+		delay := rosterBackoff // the feed followers log the failure of the store
+		if (p.hasLiveHub() || p.readRoster(ctx) == nil) && registered {
+			delay = p.jitteredRosterInterval()
 		}
+		sleep(ctx, delay)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -148,6 +171,28 @@
 	return interval + rand.N(interval/4)
 }
 
+// hasLiveHub reports whether another node is this node's hub and sends digests.
+func (p *peers) hasLiveHub() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	return p.liveHub(p.chooseHub(now), now) != nil
+}
+
+// liveHub returns the node with the name if it is another node that lately sent a
+// digest as a hub, and otherwise nil. The caller must hold mu.
+func (p *peers) liveHub(hub string, now time.Time) *peer {
+	if hub == "" || hub == p.node || now.Sub(p.byName[hub].heardAsHub) >= hubTimeout {
+		return nil
+	}
+	return p.byName[hub]
+}
+
+// isStarting reports whether the node is in the first start of the whole fleet.
+func (p *peers) isStarting(now time.Time) bool {
+	return p.firstStart && now.Sub(p.started) < firstStartWait
+}
+
 func (p *peers) register(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
@@ -215,8 +260,8 @@
 func (p *peers) electionDeference() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.rosterRead {
-		return rosterWait
+	if now := time.Now(); !p.rosterRead && (now.Sub(p.started) < rosterWait || p.isStarting(now)) {
+		return smallNodeDeference
 	}
 	for _, other := range p.byName {
 		if other.Share > p.self.Share {
@@ -250,22 +295,50 @@
 	}
 	hub := p.chooseHub(now)
 	var hubAddress string
-	if hub != "" && hub != p.node && now.Sub(p.byName[hub].heardAsHub) < hubTimeout {
-		hubAddress = p.byName[hub].Address
+	if other := p.liveHub(hub, now); other != nil {
+		hubAddress = other.Address
 	}
+	deputies := p.deputies(hub)
+	awaitsHub := p.isStarting(now) && (!p.rosterRead || hub != "" && hub != p.node && hubAddress == "")
 	p.mu.Unlock()
 	slices.Sort(live)
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	up := feed.Upstream{ServesOthers: hub == p.node && liveMembers > 0}
+	up := feed.Upstream{AwaitsHub: awaitsHub, ServesOthers: hub == p.node && liveMembers > 0}
 	if hubAddress != "" {
 		up.Hub = p.source(hubAddress)
 	}
+	for _, address := range deputies {
+		up.Deputies = append(up.Deputies, p.source(address))
+	}
 	for _, address := range live[:min(len(live), maxFeedPeers)] {
 		up.Peers = append(up.Peers, p.source(address))
 	}
 	return up
 }
 
+// deputies returns the addresses of the nodes that this one reads the feeds from
+// while the hub fails: the preferred nodes of the failure domain besides the hub. It
+// returns none if this node is the hub or among them. The caller must hold mu.
+func (p *peers) deputies(hub string) []string {
+	if hub == "" || hub == p.node {
+		return nil
+	}
+	var addresses []string
+	for _, name := range p.hubCandidates(p.self.Domain) {
+		if len(addresses) == maxDeputies {
+			break
+		}
+		if name == hub {
+			continue
+		}
+		if p.preferredAsHub(p.node, name) {
+			return nil
+		}
+		addresses = append(addresses, p.byName[name].Address)
+	}
+	return addresses
+}
+
 func (p *peers) source(address string) feed.Source {
 	return &peerSource{"http://" + address, p.http}
 }
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -40,8 +40,11 @@
 	// answers before the probes time out.
 	maxProbesInFlight = 32
 	// reprobeInterval is the minimum time between two regular probes of a host
-	// that is suspected, lost, slow or unregistered.
-	reprobeInterval = 600 * time.Millisecond
+	// that is lost, slow or unregistered, and suspectReprobeInterval of a member of a
+	// suspected group that answered, as suspicions last longer than it takes to probe
+	// the members.
+	reprobeInterval        = 600 * time.Millisecond
+	suspectReprobeInterval = time.Second
 	// slowTimeFactor is the time factor, a multiple of the usual time, from which
 	// a host counts as slow and joins no new group. A group with such a host
 	// exceeds the pauses that callers accept.
@@ -414,11 +417,16 @@
 	return hosts
 }
 
+// probeTarget is a host to probe, and the minimum time since its last probe.
+type probeTarget struct {
+	host     *fleet.Host
+	interval time.Duration
+}
+
 // probeSuspects probes the members of stalled groups, hosts that count as lost
-// or slow, and members whose registration lapsed. It starts probing a host at
-// most once per reprobeInterval.
+// or slow, and members whose registration lapsed.
 func (c *Controller) probeSuspects(ctx context.Context, view *fleet.View, now time.Time) {
-	targets := map[string]*fleet.Host{}
+	targets := map[string]probeTarget{}
 	for _, id := range c.StalledHeads() {
 		head := view.Host(id)
 		if head == nil || head.Group.Name == "" {
@@ -426,32 +434,32 @@
 		}
 		for _, h := range view.ServiceHosts(head.Service) {
 			if h.Group.Name == head.Group.Name {
-				targets[h.ID] = h
+				targets[h.ID] = probeTarget{h, suspectReprobeInterval}
 			}
 		}
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for id := range c.conditions {
 		h := view.Host(id)
 		if h == nil {
 			delete(c.conditions, id)
 			continue
 		}
-		targets[id] = h
+		targets[id] = probeTarget{h, reprobeInterval}
 	}
 	for id, h := range c.members {
 		if view.Host(id) == nil {
-			targets[id] = h
+			targets[id] = probeTarget{h, reprobeInterval}
 		}
 	}
-	for id, h := range targets {
-		if now.Sub(c.lastProbed[id]) < reprobeInterval {
+	for id, target := range targets {
+		if now.Sub(c.lastProbed[id]) < target.interval {
 			continue
 		}
 		c.lastProbed[id] = now
-		go c.probe(ctx, h)
+		go c.probe(ctx, target.host)
 	}
-	c.mu.Unlock()
 }
 
 // probe probes a host until it answers or counts as lost, unless a probe of the
