Let members of an unreachable head leave at once

Ruled out: joining without leaving (rule TWO).

Change: members of a lost head are ordered to leave as soon as it counts as lost, and join after they report that they left.

--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -20,9 +20,6 @@
 	closeTimeout = 10 * time.Second
 	// stageTimeoutFactor times the model's LoadTime is the timeout of a load.
 	stageTimeoutFactor = 4
-	// lostHeadTimeout is how long to wait for the registration of a head that
-	// does not answer probes to lapse. Until then the head may still serve.
-	lostHeadTimeout = 6 * time.Second
 )
 
 // Condition is the state of a host according to probes.
@@ -329,11 +326,6 @@
 		return
 	}
 	if p.Conditions[head.ID].Lost {
-		if p.Now.Sub(p.Conditions[head.ID].Since) < lostHeadTimeout {
-			p.markInUse(g)
-			return
-		}
-		// The head may serve callers that reach it.
 		p.orderMembersToLeave(g, "the head cannot be reached")
 		return
 	}
