Confirm losses when many hosts fail their probes at once

Ruled out: the limit of probes in flight (32 in force); probes that end late (the timers fired in time while the decoder held the processor).

Change: once ten hosts in more than one fabric domain fail within a second, a further one counts as lost only after two more probes of 0.4 s. A rack, or the six to seven hosts of a usual loss, is found as fast as before.

--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -35,6 +35,14 @@
 	// time. maxProbeTries limits the probes, such ones included.
 	maxProbeDelay = 50 * time.Millisecond
 	maxProbeTries = 8
+	// manyLosses is the number of hosts, in more than one fabric domain, that fail
+	// their probes within lossWindow from which a further one counts as lost only
+	// after confirmAttempts more probes with a timeout of confirmTimeout: so many
+	// failures are more likely to be caused by this node than by the hosts.
+	manyLosses      = 10
+	lossWindow      = time.Second
+	confirmAttempts = 2
+	confirmTimeout  = 400 * time.Millisecond
 	// maxProbesInFlight limits the hosts that are probed at a time. When many groups
 	// are suspected at once, a node with a fifth of a core could not handle all
 	// answers before the probes time out.
@@ -113,6 +121,8 @@
 	sentStageOrders map[string]SentOrder
 	conditions      map[string]Condition
 	lastProbed      map[string]time.Time
+	// failures are the hosts that answered no probe within lossWindow.
+	failures []probeFailure
 	// probing contains the hosts that are being probed or wait for it.
 	probing map[string]bool
 	// members are the members of open groups, except the heads, as last
@@ -463,8 +473,8 @@
 }
 
 // probe probes a host until it answers or counts as lost, unless a probe of the
-// host is under way. It blocks until there is a slot, and then for up to
-// maxProbeTries times probeTimeout.
+// host is under way. It blocks until there is a slot, and then for about half a
+// second, or longer while many hosts fail.
 func (c *Controller) probe(ctx context.Context, host *fleet.Host) {
 	c.mu.Lock()
 	underWay := c.probing[host.ID]
@@ -484,24 +494,56 @@
 	case c.probeSlots <- struct{}{}:
 		defer func() { <-c.probeSlots }()
 	}
+	if c.probeAnswers(ctx, host, probeAttempts, probeTimeout) || ctx.Err() != nil {
+		return
+	}
+	if c.isOneOfMany(host, time.Now()) && c.probeAnswers(ctx, host, confirmAttempts, confirmTimeout) || ctx.Err() != nil {
+		return
+	}
+	c.recordLoss(host)
+}
+
+// probeAnswers probes a host and records its reply. It returns false after the
+// given number of probes without an answer.
+func (c *Controller) probeAnswers(ctx context.Context, host *fleet.Host, attempts int, timeout time.Duration) bool {
 	unanswered := 0
-	for tries := 0; unanswered < probeAttempts; tries++ {
+	for tries := 0; unanswered < attempts && ctx.Err() == nil; tries++ {
 		started := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		timeFactor, err := c.Orderer.Probe(callCtx, host.Address, host.ID)
 		cancel()
-		if ctx.Err() != nil {
-			return
-		}
 		if err == nil {
 			c.recordProbeReply(host, timeFactor)
-			return
+			return true
 		}
-		if time.Since(started) <= probeTimeout+maxProbeDelay || tries >= maxProbeTries {
+		if time.Since(started) <= timeout+maxProbeDelay || tries >= maxProbeTries {
 			unanswered++
 		}
 	}
-	c.recordLoss(host)
+	return false
+}
+
+// probeFailure is a host that answered no probe.
+type probeFailure struct {
+	at           time.Time
+	hostID       string
+	fabricDomain string
+}
+
+// isOneOfMany records that a host failed its probes, and reports whether at least
+// manyLosses hosts in more than one fabric domain did so within lossWindow.
+func (c *Controller) isOneOfMany(host *fleet.Host, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conditions[host.ID].Lost {
+		return false // a host that is known to be lost
+	}
+	c.failures = slices.DeleteFunc(c.failures, func(f probeFailure) bool {
+		return now.Sub(f.at) > lossWindow || f.hostID == host.ID
+	})
+	c.failures = append(c.failures, probeFailure{now, host.ID, host.FabricDomain})
+	severalDomains := slices.ContainsFunc(c.failures, func(f probeFailure) bool { return f.fabricDomain != host.FabricDomain })
+	return len(c.failures) >= manyLosses && severalDomains
 }
 
 // recordLoss updates the condition of a host that answered no probe.
--- a/internal/version/formation/controller_test.go
+++ b/internal/version/formation/controller_test.go
@@ -117,23 +117,73 @@
 			heads = append(heads, group[0].ID)
 			list = append(list, group...)
 		}
-		holder := &fleet.ViewHolder{}
-		configuration := &fleet.Configuration{Services: map[string]*fleet.Service{"models": {Name: "models", Engine: largeEngine()}}}
-		holder.Store(fleet.NewView(configuration, list, 1, time.Now(), true))
-		c := NewController(Options{
-			View: holder, Orderer: &slowNode{processor: make(chan struct{}, 1)}, Leads: func() (int64, bool) { return 1, true },
-			StalledHeads: func() []string { return heads }, Traffic: func() bool { return true }, Log: eventlog.Discard(), Metrics: tally.NoopScope,
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		go c.Run(ctx)
-		time.Sleep(5 * time.Second)
-		c.mu.Lock()
-		lost := len(c.conditions)
-		c.mu.Unlock()
-		cancel()
-		time.Sleep(time.Second) // lets the probes in flight end
+		lost := lostAfterSuspicion(&slowNode{processor: make(chan struct{}, 1)}, list, heads)
 		if lost != 0 {
 			t.Errorf("%d of %d answering hosts count as lost or slow, want none", lost, len(list))
 		}
 	})
 }
+
+// lostAfterSuspicion suspects the groups of the given heads for five seconds and
+// returns how many hosts count as lost or slow then.
+func lostAfterSuspicion(orderer Orderer, list []*fleet.Host, heads []string) int {
+	holder := &fleet.ViewHolder{}
+	configuration := &fleet.Configuration{Services: map[string]*fleet.Service{"models": {Name: "models", Engine: largeEngine()}}}
+	holder.Store(fleet.NewView(configuration, list, 1, time.Now(), true))
+	c := NewController(Options{
+		View: holder, Orderer: orderer, Leads: func() (int64, bool) { return 1, true },
+		StalledHeads: func() []string { return heads }, Traffic: func() bool { return true }, Log: eventlog.Discard(), Metrics: tally.NoopScope,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.Run(ctx)
+	time.Sleep(5 * time.Second)
+	c.mu.Lock()
+	lost := len(c.conditions)
+	c.mu.Unlock()
+	cancel()
+	time.Sleep(time.Second) // lets the probes in flight end
+	return lost
+}
+
+// busyNode answers every probe, but only after 300 ms, as a node does that is busy
+// with something else. Hosts that it knows as dead do not answer.
+type busyNode struct {
+	countingOrderer
+	dead map[string]bool
+}
+
+// Probe implements Orderer.
+func (o *busyNode) Probe(ctx context.Context, _, hostID string) (float64, error) {
+	delay := 300 * time.Millisecond
+	if o.dead[hostID] {
+		delay = time.Hour
+	}
+	select {
+	case <-time.After(delay):
+		return 1, nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// TestBusyNodeLosesFewHosts guards against a past failure: while the leading node
+// decoded a large configuration, its probes timed out, and it counted 41 healthy
+// hosts in many groups as lost at once. Hosts that are dead count as lost all the
+// same.
+func TestBusyNodeLosesFewHosts(t *testing.T) {
+	const maxFalseLosses = 10
+	synctest.Test(t, func(t *testing.T) {
+		var list []*fleet.Host
+		var heads []string
+		dead := map[string]bool{}
+		for d := range int64(12) {
+			group := openGroup(fmt.Sprintf("d%02d", d), "big", d+1, 16)
+			heads = append(heads, group[0].ID)
+			dead[group[5].ID] = true
+			list = append(list, group...)
+		}
+		if lost := lostAfterSuspicion(&busyNode{dead: dead}, list, heads); lost < len(dead) || lost > len(dead)+maxFalseLosses {
+			t.Errorf("%d hosts count as lost, want the %d dead ones and at most %d others", lost, len(dead), maxFalseLosses)
+		}
+	})
+}
