--- a/internal/process/gateway/digest_test.go
+++ b/internal/process/gateway/digest_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"testing"
@@ -245,3 +246,26 @@
 		}
 	})
 }
+
+// FuzzDigest verifies that no datagram which decodes as a digest makes a node
+// panic, now or when it sends its own digests.
+func FuzzDigest(f *testing.F) {
+	for _, seed := range []string{
+		`{}`, `{"node":"n001"}`, `{"kind":"sum","node":"n001","nodes":-5,"inFlight":{"h":-1}}`, `{"kind":"others","node":"x","row":{"address":"nowhere"}}`,
+		`{"kind":"own","node":"n002","row":{"address":"10.0.0.9:1","domain":"d9","share":1e308},"reads":true,"leader":{"version":9,"left":9223372036854775807}}`,
+		`{"kind":"no kind","node":"seed 10.0.0.1:1","suspects":["",""],"leader":{"left":-1}}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		node := newTestFleet(30).nodes["n000"]
+		var d digest
+		if json.Unmarshal(datagram, &d) != nil || d.Node == "" || d.Node == node.node {
+			return
+		}
+		now := time.Now()
+		node.handleDigest(d, now)
+		node.outgoingDigests(0, now.Add(time.Second))
+		node.upstream()
+	})
+}
