A refused hub reads from other failure domains

The store refused front-norte-c-1, the hub of a domain of two, from 16.5 s to 23.5 s; it asked two random peers, among them front-norte-c-2, which reads from the hub itself.

Ruled out: load (the late nodes are only those two, for the time of the refusal); the backoff of store calls (peers are asked in between, every 0.15 to 0.3 s).

Change: a node does not ask its failed hub, nor a hub its own members. TestHubReadsFromOtherDomains fails before.

--- a/internal/process/gateway/digest_test.go
+++ b/internal/process/gateway/digest_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -185,6 +186,31 @@
 	})
 }
 
+// TestHubReadsFromOtherDomains guards against a past failure: a hub that the store
+// refused read from a member of its own failure domain, which reads from the hub.
+// Both got a change two seconds late.
+func TestHubReadsFromOtherDomains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, count := range []int{9, 30} {
+			f := newTestFleet(count)
+			for range 20 {
+				f.round()
+			}
+			for name, node := range f.nodes {
+				hub := node.chosenHub
+				for range 20 { // peers are chosen at random
+					for _, source := range node.upstream().Peers {
+						other := f.byAddress[strings.TrimPrefix(source.(*peerSource).base, "http://")]
+						if other.node == hub || hub == name && other.self.Domain == node.self.Domain {
+							t.Fatalf("%s of %d nodes, whose hub is %s, reads from %s while the store fails", name, count, hub, other.node)
+						}
+					}
+				}
+			}
+		}
+	})
+}
+
 // TestSmallNodesDeferInElections verifies that a node waits before it takes the
 // leadership if it knows a node with a larger share of a core.
 func TestSmallNodesDeferInElections(t *testing.T) {
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -282,18 +282,24 @@
 func (p *peers) upstream() feed.Upstream {
 	now := time.Now()
 	p.mu.Lock()
+	hub := p.chooseHub(now)
 	var live []string
 	liveMembers := 0
-	for _, other := range p.byName {
+	for name, other := range p.byName {
 		if now.Sub(other.lastHeard) >= peerTimeout {
 			continue
 		}
-		live = append(live, other.Address)
-		if other.Domain == p.self.Domain {
+		isMember := other.Domain == p.self.Domain
+		if isMember {
 			liveMembers++
 		}
+		// A copy that comes from this node, or from the hub that has failed, is no
+		// newer than the own one.
+		if name == hub || isMember && hub == p.node {
+			continue
+		}
+		live = append(live, other.Address)
 	}
-	hub := p.chooseHub(now)
 	var hubAddress string
 	if other := p.liveHub(hub, now); other != nil {
 		hubAddress = other.Address
