--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -264,32 +264,48 @@
 	})
 }
 
+// member is a running follower with a hub and a deputy, which both follow origin.
+type member struct {
+	follower    *Follower
+	origin      *Table
+	store       *countingSource
+	hub, deputy *agedSource
+	stop        context.CancelFunc
+}
+
+// startMember returns a member that has followed its hub for a second.
+func startMember() *member {
+	m := &member{origin: NewTable()}
+	m.origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
+	m.store = &countingSource{fakeSource: fakeSource{table: m.origin}}
+	m.hub, m.deputy = &agedSource{fakeSource: &fakeSource{table: m.origin}}, &agedSource{fakeSource: &fakeSource{table: m.origin}}
+	up := Upstream{Hub: m.hub, Deputies: []Source{m.deputy}}
+	m.follower = NewFollower(TopicHosts, m.store, func() Upstream { return up }, eventlog.Discard(), func([]Record) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go m.follower.Run(ctx)
+	time.Sleep(time.Second)
+	return m
+}
+
 // TestMembersReadFromDeputies verifies that a node whose hub serves a stale copy
 // reads from a deputy, which notices the same a moment later, and does not call the
-// store. It guards against a past failure: all 295 nodes of a fleet called the store
+// m.store. It guards against a past failure: all 295 nodes of a fleet called the store
 // at once whenever their hubs had lost it for a moment.
 func TestMembersReadFromDeputies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		origin := NewTable()
-		origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
-		store := &countingSource{fakeSource: fakeSource{table: origin}}
-		hub, deputy := &agedSource{fakeSource: &fakeSource{table: origin}}, &agedSource{fakeSource: &fakeSource{table: origin}}
-		up := Upstream{Hub: hub, Deputies: []Source{deputy}}
-		follower := NewFollower(TopicHosts, store, func() Upstream { return up }, eventlog.Discard(), func([]Record) {})
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go follower.Run(ctx)
-		time.Sleep(time.Second)
-		hub.freezeCopy(maxCopyAge + time.Millisecond)
-		deputy.freezeCopy(maxCopyAge + time.Millisecond)
-		origin.Apply(Batch{Records: []Record{record("b", 2)}, Version: 2})
+		m := startMember()
+		defer m.stop()
+		m.hub.freezeCopy(maxCopyAge + time.Millisecond)
+		m.deputy.freezeCopy(maxCopyAge + time.Millisecond)
+		m.origin.Apply(Batch{Records: []Record{record("b", 2)}, Version: 2})
 		time.Sleep(300 * time.Millisecond)
-		deputy.follow(origin)
+		m.deputy.follow(m.origin)
 		time.Sleep(5 * time.Second)
-		if version, _ := follower.Table().Version(); version != 2 {
+		if version, _ := m.follower.Table().Version(); version != 2 {
 			t.Errorf("got version %d, want 2", version)
 		}
-		if calls := store.count(); calls != 0 {
+		if calls := m.store.count(); calls != 0 {
 			t.Errorf("got %d calls to the store while a deputy was fresh, want none", calls)
 		}
 	})
@@ -300,27 +316,19 @@
 // has it.
 func TestMembersSpareAFailingStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		origin := NewTable()
-		origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
-		store := &countingSource{fakeSource: fakeSource{table: origin}}
-		hub, deputy := &agedSource{fakeSource: &fakeSource{table: origin}}, &agedSource{fakeSource: &fakeSource{table: origin}}
-		up := Upstream{Hub: hub, Deputies: []Source{deputy}}
-		follower := NewFollower(TopicHosts, store, func() Upstream { return up }, eventlog.Discard(), func([]Record) {})
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go follower.Run(ctx)
-		time.Sleep(time.Second)
-		store.set(true, false)
-		hub.freezeCopy(maxCopyAge + time.Millisecond)
-		deputy.freezeCopy(maxCopyAge + time.Millisecond)
+		m := startMember()
+		defer m.stop()
+		m.store.set(true, false)
+		m.hub.freezeCopy(maxCopyAge + time.Millisecond)
+		m.deputy.freezeCopy(maxCopyAge + time.Millisecond)
 		time.Sleep(9 * time.Second)
-		if calls := store.count(); calls > 6 {
+		if calls := m.store.count(); calls > 6 {
 			t.Errorf("got %d calls in 9 s to a store that has failed, want at most 6", calls)
 		}
-		hub.follow(origin)
-		origin.Apply(Batch{Records: []Record{record("b", 2)}, Version: 2})
+		m.hub.follow(m.origin)
+		m.origin.Apply(Batch{Records: []Record{record("b", 2)}, Version: 2})
 		time.Sleep(2 * time.Second)
-		if version, _ := follower.Table().Version(); version != 2 {
+		if version, _ := m.follower.Table().Version(); version != 2 {
 			t.Errorf("got version %d two seconds after the hub has a fresh copy, want 2", version)
 		}
 	})
