Log what speaks against a request at a crashed host

Of the three hypotheses the logs told only the first from the others. Event 1363 now says how many crashed hosts speak against the whole request and with what chance (second hypothesis), and event 1368 tells when an answer, with its status, voids that (third hypothesis). No decision changes.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -85,6 +85,7 @@
 	PoisonCleared      = Event{1365, logrus.InfoLevel, "requests that were refused because they crash hosts are accepted again"}
 	PoisonTried        = Event{1366, logrus.WarnLevel, "request that may crash a host is sent, to see whether it still does"}
 	RateLimitChanged   = Event{1367, logrus.InfoLevel, "limit of requests that a host names has changed"}
+	SuspectAnswered    = Event{1368, logrus.InfoLevel, "request that was at crashed hosts was answered; it is no longer suspected"}
 	RequestPanicked    = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
 
@@ -172,6 +173,7 @@
 	PoisonCleared,
 	PoisonTried,
 	RateLimitChanged,
+	SuspectAnswered,
 	LeaderElected,
 	LeaderLost,
 	LeaderUnknown,
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -130,7 +130,7 @@
 	result := s.sendAndRead(ctx, host)
 	result.host = host
 	if result.answer != nil {
-		s.logFindings(s.Poison.Began(s.identity, started, time.Now()))
+		s.recordAnswered(host, result.answer.status, started)
 	}
 	switch {
 	case errors.Is(result.err, errNotRun):
--- a/internal/request/forward/poison.go
+++ b/internal/request/forward/poison.go
@@ -65,11 +65,23 @@
 	life := host.ID + "/" + strconv.FormatInt(host.Started.UnixMilli(), 10)
 	findings := s.Poison.Lost(s.identity, life, time.Now())
 	s.Metrics.Counter("forward_attempts_lost_with_host").Inc(1)
-	s.Log.Log(eventlog.HostCrashed, eventlog.Fields{"request": s.request.ID, "host": host.ID, "group": host.Group.Name, "parts": s.request.SharedParts})
+	crashedHosts, chance := s.Poison.Evidence(s.identity, time.Now())
+	s.Log.Log(eventlog.HostCrashed, eventlog.Fields{
+		"request": s.request.ID, "host": host.ID, "group": host.Group.Name, "parts": s.request.SharedParts,
+		"crashed_hosts": crashedHosts, "chance": chance,
+	})
 	s.logFindings(findings)
 	s.ShareEvidence()
 }
 
+// recordAnswered records that a host answered the request with the given status.
+func (s *requestState) recordAnswered(host *fleet.Host, status int, started time.Time) {
+	if crashedHosts, _ := s.Poison.Evidence(s.identity, started); crashedHosts > 0 {
+		s.Log.Log(eventlog.SuspectAnswered, eventlog.Fields{"request": s.request.ID, "host": host.ID, "status": status, "crashed_hosts": crashedHosts})
+	}
+	s.logFindings(s.Poison.Began(s.identity, started, time.Now()))
+}
+
 // logFindings logs changed verdicts, with the part or request if they concern this
 // one.
 func (s *requestState) logFindings(findings []poison.Finding) {
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -185,6 +185,18 @@
 	})
 }
 
+// Evidence returns how many crashed endpoints speak against the whole request, and
+// the probability that it was there by chance. It is for log lines.
+func (t *Tracker) Evidence(r Request, now time.Time) (crashedHosts int, chance float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.losses) == 0 {
+		return 0, 1
+	}
+	e := t.weigh(r.Whole, t.losses, now)
+	return e.losses, e.chance
+}
+
 // Began records that an endpoint began to answer a request at the given time and
 // went on well. It returns the verdicts that this overturns.
 func (t *Tracker) Began(r Request, at, now time.Time) []Finding {
