Failing tests: requests that crash a plain service's hosts

In the tracker alone, a request at three crashed hosts of a service that answers nothing is accepted.

--- a/internal/request/poison/verdict_test.go
+++ b/internal/request/poison/verdict_test.go
@@ -108,3 +108,21 @@
 		t.Error("the flood has displaced the verdict that crashes support")
 	}
 }
+
+// TestRepeatedRequestIsRefusedWithoutAnswersToCompare guards against a request that
+// crashes every host of a service which therefore answers nothing.
+func TestRepeatedRequestIsRefusedWithoutAnswersToCompare(t *testing.T) {
+	tracker, now := New(), time.Unix(1e9, 0)
+	request := identify(nil, 1)
+	for i := range 3 {
+		now = now.Add(time.Second)
+		tracker.Lost(identify(nil, uint64(100+i)), fmt.Sprint("host", i), now)
+		tracker.Lost(request, fmt.Sprint("host", i), now)
+	}
+	if !tracker.Check(request, false, now).Refuse {
+		t.Error("the request that was at three crashed hosts is accepted, want it refused")
+	}
+	if tracker.Check(identify(nil, 101), false, now).Refuse {
+		t.Error("a request that was at one crashed host is refused, want it accepted")
+	}
+}
