Hold a crash against attempts that were given up just before

Cause: its attempts were given up after 0.6 of the latency target (60 ms), the hosts ended 10 to 20 ms later, and a crash was held only against attempts whose connection it broke. Evidence: in the nodes' logs five of seven attempts ended with 'deadline exceeded' and were blamed for nothing.

The tracker now remembers the attempts that a node gave up for 1 s. A crash of that life of the host, found by a check of the host 0.1 to 0.4 s later, by another request or by another node, is held against them. Checks of one host are bounded; streams whose caller left are not checked for, the other streams of the group show the crash.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -69,24 +69,25 @@
 
 // Events of requests, 1350 to 1399.
 var (
-	RequestPlaced      = Event{1351, logrus.InfoLevel, "request was sent to an endpoint"}
-	RequestNotPlaced   = Event{1352, logrus.InfoLevel, "no endpoint has room for a request"}
-	RequestRetried     = Event{1353, logrus.WarnLevel, "request was retried after a failed attempt"}
-	RequestRefused     = Event{1354, logrus.InfoLevel, "request was refused"}
-	RequestAnswered    = Event{1355, logrus.InfoLevel, "request was answered"}
-	CallerDisconnected = Event{1356, logrus.InfoLevel, "caller disconnected before the end of its answer"}
-	StreamMoved        = Event{1357, logrus.WarnLevel, "stream continues at another group"}
-	StreamIncomplete   = Event{1358, logrus.WarnLevel, "stream was ended as incomplete"}
-	RetryBudgetSpent   = Event{1359, logrus.WarnLevel, "retry budget is exhausted; a request is not retried"}
-	GroupSuspected     = Event{1360, logrus.WarnLevel, "all streams of a group are stalled; it takes no requests for now"}
-	AttemptBroken      = Event{1362, logrus.WarnLevel, "connection of an attempt broke before the end of its answer"}
-	HostCrashed        = Event{1363, logrus.WarnLevel, "host crashed before it began to answer a request, which is suspected"}
-	PoisonFound        = Event{1364, logrus.ErrorLevel, "requests that crash hosts are refused"}
-	PoisonCleared      = Event{1365, logrus.InfoLevel, "requests that were refused because they crash hosts are accepted again"}
-	PoisonTried        = Event{1366, logrus.WarnLevel, "request that may crash a host is sent, to see whether it still does"}
-	RateLimitChanged   = Event{1367, logrus.InfoLevel, "limit of requests that a host names has changed"}
-	SuspectAnswered    = Event{1368, logrus.InfoLevel, "request that was at crashed hosts was answered; it is no longer suspected"}
-	RequestPanicked    = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
+	RequestPlaced          = Event{1351, logrus.InfoLevel, "request was sent to an endpoint"}
+	RequestNotPlaced       = Event{1352, logrus.InfoLevel, "no endpoint has room for a request"}
+	RequestRetried         = Event{1353, logrus.WarnLevel, "request was retried after a failed attempt"}
+	RequestRefused         = Event{1354, logrus.InfoLevel, "request was refused"}
+	RequestAnswered        = Event{1355, logrus.InfoLevel, "request was answered"}
+	CallerDisconnected     = Event{1356, logrus.InfoLevel, "caller disconnected before the end of its answer"}
+	StreamMoved            = Event{1357, logrus.WarnLevel, "stream continues at another group"}
+	StreamIncomplete       = Event{1358, logrus.WarnLevel, "stream was ended as incomplete"}
+	RetryBudgetSpent       = Event{1359, logrus.WarnLevel, "retry budget is exhausted; a request is not retried"}
+	GroupSuspected         = Event{1360, logrus.WarnLevel, "all streams of a group are stalled; it takes no requests for now"}
+	AttemptBroken          = Event{1362, logrus.WarnLevel, "connection of an attempt broke before the end of its answer"}
+	HostCrashed            = Event{1363, logrus.WarnLevel, "host crashed before it began to answer a request, which is suspected"}
+	PoisonFound            = Event{1364, logrus.ErrorLevel, "requests that crash hosts are refused"}
+	PoisonCleared          = Event{1365, logrus.InfoLevel, "requests that were refused because they crash hosts are accepted again"}
+	PoisonTried            = Event{1366, logrus.WarnLevel, "request that may crash a host is sent, to see whether it still does"}
+	RateLimitChanged       = Event{1367, logrus.InfoLevel, "limit of requests that a host names has changed"}
+	SuspectAnswered        = Event{1368, logrus.InfoLevel, "request that was at crashed hosts was answered; it is no longer suspected"}
+	HostCrashedAfterGiveUp = Event{1369, logrus.WarnLevel, "host crashed shortly after attempts at it were given up; their requests are suspected"}
+	RequestPanicked        = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
 
 // Events of group formation, 1400 to 1449.
@@ -174,6 +175,7 @@
 	PoisonTried,
 	RateLimitChanged,
 	SuspectAnswered,
+	HostCrashedAfterGiveUp,
 	LeaderElected,
 	LeaderLost,
 	LeaderUnknown,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -180,7 +180,7 @@
 	backgroundCtx, cancelBackground := context.WithCancel(context.Background())
 	defer cancelBackground()
 	for _, run := range []func(context.Context){
-		g.configs.Run, g.hosts.Run, g.peers.runRoster, g.peers.runSender, g.controller.Run, g.housekeep,
+		g.configs.Run, g.hosts.Run, g.peers.runRoster, g.peers.runSender, g.controller.Run, g.housekeep, g.core.RunCrashChecks,
 		func(ctx context.Context) {
 			g.candidate.Run(ctx, leader.Eligibility{MayLead: g.ready, Deference: g.peers.electionDeference})
 		},
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -79,10 +79,14 @@
 	Options
 	// retries counts attempts by service: it gets the service's name as the rank.
 	retries *retry.Budget
+	// crashChecks passes hosts to RunCrashChecks.
+	crashChecks chan *fleet.Host
 }
 
-// New returns a core.
-func New(o Options) *Core { return &Core{Options: o, retries: retry.NewBudget()} }
+// New returns a core. RunCrashChecks must run beside it.
+func New(o Options) *Core {
+	return &Core{Options: o, retries: retry.NewBudget(), crashChecks: make(chan *fleet.Host, maxWaitingCrashChecks)}
+}
 
 // MaxBodyBytes returns the maximum size of a request body, or 0 before there is a
 // configuration.
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -62,8 +62,8 @@
 		s.mayHaveRun = s.mayHaveRun || result.mayHaveRun
 		if result.err != nil && result.mayHaveRun {
 			s.logBroken(result.host, 0, result.err)
-			if ctx.Err() == nil && connectionBroke(result.err) {
-				s.reportIfCrashed(ctx, result.host)
+			if ctx.Err() != nil || !connectionBroke(result.err) || !s.reportIfCrashed(ctx, result.host) {
+				s.giveUp(result.host, true)
 			}
 		}
 		if result.err == nil && !s.isRetryableFailure(result) {
@@ -168,12 +168,12 @@
 // crashed reports whether the process of a host is gone although the host was not
 // about to leave. A crashed host stays registered for seconds; one that has left does
 // not. It blocks while the host is checked.
-func (s *requestState) crashed(ctx context.Context, host *fleet.Host) bool {
-	current := s.View.Load().Host(host.ID)
+func (c *Core) crashed(ctx context.Context, host *fleet.Host) bool {
+	current := c.View.Load().Host(host.ID)
 	if current == nil || current.State == fleet.HostLeaving {
 		return false
 	}
-	return !current.Started.Equal(host.Started) || s.Endpoint.Gone(ctx, host.Address)
+	return !current.Started.Equal(host.Started) || c.Endpoint.Gone(ctx, host.Address)
 }
 
 // readWholeBody reads a body of at most endpoint.MaxAnswerBytes.
--- a/internal/request/forward/poison.go
+++ b/internal/request/forward/poison.go
@@ -56,14 +56,18 @@
 	return !errors.As(err, &failure)
 }
 
+// hostLife identifies one life of a host.
+func hostLife(host *fleet.Host) string {
+	return host.ID + "/" + strconv.FormatInt(host.Started.UnixMilli(), 10)
+}
+
 // reportIfCrashed records the request as suspected if the host that was about to
-// answer it is gone. It blocks while the host is checked.
-func (s *requestState) reportIfCrashed(ctx context.Context, host *fleet.Host) {
+// answer it is gone, and reports whether it is. It blocks while the host is checked.
+func (s *requestState) reportIfCrashed(ctx context.Context, host *fleet.Host) bool {
 	if !s.crashed(ctx, host) {
-		return
+		return false
 	}
-	life := host.ID + "/" + strconv.FormatInt(host.Started.UnixMilli(), 10)
-	findings := s.Poison.Lost(s.identity, life, time.Now())
+	findings := s.Poison.Lost(s.identity, hostLife(host), time.Now())
 	s.Metrics.Counter("forward_attempts_lost_with_host").Inc(1)
 	crashedHosts, chance := s.Poison.Evidence(s.identity, time.Now())
 	s.Log.Log(eventlog.HostCrashed, eventlog.Fields{
@@ -72,6 +76,7 @@
 	})
 	s.logFindings(findings)
 	s.ShareEvidence()
+	return true
 }
 
 // recordAnswered records that a host answered the request with the given status.
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -307,8 +307,8 @@
 	failed := s.current.host
 	if update.mayHaveRun {
 		s.logBroken(failed, s.current.events, update.err)
-		if !s.current.beganWell && connectionBroke(update.err) {
-			s.reportIfCrashed(ctx, failed)
+		if !s.current.beganWell && connectionBroke(update.err) && !s.reportIfCrashed(ctx, failed) {
+			s.giveUp(failed, true)
 		}
 	}
 	s.endAttempt(outcome)
@@ -366,6 +366,9 @@
 
 // handleContextEnd ends a request whose deadline has passed or whose caller left.
 func (s *streamState) handleContextEnd(ctx context.Context) {
+	if s.current != nil && s.current.events == 0 {
+		s.giveUp(s.current.host, false)
+	}
 	s.endAttempt(place.OutcomeAbandoned)
 	if s.callerLeft(ctx) {
 		return
@@ -444,6 +447,9 @@
 		return
 	}
 	old.cancel()
+	if old.events == 0 {
+		s.giveUp(old.host, true)
+	}
 	s.Board.Ended(old.host.ID, place.OutcomeAbandoned, now.Sub(old.started), now)
 	s.Log.Log(eventlog.StreamMoved, eventlog.Fields{
 		"request": s.request.ID, "from": old.host.ID, "to": s.current.host.ID, "silent_ms": silent.Milliseconds(),
--- a/internal/request/poison/digest.go
+++ b/internal/request/poison/digest.go
@@ -127,6 +127,8 @@
 	}
 	for _, l := range d.Losses {
 		learned = t.addLoss(l.Host, l.Class, ago(l.AgeMillis), l.Requests, now) || learned
+		alsoGivenUp, suspected := t.blameGivenUp(l.Host, ago(l.AgeMillis), now)
+		findings, learned = append(findings, alsoGivenUp...), learned || suspected
 	}
 	var candidates []Trait
 	for _, l := range d.Losses {
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -129,6 +129,8 @@
 	frequency  *frequencies
 	// answered counts the answered requests of each class.
 	answered map[string]int
+	// givenUp holds the attempts that this node gave up lately, the oldest first.
+	givenUp []givenUp
 }
 
 // New returns a tracker without any knowledge.
@@ -235,6 +237,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropExpired(now)
+	findings := t.lost(r, host, now, now)
+	alsoGivenUp, _ := t.blameGivenUp(host, now, now)
+	return append(findings, alsoGivenUp...)
+}
+
+// lost adds a request to those that a crash is held against. The caller holds mu.
+func (t *Tracker) lost(r Request, host string, crashedAt, now time.Time) []Finding {
 	var findings []Finding
 	for _, trait := range r.traits() {
 		if v := t.verdicts[trait]; v != nil && v.refused && now.Sub(v.trialStarted) < trialTimeout {
@@ -243,7 +252,7 @@
 			findings = append(findings, Finding{Trait: trait, Refused: true, Losses: 1, FailedTrials: v.failedTrials})
 		}
 	}
-	t.addLoss(host, r.Class, now, [][]Trait{r.traits()}, now)
+	t.addLoss(host, r.Class, crashedAt, [][]Trait{r.traits()}, now)
 	return append(findings, t.convict(r.traits(), now)...)
 }
 
