Refuse a repeated request at three crashed hosts without answers to compare

Cause: a whole request needed the same evidence as a part that many prompts share.

A request that came again and was at three crashed hosts, in two episodes at least, without a good answer in between is now refused. Requests at the same three crashes wait for the fourth to tell them apart; those that a verdict explains need one unexplained crash; a verdict on a whole request does not hide its parts. Such requests are suspected, so not retried, from two crashes on.

--- /dev/null
+++ b/internal/request/poison/repeat.go
@@ -0,0 +1,120 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// repeat is what speaks against a whole request that came again, whatever share of the
+// answered requests it has: one that crashes nothing is answered in between.
+type repeat struct {
+	// losses counts the crashed endpoints at which the request was since it last
+	// began well; episodes counts those that are apart in time.
+	losses, episodes int
+	first            time.Time
+	// unexplained is true if no convicted trait was at one of the crashes.
+	unexplained bool
+}
+
+func (r repeat) convincing() bool {
+	return r.losses >= minLosses && r.episodes >= minEpisodes && r.unexplained
+}
+
+// wholeOf returns the whole-request trait of a suspected request.
+func wholeOf(traits []Trait) Trait { return traits[len(traits)-1] }
+
+// repeats returns what speaks against a whole request. The caller holds mu.
+func (t *Tracker) repeats(whole Trait, now time.Time) repeat {
+	acquitted := t.acquittals[whole].began
+	var with []*loss
+	r := repeat{}
+	for _, l := range t.losses {
+		if l.traits[whole] && l.at.After(acquitted) && now.Sub(l.at) < lossTTL {
+			with = append(with, l)
+			r.unexplained = r.unexplained || !t.isExplained(l)
+		}
+	}
+	if len(with) == 0 {
+		return r
+	}
+	slices.SortFunc(with, func(a, b *loss) int { return a.at.Compare(b.at) })
+	r.losses, r.episodes, r.first = len(with), countEpisodes(with), with[0].at
+	return r
+}
+
+// convictRepeats passes a verdict on the whole requests among the candidates that were
+// at the most crashes. While several were at the same minLosses crashes, the next one
+// has to tell them apart. The caller holds mu.
+func (t *Tracker) convictRepeats(candidates []Trait, now time.Time) []Finding {
+	wholes := t.wholesAtCrashes()
+	var worst []Trait
+	var strongest repeat
+	for _, trait := range candidates {
+		if !wholes[trait] || t.isRefused(trait) {
+			continue
+		}
+		r := t.repeats(trait, now)
+		if !r.convincing() || r.losses < strongest.losses {
+			continue
+		}
+		if r.losses > strongest.losses {
+			worst, strongest = nil, r
+		}
+		worst = append(worst, trait)
+	}
+	if len(worst) > 1 && strongest.losses == minLosses {
+		return nil
+	}
+	var findings []Finding
+	for _, trait := range worst {
+		findings = append(findings, t.refuse(trait, strongest.first, strongest.losses, now))
+	}
+	return findings
+}
+
+// withOwnRequests adds to the unexplained crashes those that only the verdicts on whole
+// requests with the trait explain: the trait may be what makes these crash. The caller
+// holds mu.
+func (t *Tracker) withOwnRequests(trait Trait, unexplained, explained []*loss) []*loss {
+	out := slices.Clip(unexplained)
+	for _, l := range explained {
+		if l.traits[trait] && t.explainedByRequestsWith(trait, l) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// explainedByRequestsWith reports whether each convicted trait at a crash is that of a
+// whole request with the given part. The caller holds mu.
+func (t *Tracker) explainedByRequestsWith(part Trait, l *loss) bool {
+	for convicted, v := range t.verdicts {
+		if !v.refused || !l.traits[convicted] {
+			continue
+		}
+		if convicted == part || !slices.ContainsFunc(l.requests, func(traits []Trait) bool {
+			return wholeOf(traits) == convicted && slices.Contains(traits, part)
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
+// wholesAtCrashes returns the traits of whole requests that were at minLosses crashes
+// or more. The caller holds mu.
+func (t *Tracker) wholesAtCrashes() map[Trait]bool {
+	counts := map[Trait]int{}
+	for _, l := range t.losses {
+		for _, traits := range l.requests {
+			counts[wholeOf(traits)]++
+		}
+	}
+	wholes := map[Trait]bool{}
+	for whole, n := range counts {
+		if n >= minLosses {
+			wholes[whole] = true
+		}
+	}
+	return wholes
+}
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -181,7 +181,10 @@
 	if len(t.losses) == 0 {
 		return false
 	}
-	unexplained := t.unexplained(now)
+	if t.repeats(r.Whole, now).losses >= minSuspiciousLosses {
+		return true
+	}
+	unexplained, _ := t.splitByExplanation(now)
 	return slices.ContainsFunc(r.traits(), func(trait Trait) bool {
 		return t.isRefused(trait) || t.weigh(trait, unexplained, now).suspicious()
 	})
@@ -265,7 +268,8 @@
 		return nil
 	}
 	t.dropExpired(now)
-	return t.convict(recurringTraits(t.unexplained(now)), now)
+	unexplained, _ := t.splitByExplanation(now)
+	return t.convict(recurringTraits(unexplained), now)
 }
 
 // addLoss adds suspected requests to the crash of a host, and reports whether any was
@@ -303,37 +307,45 @@
 func (t *Tracker) convict(candidates []Trait, now time.Time) []Finding {
 	var findings []Finding
 	for {
-		unexplained := t.unexplained(now)
+		unexplained, explained := t.splitByExplanation(now)
 		var worst Trait
 		var strongest evidence
 		for _, trait := range candidates {
-			e := t.weigh(trait, unexplained, now)
+			e := t.weigh(trait, t.withOwnRequests(trait, unexplained, explained), now)
 			if e.convincing() && (strongest.losses == 0 || e.strongerThan(strongest)) {
 				worst, strongest = trait, e
 			}
 		}
 		if strongest.losses == 0 {
-			return findings
-		}
-		version := 1
-		if former := t.verdicts[worst]; former != nil {
-			version = former.version + 1
+			return append(findings, t.convictRepeats(candidates, now)...)
 		}
-		t.verdicts[worst] = &verdict{version: version, refused: true, at: now, firstLoss: strongest.first}
-		findings = append(findings, Finding{Trait: worst, Refused: true, Losses: strongest.losses})
+		findings = append(findings, t.refuse(worst, strongest.first, strongest.losses, now))
+	}
+}
+
+// refuse passes a verdict on a trait. The caller holds mu.
+func (t *Tracker) refuse(trait Trait, firstLoss time.Time, losses int, now time.Time) Finding {
+	version := 1
+	if former := t.verdicts[trait]; former != nil {
+		version = former.version + 1
 	}
+	t.verdicts[trait] = &verdict{version: version, refused: true, at: now, firstLoss: firstLoss}
+	return Finding{Trait: trait, Refused: true, Losses: losses}
 }
 
-// unexplained returns the crashes at which no convicted trait was. The caller holds
-// mu.
-func (t *Tracker) unexplained(now time.Time) []*loss {
-	var out []*loss
+// splitByExplanation returns the crashes at which no convicted trait was, and those at
+// which one was. The caller holds mu.
+func (t *Tracker) splitByExplanation(now time.Time) (unexplained, explained []*loss) {
 	for _, l := range t.losses {
-		if !t.isExplained(l) && now.Sub(l.at) < lossTTL {
-			out = append(out, l)
+		switch {
+		case now.Sub(l.at) >= lossTTL:
+		case t.isExplained(l):
+			explained = append(explained, l)
+		default:
+			unexplained = append(unexplained, l)
 		}
 	}
-	return out
+	return unexplained, explained
 }
 
 // isExplained reports whether a convicted trait was at a crash. The caller holds mu.
--- a/internal/request/poison/verdict_test.go
+++ b/internal/request/poison/verdict_test.go
@@ -109,6 +109,66 @@
 	}
 }
 
+// TestRepeatedRequestsDoNotHideTheirPart verifies that a part is convicted although the
+// requests with it were refused first because each came again.
+func TestRepeatedRequestsDoNotHideTheirPart(t *testing.T) {
+	tracker, now := New(), time.Unix(1e9, 0)
+	answer := func() {
+		for i := range 20 {
+			now = now.Add(20 * time.Millisecond)
+			tracker.Began(identify([]string{"common", fmt.Sprint("topic", i)}, uint64(i)), now, now)
+		}
+	}
+	answer()
+	for i := range 12 {
+		now = now.Add(150 * time.Millisecond)
+		tracker.Lost(identify([]string{"common", "bad"}, uint64(1000+i/4)), fmt.Sprint("host", i), now)
+		answer()
+	}
+	tracker.Reconsider(now)
+	if !tracker.Refused(identify([]string{"bad"}, 1)) {
+		t.Error("the part of three requests that crashed twelve hosts is accepted, want it refused")
+	}
+	if tracker.Refused(identify([]string{"common"}, 1)) {
+		t.Error("the part that other requests share is refused, want it accepted")
+	}
+}
+
+// TestRequestsBesideTheCrashingOneStayAccepted verifies that a request which was at the
+// same crashes as the crashing one is told from it by the next crash.
+func TestRequestsBesideTheCrashingOneStayAccepted(t *testing.T) {
+	tracker, now := New(), time.Unix(1e9, 0)
+	crashing, neighbour := identify(nil, 1), identify(nil, 2)
+	for i := range 4 {
+		now = now.Add(time.Second)
+		host := fmt.Sprint("host", i)
+		tracker.Lost(crashing, host, now)
+		if i < 3 {
+			tracker.Lost(neighbour, host, now.Add(time.Millisecond))
+		}
+	}
+	if !tracker.Refused(crashing) || tracker.Refused(neighbour) {
+		t.Errorf("refused: the crashing request %t, its neighbour %t; want only the first", tracker.Refused(crashing), tracker.Refused(neighbour))
+	}
+}
+
+// TestRequestAnsweredBetweenCrashesStaysAccepted verifies that a popular request which
+// was at many crashed hosts is not refused if it is answered now and then.
+func TestRequestAnsweredBetweenCrashesStaysAccepted(t *testing.T) {
+	tracker, now := New(), time.Unix(1e9, 0)
+	popular := identify(nil, 1)
+	for i := range 20 {
+		now = now.Add(time.Second)
+		tracker.Lost(popular, fmt.Sprint("host", i), now)
+		if i%2 == 1 {
+			tracker.Began(popular, now.Add(time.Millisecond), now.Add(time.Millisecond))
+		}
+	}
+	if tracker.Refused(popular) {
+		t.Error("a popular request that is answered between crashes is refused, want it accepted")
+	}
+}
+
 // TestRepeatedRequestIsRefusedWithoutAnswersToCompare guards against a request that
 // crashes every host of a service which therefore answers nothing.
 func TestRepeatedRequestIsRefusedWithoutAnswersToCompare(t *testing.T) {
