Don't acquit a request because a host failed it with a server error

What callers see: more hosts end under one request.

TestServerErrorDoesNotAcquit fails without the change (0 crashes held against the request, 1 wanted). TestCrashAfterGivenUpAttemptIsNoticed covers the checks of hosts after given-up attempts, plain and streamed, in virtual time.

--- a/internal/request/forward/crashcheck_test.go
+++ b/internal/request/forward/crashcheck_test.go
@@ -1,9 +1,13 @@
 package forward
 
 import (
+	"context"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"currantladder.example/currantladder/internal/request/poison"
 	"currantladder.example/currantladder/internal/version/fleet"
 )
 
@@ -41,3 +45,61 @@
 		})
 	}
 }
+
+// TestServerErrorDoesNotAcquit guards against a request that crashes hosts and is
+// cleared by a host that fails it with a server error of its own.
+func TestServerErrorDoesNotAcquit(t *testing.T) {
+	for name, test := range map[string]struct {
+		status, wantCrashes int
+	}{
+		"server error": {http.StatusInternalServerError, 1},
+		"answer":       {http.StatusOK, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			attempts := 0
+			setup := newTestSetup(fleet.KindIdempotent, 1, map[string]hostBehavior{"a": func(ctx context.Context, r *Request, a Attempt) (*Reply, error) {
+				if attempts++; attempts == 1 {
+					return loseAnswer(ctx, r, a)
+				}
+				return answerWith(test.status, "")(ctx, r, a)
+			}})
+			setup.endpoint.firstGone = true
+			serveOnce(t, setup, func(t *testing.T, _ callerResult) {
+				setup.serve(context.Background())
+				if got := setup.crashesHeldAgainstRequest(); got != test.wantCrashes {
+					t.Errorf("%d crashes are held against the request, want %d", got, test.wantCrashes)
+				}
+			})
+		})
+	}
+}
+
+// crashesHeldAgainstRequest returns the crashes that speak against the request that
+// setup.serve sends.
+func (setup *testSetup) crashesHeldAgainstRequest() int {
+	identity := poison.Request{Class: "service/m", Whole: poison.RequestTrait("service", http.MethodPost, "example", "/x", "account", nil)}
+	crashedHosts, _ := setup.core.Poison.Evidence(identity, time.Now())
+	return crashedHosts
+}
+
+// TestCrashAfterGivenUpAttemptIsNoticed guards against hosts that crash just after the
+// node gave an attempt up, which blamed nobody.
+func TestCrashAfterGivenUpAttemptIsNoticed(t *testing.T) {
+	for name, kind := range map[string]fleet.Kind{"plain": fleet.KindIdempotent, "stream": fleet.KindStream} {
+		t.Run(name, func(t *testing.T) {
+			setup := newTestSetup(kind, 2, map[string]hostBehavior{"a": neverAnswer, "b": neverAnswer})
+			setup.endpoint.firstGone = true
+			synctest.Test(t, func(t *testing.T) {
+				setup.start()
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go setup.core.RunCrashChecks(ctx)
+				setup.serve(ctx)
+				time.Sleep(time.Second)
+				if got := setup.crashesHeldAgainstRequest(); got != 1 {
+					t.Errorf("%d crashes are held against the request, want 1", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/request/forward/poison.go
+++ b/internal/request/forward/poison.go
@@ -79,8 +79,13 @@
 	return true
 }
 
-// recordAnswered records that a host answered the request with the given status.
+// recordAnswered records that a host answered the request with the given status. A
+// host's own failure may come before it begins to run the request, so it is no sign
+// that the request crashes nothing.
 func (s *requestState) recordAnswered(host *fleet.Host, status int, started time.Time) {
+	if status >= http.StatusInternalServerError {
+		return
+	}
 	if crashedHosts, _ := s.Poison.Evidence(s.identity, started); crashedHosts > 0 {
 		s.Log.Log(eventlog.SuspectAnswered, eventlog.Fields{"request": s.request.ID, "host": host.ID, "status": status, "crashed_hosts": crashedHosts})
 	}
