--- a/internal/request/poison/simulation_test.go
+++ b/internal/request/poison/simulation_test.go
@@ -25,6 +25,12 @@
 	// one.
 	sound, poisonous func(r *rand.Rand) []string
 	crashing         map[string]bool
+	// repeated makes all crashing requests alike in everything; distinctSound is the
+	// number of different sound requests, 0 for no limit. giveUpLead is how long
+	// before a crash the node gives the attempt up, 0 for never.
+	repeated      bool
+	distinctSound int
+	giveUpLead    time.Duration
 
 	crashes                        []time.Time
 	poisonSent                     []time.Time
@@ -44,6 +50,7 @@
 	identity Request
 	beginsAt time.Time
 	crashes  bool
+	givenUp  bool
 }
 
 const (
@@ -135,7 +142,8 @@
 	}
 	parts := makeParts(s.random)
 	crashes := slices.ContainsFunc(parts, func(p string) bool { return s.crashing[p] })
-	r := &simulatedRequest{node: node, identity: identify(parts, s.random.Uint64()), crashes: crashes}
+	crashes = crashes || s.repeated && isPoisonous
+	r := &simulatedRequest{node: node, identity: identify(parts, s.drawWhole(crashes)), crashes: crashes}
 	r.beginsAt = s.now.Add(150*time.Millisecond + time.Duration(s.random.IntN(200))*time.Millisecond)
 	decision := node.Check(r.identity, node == s.nodes[0], s.now)
 	if !crashes {
@@ -166,11 +174,26 @@
 	h.inFlight = append(h.inFlight, r)
 }
 
+// drawWhole returns what tells a request from others with the same parts.
+func (s *simulation) drawWhole(crashes bool) uint64 {
+	switch {
+	case crashes && s.repeated:
+		return 0
+	case s.distinctSound > 0:
+		return 1 + s.random.Uint64N(uint64(s.distinctSound))
+	}
+	return s.random.Uint64()
+}
+
 // work begins the requests of a host that are due.
 func (s *simulation) work(i int) {
 	h := s.hosts[i]
 	var waiting []*simulatedRequest
 	for _, r := range h.inFlight {
+		if s.giveUpLead > 0 && r.crashes && !r.givenUp && !r.beginsAt.Add(-s.giveUpLead).After(s.now) {
+			r.givenUp = true
+			r.node.GaveUp(r.identity, fmt.Sprint(i, "/", h.life+1), s.now)
+		}
 		switch {
 		case r.crashes && !r.beginsAt.After(s.now) && !r.node.Refused(r.identity):
 			s.crash(i)
@@ -193,19 +216,25 @@
 	h.inFlight, h.upAt = nil, s.now.Add(simulatedDowntime)
 	h.life++
 	for _, r := range lost {
-		s.record(r.node.Lost(r.identity, fmt.Sprint(i, "/", h.life), s.now))
+		life := fmt.Sprint(i, "/", h.life)
+		if r.givenUp {
+			findings, _ := r.node.Crashed(life, s.now)
+			s.record(findings)
+			continue
+		}
+		s.record(r.node.Lost(r.identity, life, s.now))
 	}
 }
 
 // arrivalsAfterBound counts the crashing requests that were sent later than stable
-// after the fifth crash.
-func (s *simulation) arrivalsAfterBound(stable time.Duration) int {
-	if len(s.crashes) < 5 {
+// after the given crash, the first one being 1.
+func (s *simulation) arrivalsAfterBound(crash int, stable time.Duration) int {
+	if len(s.crashes) < crash {
 		return 0
 	}
 	count := 0
 	for _, at := range s.poisonSent {
-		if at.After(s.crashes[4].Add(stable)) {
+		if at.After(s.crashes[crash-1].Add(stable)) {
 			count++
 		}
 	}
@@ -262,7 +291,7 @@
 				}
 				s.run(20 * time.Second)
 				s.checkConvicted(test.crashing...)
-				if n := s.arrivalsAfterBound(testStable); n > maxAfterBound {
+				if n := s.arrivalsAfterBound(5, testStable); n > maxAfterBound {
 					t.Errorf("%d crashing requests after the bound, want at most %d; %d hosts crashed", n, maxAfterBound, len(s.crashes))
 				}
 			})
