Order what is read from the store by era and version

Cause: copies were ordered by version alone. The nodes kept version 201, the restored store had less, so its whole table was dropped at every poll, ten times a second, until the store had given out 201 again.

A position is (era, version), in one type: batches, tables, calls to the store and to other nodes. A whole table of a later era replaces the node's copy; changes of another era are answered with a whole read. The older copy undoes nothing that was seen: a lower configuration is not put in force, a host that said that it leaves stays so, one that was removed comes back only if it writes again or is still listed after 6 s, one that the copy lacks is kept for 2.5 s, and what was seen of the others holds for 2 s or until they write again.

--- a/internal/connection/feed/feed.go
+++ b/internal/connection/feed/feed.go
@@ -9,6 +9,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"currantladder.example/currantladder/internal/version/position"
 )
 
 // Topic names a followed table.
@@ -35,8 +37,10 @@
 // Batch is a part of a table's history, or the whole table.
 type Batch struct {
 	Records []Record `json:"records"`
-	// Version is the table version that the batch leads up to.
+	// Version is the table version that the batch leads up to, and Era the era of the
+	// store in which it and the versions of the records were given out.
 	Version int64 `json:"version"`
+	Era     int64 `json:"era,omitempty"`
 	// Complete is true if Records is the whole table as of Version; other keys do
 	// not exist.
 	Complete bool `json:"whole,omitempty"`
@@ -47,12 +51,18 @@
 	FailedAgo    time.Duration `json:"failedAgo,omitempty"`
 }
 
+// Position returns the state of the store that the batch leads up to.
+func (b Batch) Position() position.Position {
+	return position.Position{Era: b.Era, Version: b.Version}
+}
+
 // Source serves tables. Implementations are safe for concurrent use.
 type Source interface {
 	// Snapshot reads the whole table as of one version.
 	Snapshot(ctx context.Context, topic Topic) (Batch, error)
-	// Changes returns the records changed after version since, in order, as
-	// soon as there is one; without a change it returns an empty batch after
-	// wait. It returns ErrCompacted if the history does not reach back to since.
-	Changes(ctx context.Context, topic Topic, since int64, wait time.Duration) (Batch, error)
+	// Changes returns the records changed after since, in order, as soon as there is
+	// one; without a change it returns an empty batch after wait. It returns
+	// ErrCompacted if the history does not reach back to since or the store has
+	// entered a later era.
+	Changes(ctx context.Context, topic Topic, since position.Position, wait time.Duration) (Batch, error)
 }
--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/position"
 )
 
 func record(key string, version int64) Record {
@@ -59,7 +60,7 @@
 	if got := keys(table.Records()); len(got) != 1 || got[0] != "b" {
 		t.Fatalf("got records %v, want b", got)
 	}
-	batch, err := table.Changes(context.Background(), 2, time.Millisecond)
+	batch, err := table.Changes(context.Background(), position.Position{Version: 2}, time.Millisecond)
 	if err != nil || len(batch.Records) != 1 || !batch.Records[0].Deleted || batch.Records[0].Key != "a" {
 		t.Errorf("changes since version 2: got %v, %v; want the deletion of a", batch.Records, err)
 	}
@@ -73,7 +74,7 @@
 		table.Apply(Batch{Records: []Record{record("a", 2*i+1)}, Version: 2*i + 1})
 		table.Apply(Batch{Records: []Record{{Key: "a", Version: 2*i + 2, Deleted: true}}, Version: 2*i + 2})
 	}
-	if _, err := table.Changes(context.Background(), 1, 0); !errors.Is(err, ErrCompacted) {
+	if _, err := table.Changes(context.Background(), position.Position{Version: 1}, 0); !errors.Is(err, ErrCompacted) {
 		t.Errorf("changes since version 1: got error %v, want ErrCompacted", err)
 	}
 }
@@ -107,7 +108,7 @@
 	return batch, nil
 }
 
-func (s *fakeSource) Changes(ctx context.Context, _ Topic, since int64, wait time.Duration) (Batch, error) {
+func (s *fakeSource) Changes(ctx context.Context, _ Topic, since position.Position, wait time.Duration) (Batch, error) {
 	down, compacted := s.state()
 	if down {
 		return Batch{}, errors.New("down")
@@ -126,7 +127,7 @@
 		origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
 		store := &fakeSource{table: origin}
 		peer := &fakeSource{table: origin}
-		follower := NewFollower(TopicHosts, store, func() Upstream { return Upstream{Peers: []Source{peer}} }, eventlog.Discard(), func([]Record) {})
+		follower := NewFollower(TopicHosts, store, func() Upstream { return Upstream{Peers: []Source{peer}} }, eventlog.Discard(), func([]Record, bool) {})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go follower.Run(ctx)
@@ -170,7 +171,7 @@
 	s.table, s.age = table, 0
 }
 
-func (s *agedSource) Changes(ctx context.Context, _ Topic, since int64, wait time.Duration) (Batch, error) {
+func (s *agedSource) Changes(ctx context.Context, _ Topic, since position.Position, wait time.Duration) (Batch, error) {
 	s.mu.Lock()
 	down, table, age := s.down, s.table, s.age
 	s.mu.Unlock()
@@ -197,7 +198,7 @@
 				origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
 				store := &countingSource{fakeSource: fakeSource{table: origin}}
 				hub := &agedSource{fakeSource: &fakeSource{table: origin}}
-				follower := NewFollower(TopicHosts, store, func() Upstream { return Upstream{Hub: hub} }, eventlog.Discard(), func([]Record) {})
+				follower := NewFollower(TopicHosts, store, func() Upstream { return Upstream{Hub: hub} }, eventlog.Discard(), func([]Record, bool) {})
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				go follower.Run(ctx)
@@ -228,7 +229,7 @@
 	return s.calls
 }
 
-func (s *countingSource) Changes(ctx context.Context, topic Topic, since int64, wait time.Duration) (Batch, error) {
+func (s *countingSource) Changes(ctx context.Context, topic Topic, since position.Position, wait time.Duration) (Batch, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -244,7 +245,7 @@
 		origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
 		store := &countingSource{fakeSource: fakeSource{table: origin}}
 		peer := &fakeSource{table: origin}
-		follower := NewFollower(TopicHosts, store, func() Upstream { return Upstream{Peers: []Source{peer}} }, eventlog.Discard(), func([]Record) {})
+		follower := NewFollower(TopicHosts, store, func() Upstream { return Upstream{Peers: []Source{peer}} }, eventlog.Discard(), func([]Record, bool) {})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go follower.Run(ctx)
@@ -280,7 +281,7 @@
 	m.store = &countingSource{fakeSource: fakeSource{table: m.origin}}
 	m.hub, m.deputy = &agedSource{fakeSource: &fakeSource{table: m.origin}}, &agedSource{fakeSource: &fakeSource{table: m.origin}}
 	up := Upstream{Hub: m.hub, Deputies: []Source{m.deputy}}
-	m.follower = NewFollower(TopicHosts, m.store, func() Upstream { return up }, eventlog.Discard(), func([]Record) {})
+	m.follower = NewFollower(TopicHosts, m.store, func() Upstream { return up }, eventlog.Discard(), func([]Record, bool) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	go m.follower.Run(ctx)
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/position"
 )
 
 // Timeouts, intervals and backoffs of a follower.
@@ -85,8 +86,9 @@
 	upstream func() Upstream
 	table    *Table
 	log      *eventlog.Logger
-	// notify is called without locks after each batch.
-	notify func(changed []Record)
+	// notify is called without locks after each batch. restored is true if the store
+	// has come back from an older copy since the batch before.
+	notify func(changed []Record, restored bool)
 
 	mu sync.Mutex
 	// lastConfirmed is when the store last answered this node or the node that
@@ -105,7 +107,7 @@
 }
 
 // NewFollower returns a follower that does nothing until Run.
-func NewFollower(topic Topic, store Source, upstream func() Upstream, log *eventlog.Logger, notify func([]Record)) *Follower {
+func NewFollower(topic Topic, store Source, upstream func() Upstream, log *eventlog.Logger, notify func(changed []Record, restored bool)) *Follower {
 	return &Follower{topic: topic, store: store, upstream: upstream, table: NewTable(), log: log, notify: notify}
 }
 
@@ -129,7 +131,7 @@
 
 // Changes returns changes of the copy for another node. It blocks like
 // Table.Changes.
-func (f *Follower) Changes(ctx context.Context, since int64, wait time.Duration) (Batch, error) {
+func (f *Follower) Changes(ctx context.Context, since position.Position, wait time.Duration) (Batch, error) {
 	batch, err := f.table.Changes(ctx, since, wait)
 	return f.withAge(batch), err
 }
@@ -298,11 +300,10 @@
 // read returns the changes since the table's version, or the whole table if it
 // was never loaded or the source no longer has the history.
 func (f *Follower) read(ctx context.Context, source Source, wait, replyMargin time.Duration) (Batch, error) {
-	version, loaded := f.table.Version()
-	if loaded {
+	if version, loaded := f.table.Version(); loaded {
 		callCtx, cancel := context.WithTimeout(ctx, wait+replyMargin)
 		defer cancel()
-		batch, err := source.Changes(callCtx, f.topic, version, wait)
+		batch, err := source.Changes(callCtx, f.topic, f.table.Position(), wait)
 		if !errors.Is(err, ErrCompacted) {
 			return batch, err
 		}
@@ -314,8 +315,19 @@
 }
 
 func (f *Follower) apply(b Batch) {
+	before, loaded := f.table.Position(), f.tableLoaded()
 	changed := f.table.Apply(b)
-	f.notify(changed)
+	after := f.table.Position()
+	restored := loaded && after.Era > before.Era
+	if restored {
+		f.log.Log(eventlog.StoreRestored, eventlog.Fields{"topic": f.topic, "era": after.Era, "version": after.Version, "former_version": before.Version})
+	}
+	f.notify(changed, restored)
+}
+
+func (f *Follower) tableLoaded() bool {
+	_, loaded := f.table.Version()
+	return loaded
 }
 
 // readFromPeers reads once from the first peer that answers, and reports whether
@@ -326,11 +338,11 @@
 		if err != nil {
 			continue // the failure of the store is logged already; try the next peer
 		}
-		before, _ := f.table.Version()
+		before := f.table.Position()
 		f.recordPeerCopy(batch)
 		f.apply(batch)
-		if after, _ := f.table.Version(); after != before {
-			f.log.Log(eventlog.FeedFromPeer, eventlog.Fields{"topic": f.topic, "from_version": before, "version": after})
+		if after := f.table.Position(); after != before {
+			f.log.Log(eventlog.FeedFromPeer, eventlog.Fields{"topic": f.topic, "from_version": before.Version, "version": after.Version})
 		}
 		return batch.ConfirmedAgo <= maxCopyAge
 	}
--- a/internal/connection/feed/table.go
+++ b/internal/connection/feed/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"currantladder.example/currantladder/internal/version/position"
 )
 
 // maxTombstones limits the deletions that a table keeps for its readers. A
@@ -21,8 +23,10 @@
 	// horizon is the lowest version from which Changes can return every later
 	// change.
 	horizon int64
-	version int64
-	loaded  bool
+	// position is the state of the store that the table reflects. The versions of
+	// records and tombstones and the horizon belong to its era.
+	position position.Position
+	loaded   bool
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -37,19 +41,36 @@
 func (t *Table) Version() (int64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.version, t.loaded
+	return t.position.Version, t.loaded
+}
+
+// Position returns the state of the store that the table reflects.
+func (t *Table) Position() position.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.position
 }
 
 // Apply merges a batch and returns the records that changed. A batch older than
-// the table changes nothing: sources may lag.
+// the table changes nothing: sources may lag. A whole table of a later era replaces
+// this one, and all its records count as changed; changes of a later era alone are not
+// applied.
 func (t *Table) Apply(b Batch) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if b.Version < t.version {
+	if b.Position().Before(t.position) {
+		return nil
+	}
+	var changed []Record
+	switch {
+	case b.Era == t.position.Era || !t.loaded:
+		changed = t.merge(b)
+	case b.Complete:
+		changed = t.replace(b)
+	default:
 		return nil
 	}
-	changed := t.merge(b)
-	t.version = b.Version
+	t.position = b.Position()
 	t.loaded = t.loaded || b.Complete
 	if len(changed) > 0 || b.Complete {
 		close(t.changed)
@@ -96,6 +117,25 @@
 	return changed
 }
 
+// replace puts the whole table of a later era in place of this one. The caller must
+// hold mu.
+func (t *Table) replace(b Batch) []Record {
+	former := t.records
+	t.records = make(map[string]Record, len(b.Records))
+	// Readers in this era have to start from this table.
+	t.tombstones, t.horizon = nil, b.Version
+	changed := slices.Clone(b.Records)
+	for _, r := range b.Records {
+		t.records[r.Key] = r
+	}
+	for key := range former {
+		if _, exists := t.records[key]; !exists {
+			changed = append(changed, Record{Key: key, Version: b.Version, Deleted: true})
+		}
+	}
+	return changed
+}
+
 // remove deletes a record and keeps a tombstone. The caller must hold mu.
 func (t *Table) remove(key string, version int64) Record {
 	delete(t.records, key)
@@ -133,12 +173,13 @@
 func (t *Table) Snapshot() (Batch, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Batch{Records: t.sorted(), Version: t.version, Complete: true}, t.loaded
+	return Batch{Records: t.sorted(), Version: t.position.Version, Era: t.position.Era, Complete: true}, t.loaded
 }
 
-// Changes returns what changed after version since. Without a change it blocks
-// for at most wait.
-func (t *Table) Changes(ctx context.Context, since int64, wait time.Duration) (Batch, error) {
+// Changes returns what changed after since. Without a change it blocks for at most
+// wait, and not at all if since is of a later era than the table. It returns
+// ErrCompacted if since is of an earlier one.
+func (t *Table) Changes(ctx context.Context, since position.Position, wait time.Duration) (Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -149,7 +190,7 @@
 		if compacted {
 			return Batch{}, ErrCompacted
 		}
-		if len(batch.Records) > 0 {
+		if len(batch.Records) > 0 || batch.Era < since.Era {
 			return batch, nil
 		}
 		select {
@@ -162,13 +203,17 @@
 	}
 }
 
-// changesSince returns the records newer than a version, or true if the
-// tombstones do not reach back to it. The caller must hold mu.
-func (t *Table) changesSince(version int64) (Batch, bool) {
-	if version < t.horizon {
+// changesSince returns the records newer than a state, or true if the tombstones do
+// not reach back to it. The caller must hold mu.
+func (t *Table) changesSince(since position.Position) (Batch, bool) {
+	if since.Era > t.position.Era {
+		return Batch{Version: t.position.Version, Era: t.position.Era}, false
+	}
+	version := since.Version
+	if since.Era < t.position.Era || version < t.horizon {
 		return Batch{}, true
 	}
-	batch := Batch{Version: max(t.version, version)}
+	batch := Batch{Version: max(t.position.Version, version), Era: t.position.Era}
 	for _, r := range t.records {
 		if r.Version > version {
 			batch.Records = append(batch.Records, r)
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -64,6 +64,7 @@
 	HostRemoved        = Event{1309, logrus.InfoLevel, "registration of a host was removed"}
 	FeedHubFailed      = Event{1311, logrus.WarnLevel, "node that reads a feed for others failed; the store is asked"}
 	HubChosen          = Event{1312, logrus.InfoLevel, "another node is the hub of this node's failure domain"}
+	StoreRestored      = Event{1313, logrus.WarnLevel, "the store has come back from an older copy; what was in force stays until it is written again"}
 	HostRemovalDelayed = Event{1310, logrus.InfoLevel, "registration of a host lapsed around an outage of the store; the host is kept for now"}
 )
 
@@ -157,6 +158,7 @@
 	HostRemovalDelayed,
 	FeedHubFailed,
 	HubChosen,
+	StoreRestored,
 	RequestPlaced,
 	RequestNotPlaced,
 	RequestRetried,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -133,9 +133,15 @@
 		Poison: g.poison, MayTryPoison: g.leads, ShareEvidence: g.sendDigestNow,
 	})
 	g.builder = newViewBuilder(p.Decode, g.view, log, g.viewChanged)
-	g.configs = feed.NewFollower(feed.TopicConfiguration, p.Feed, g.upstream, log, g.builder.applyConfiguration)
-	g.hosts = feed.NewFollower(feed.TopicHosts, p.Feed, g.upstream, log, func(changed []feed.Record) {
+	g.configs = feed.NewFollower(feed.TopicConfiguration, p.Feed, g.upstream, log, func(changed []feed.Record, _ bool) {
+		g.builder.applyConfiguration(changed)
+	})
+	g.hosts = feed.NewFollower(feed.TopicHosts, p.Feed, g.upstream, log, func(changed []feed.Record, restored bool) {
 		version, _ := g.hosts.Table().Version()
+		if restored {
+			g.builder.applyRestoredHosts(changed, version, time.Now())
+			return
+		}
 		_, lastStoreFailure := g.hosts.LastContact()
 		g.builder.applyHosts(changed, version, lastStoreFailure, time.Now())
 	})
@@ -305,6 +311,7 @@
 			return
 		case now := <-ticker.C:
 			g.builder.removeLapsedHosts(now)
+			g.builder.applyDeferredHosts(now)
 			view := g.view.Load()
 			g.board.RemoveUnregistered(view)
 			g.peers.applyFindings(g.poison.Reconsider(now))
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -183,7 +183,7 @@
 		t.Fatalf("got snapshot %+v, %v; want one record of the whole table", whole, err)
 	}
 	table.Apply(feed.Batch{Records: []feed.Record{hostRecord("b", 2)}, Version: 2})
-	changes, err := source.Changes(ctx, feed.TopicHosts, whole.Version, time.Second)
+	changes, err := source.Changes(ctx, feed.TopicHosts, whole.Position(), time.Second)
 	if err != nil || len(changes.Records) != 1 || changes.Records[0].Key != "b" || changes.Version != 2 {
 		t.Errorf("got changes %+v, %v; want record b at version 2", changes, err)
 	}
--- a/internal/process/gateway/peerfeed.go
+++ b/internal/process/gateway/peerfeed.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/feed"
+	"currantladder.example/currantladder/internal/version/position"
 )
 
 // maxPeerAnswerBytes limits a peer's copy of a table.
@@ -35,8 +36,8 @@
 }
 
 // Changes implements feed.Source.
-func (s *peerSource) Changes(ctx context.Context, topic feed.Topic, since int64, wait time.Duration) (feed.Batch, error) {
-	query := url.Values{"topic": {string(topic)}, "since": {strconv.FormatInt(since, 10)}, "wait": {wait.String()}}
+func (s *peerSource) Changes(ctx context.Context, topic feed.Topic, since position.Position, wait time.Duration) (feed.Batch, error) {
+	query := url.Values{"topic": {string(topic)}, "since": {strconv.FormatInt(since.Version, 10)}, "era": {strconv.FormatInt(since.Era, 10)}, "wait": {wait.String()}}
 	return s.get(ctx, pathChanges+"?"+query.Encode())
 }
 
@@ -82,7 +83,7 @@
 	mux.HandleFunc("GET "+pathChanges, func(w http.ResponseWriter, r *http.Request) {
 		query := r.URL.Query()
 		follower := followers[feed.Topic(query.Get("topic"))]
-		since, sinceErr := strconv.ParseInt(query.Get("since"), 10, 64)
+		since, sinceErr := parsePosition(query)
 		wait, waitErr := time.ParseDuration(query.Get("wait"))
 		if follower == nil || sinceErr != nil || waitErr != nil {
 			http.Error(w, "send a known topic, since and wait", http.StatusBadRequest)
@@ -101,6 +102,17 @@
 	return mux
 }
 
+// parsePosition decodes the parameters since and era. A node of an earlier version
+// sends no era, which is that of a store that never came back from a copy.
+func parsePosition(query url.Values) (position.Position, error) {
+	version, err := strconv.ParseInt(query.Get("since"), 10, 64)
+	if err != nil || !query.Has("era") {
+		return position.Position{Version: version}, err
+	}
+	era, err := strconv.ParseInt(query.Get("era"), 10, 64)
+	return position.Position{Era: era, Version: version}, err
+}
+
 func writeBatch(w http.ResponseWriter, batch feed.Batch) {
 	w.Header().Set("Content-Type", "application/json")
 	// A failed write means that the peer has closed the connection.
--- a/internal/process/gateway/view.go
+++ b/internal/process/gateway/view.go
@@ -40,15 +40,21 @@
 	// lapseDeadlines contains the hosts whose registration has lapsed, and the
 	// time at which each is removed.
 	lapseDeadlines map[string]time.Time
-	hostsVersion   int64
-	readAt         time.Time
-	hostsKnown     bool
+	// ended and deferred keep an older copy of the host list from undoing what this
+	// node has seen; restoredAt is when the store last came back from one.
+	ended        *fleet.EndedLives
+	deferred     map[string]deferredRecord
+	restoredAt   time.Time
+	hostsVersion int64
+	readAt       time.Time
+	hostsKnown   bool
 }
 
 func newViewBuilder(decode Decoder, view *fleet.ViewHolder, log *eventlog.Logger, onChange func()) *viewBuilder {
 	return &viewBuilder{
 		decode: decode, view: view, log: log, onChange: onChange,
 		hosts: map[string]*fleet.Host{}, lapseDeadlines: map[string]time.Time{},
+		ended: fleet.NewEndedLives(), deferred: map[string]deferredRecord{},
 	}
 }
 
@@ -98,6 +104,7 @@
 // applyHost applies one record. The caller must hold mu.
 func (b *viewBuilder) applyHost(r feed.Record, lastStoreFailure, now time.Time) {
 	previous := b.hosts[r.Key]
+	delete(b.deferred, r.Key)
 	if r.Deleted {
 		if previous == nil {
 			return
@@ -107,7 +114,7 @@
 			b.log.Log(eventlog.HostRemovalDelayed, eventlog.Fields{"host": r.Key, "version": r.Version, "store_failed_ms": now.Sub(lastStoreFailure).Milliseconds()})
 			return
 		}
-		b.remove(r.Key, r.Version)
+		b.remove(r.Key, r.Version, now)
 		return
 	}
 	host, err := b.decode.Host(r)
@@ -118,6 +125,8 @@
 		return
 	}
 	delete(b.lapseDeadlines, r.Key)
+	host = b.staysLeaving(host, now)
+	b.ended.Registered(host, now)
 	b.hosts[r.Key] = host
 	if previous == nil || previous.State != host.State || previous.Group != host.Group || previous.Instance() != host.Instance() {
 		b.log.LogLimited(eventlog.HostChanged, eventlog.Fields{
@@ -128,8 +137,9 @@
 }
 
 // remove removes a host. The caller must hold mu.
-func (b *viewBuilder) remove(id string, version int64) {
+func (b *viewBuilder) remove(id string, version int64, now time.Time) {
 	host := b.hosts[id]
+	b.ended.Removed(host, now)
 	delete(b.hosts, id)
 	delete(b.lapseDeadlines, id)
 	b.log.LogLimited(eventlog.HostRemoved, eventlog.Fields{"host": id, "group": host.Group.Name, "version": version})
@@ -141,7 +151,7 @@
 	removed := false
 	for id, deadline := range b.lapseDeadlines {
 		if !now.Before(deadline) {
-			b.remove(id, b.hostsVersion)
+			b.remove(id, b.hostsVersion, now)
 			removed = true
 		}
 	}
