Elect leaders by era and version; give no term out twice

After the store comes back from an older copy its row may name a former leader, nobody, or a node with an older term, and the next term (so the epochs of groups) would be one that was used; a version that was given out twice would let a renewal replace the row of another leader; other nodes would drop the notices of a leader whose version is lower.

Rows, notices and writes carry a position. The next term is above all that the node has seen in rows, notices and in the epochs of hosts. A row that names this node although it did not lead, or that it wrote in another era than it expected, is no lease; nobody takes a lease within its length after a new era was seen. Nodes register again in the store when its era changes.

--- a/internal/connection/table/table.go
+++ b/internal/connection/table/table.go
@@ -15,6 +15,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+
+	"currantladder.example/currantladder/internal/version/position"
 )
 
 // Version counts the writes of a row from 1; 0 means that the row is absent.
@@ -30,6 +32,14 @@
 	Value   json.RawMessage `json:"value,omitempty"`
 	// Nonce identifies the transaction that last wrote the row.
 	Nonce string `json:"nonce,omitempty"`
+	// Era is that of the store when the row was read. It is 0 for a store that never
+	// comes back from an older copy.
+	Era int64 `json:"era,omitempty"`
+}
+
+// Position returns the state of the store that last changed the row.
+func (r Row) Position() position.Position {
+	return position.Position{Era: r.Era, Version: int64(r.Version)}
 }
 
 // Check asserts the version of a row that the transaction does not write.
@@ -69,6 +79,8 @@
 	// More is true when the limit truncated the list; the next page starts
 	// after the last key.
 	More bool `json:"more"`
+	// Era is that of the store when it was read, as for a Row.
+	Era int64 `json:"era,omitempty"`
 }
 
 // Range selects the rows with the prefix whose key is in From <= key < To. An
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -163,6 +163,22 @@
 	return leads
 }
 
+// highestTerm returns the highest term under which a host has joined its group.
+func (g *Gateway) highestTerm() int64 {
+	highest := int64(0)
+	for _, h := range g.view.Load().Hosts {
+		highest = max(highest, formation.TermOf(h.Group.Epoch))
+	}
+	return highest
+}
+
+// storeEra returns the era of the store in which this node last read its
+// configuration, or false if it has read none yet.
+func (g *Gateway) storeEra() (era int64, known bool) {
+	_, known = g.configs.Table().Version()
+	return g.configs.Table().Position().Era, known
+}
+
 // sendDigestNow sends the next digest at once.
 func (g *Gateway) sendDigestNow() { g.peers.wakeSender() }
 
@@ -178,7 +194,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w; choose a free port", g.settings.Peers, err)
 	}
-	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, poison: g.poison, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, firstStart: g.settings.FirstStart, hasFreshFeeds: g.hasFreshFeeds, log: g.log})
+	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, poison: g.poison, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, firstStart: g.settings.FirstStart, hasFreshFeeds: g.hasFreshFeeds, storeEra: g.storeEra, log: g.log})
 	servers, err := g.listen(ctx)
 	if err != nil {
 		return err
@@ -188,7 +204,7 @@
 	for _, run := range []func(context.Context){
 		g.configs.Run, g.hosts.Run, g.peers.runRoster, g.peers.runSender, g.controller.Run, g.housekeep, g.core.RunCrashChecks,
 		func(ctx context.Context) {
-			g.candidate.Run(ctx, leader.Eligibility{MayLead: g.ready, Deference: g.peers.electionDeference})
+			g.candidate.Run(ctx, leader.Eligibility{MayLead: g.ready, Deference: g.peers.electionDeference, HighestTerm: g.highestTerm})
 		},
 		func(ctx context.Context) { g.log.ReportDrops(ctx.Done()) },
 	} {
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -101,7 +101,10 @@
 	// hasFreshFeeds reports whether this node can serve fresh copies of the
 	// feeds.
 	hasFreshFeeds func() bool
-	log           *eventlog.Logger
+	// storeEra returns the era of the store as this node has last read it, or false
+	// if it has read nothing yet.
+	storeEra func() (era int64, known bool)
+	log      *eventlog.Logger
 }
 
 // peers tracks the other nodes and exchanges digests with them.
@@ -149,7 +152,13 @@
 // node that has a hub does not read them again, because the hub knows the nodes.
 func (p *peers) runRoster(ctx context.Context) {
 	registered := false
+	eraKnown, lastEra := false, int64(0)
 	for ctx.Err() == nil {
+		if era, known := p.storeEra(); known {
+			// A copy that the store came back from may lack the node's row.
+			registered = registered && (!eraKnown || era == lastEra)
+			eraKnown, lastEra = true, era
+		}
 		if !registered {
 			registered = p.register(ctx) == nil
 			if registered && p.firstStart {
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -25,6 +25,7 @@
 
 	"currantladder.example/currantladder/internal/connection/table"
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/position"
 )
 
 // Times of the election.
@@ -55,14 +56,19 @@
 // ErrConflict reports that the version of a row was not the expected one.
 var ErrConflict = errors.New("the row has changed; read it again")
 
+// ErrEraChanged reports a write that was carried out after the store had come back from
+// an older copy, on a row that may have been another one than expected.
+var ErrEraChanged = fmt.Errorf("the store has come back from an older copy: %w", ErrConflict)
+
 // Rows is the part of the table service that an election needs.
 type Rows interface {
 	// Get reads one row. It returns Version 0 and no error if the row is absent.
 	Get(ctx context.Context, key string) (table.Row, error)
-	// Put writes a row if its version is expect, and returns the new version. It
-	// returns a wrapped ErrConflict if the version differs. After any other error
-	// the row may have been written, or may still be.
-	Put(ctx context.Context, key string, expect table.Version, value json.RawMessage) (table.Version, error)
+	// Put writes a row if its version is that of expect, and returns its new
+	// position. It returns a wrapped ErrConflict if the version differs, and a wrapped
+	// ErrEraChanged if the row was written in another era than that of expect. After
+	// any other error the row may have been written, or may still be.
+	Put(ctx context.Context, key string, expect position.Position, value json.RawMessage) (position.Position, error)
 }
 
 // row is the value of the leader's row. Holder is empty after a release.
@@ -74,8 +80,9 @@
 
 // LeaseNotice is a notice to other nodes of a leader's running lease.
 type LeaseNotice struct {
-	// Version is the version of the leader's row.
-	Version table.Version `json:"version"`
+	// Position is that of the leader's row, and Term its term.
+	position.Position
+	Term int64 `json:"term,omitempty"`
 	// Remaining is how long the lease still runs without another renewal.
 	Remaining time.Duration `json:"left"`
 }
@@ -94,15 +101,21 @@
 
 	mu sync.Mutex
 	// started is when Run began.
-	started     time.Duration
-	version     table.Version
+	started time.Duration
+	// position is that of the row as last known.
+	position    position.Position
 	row         row
 	ownLeaseEnd time.Duration
-	// versionSeenAt is when this node first learned of version, or sent the write
-	// that made it.
-	versionSeenAt time.Duration
+	// highestTerm is the highest term that this node has seen.
+	highestTerm int64
+	// mustRetake is true if the row names this node although it does not hold the
+	// lease: the store came back from a copy that is older than the lease's end.
+	mustRetake bool
+	// versionSeenAt is when this node first learned of position, or sent the write
+	// that made it, and eraSeenAt when it learned of its era.
+	versionSeenAt, eraSeenAt time.Duration
 	// otherLeaseEnd is when the lease of another node ends according to a notice
-	// with this version, or 0 without a notice.
+	// with this position, or 0 without a notice.
 	otherLeaseEnd time.Duration
 	// tableFailing is true while calls to the table service fail.
 	tableFailing bool
@@ -119,7 +132,7 @@
 func (c *Candidate) Leads() (term int64, leads bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.released || c.row.Holder != c.holder || c.clock() >= c.ownLeaseEnd {
+	if c.released || c.mustRetake || c.row.Holder != c.holder || c.clock() >= c.ownLeaseEnd {
 		return 0, false
 	}
 	return c.row.Term, true
@@ -138,7 +151,7 @@
 	if c.released || remaining <= 0 {
 		return nil
 	}
-	return &LeaseNotice{Version: c.version, Remaining: remaining}
+	return &LeaseNotice{Position: c.position, Term: c.highestTerm, Remaining: remaining}
 }
 
 // ObserveLease processes a notice from another node, which is of that node's
@@ -146,12 +159,13 @@
 func (c *Candidate) ObserveLease(notice LeaseNotice) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if notice.Version < c.version {
-		return // notice of an earlier version
+	if notice.Before(c.position) {
+		return // notice of an earlier row
 	}
 	now := c.clock()
-	if notice.Version > c.version {
-		c.version, c.versionSeenAt, c.otherLeaseEnd = notice.Version, now, 0
+	c.highestTerm = max(c.highestTerm, notice.Term)
+	if c.position.Before(notice.Position) {
+		c.moveTo(notice.Position, now)
 		c.row = row{}
 	}
 	if c.row.Holder == c.holder {
@@ -160,6 +174,14 @@
 	c.otherLeaseEnd = max(c.otherLeaseEnd, now+notice.Remaining)
 }
 
+// moveTo records a new position of the row. The caller must hold mu.
+func (c *Candidate) moveTo(to position.Position, now time.Duration) {
+	if to.Era != c.position.Era && c.versionSeenAt > 0 {
+		c.eraSeenAt = now
+	}
+	c.position, c.versionSeenAt, c.otherLeaseEnd = to, now, 0
+}
+
 // Eligibility says whether and when a node may take the lease. Its functions must
 // not block.
 type Eligibility struct {
@@ -169,6 +191,9 @@
 	// a lease, or after its start, before it calls the table service. Nodes that
 	// are better suited lead unless all of them have failed.
 	Deference func() time.Duration
+	// HighestTerm returns the highest term whose orders the node has seen carried out.
+	// A row from an older copy of the store may have a lower one.
+	HighestTerm func() int64
 }
 
 // Run takes part in the election until ctx ends.
@@ -215,7 +240,7 @@
 	if !c.isFree(stored) || !e.MayLead() {
 		return watchDelay, nil
 	}
-	if err := c.writeRow(stepCtx, row{Holder: c.holder, Term: stored.Term + 1}); err != nil {
+	if err := c.writeRow(stepCtx, row{Holder: c.holder, Term: max(stored.Term, c.seenTerm(), e.HighestTerm()) + 1}); err != nil {
 		return watchDelay, err
 	}
 	if term, leads := c.Leads(); leads {
@@ -229,7 +254,14 @@
 func (c *Candidate) ownsRow() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.row.Holder == c.holder && !c.released
+	return c.row.Holder == c.holder && !c.released && !c.mustRetake
+}
+
+// seenTerm returns the highest term that this node has seen in rows and notices.
+func (c *Candidate) seenTerm() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.highestTerm
 }
 
 func (c *Candidate) isReleased() bool {
@@ -273,17 +305,22 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if got.Version != c.version || c.versionSeenAt == 0 {
-		c.version = got.Version
-		c.versionSeenAt = c.clock()
-		c.otherLeaseEnd = 0
+	at := got.Position()
+	if at.Era != c.position.Era && c.versionSeenAt > 0 {
+		// The copy may be older than the end of a lease of this node.
+		c.mustRetake = stored.Holder == c.holder && (c.row.Holder != c.holder || c.row.Term != stored.Term)
+	}
+	if at != c.position || c.versionSeenAt == 0 {
+		c.moveTo(at, c.clock())
 	}
 	c.row = stored
+	c.highestTerm = max(c.highestTerm, stored.Term)
 	return stored, nil
 }
 
 // isFree reports whether the lease may be taken: it was released, or it must have
-// ended according to the age of the row's version or a notice.
+// ended according to the age of the row's version or a notice. A lease that an older
+// copy of the store does not show may run as long as any.
 func (c *Candidate) isFree(stored row) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -291,6 +328,9 @@
 	if c.otherLeaseEnd > 0 {
 		leaseEnd = min(leaseEnd, c.otherLeaseEnd)
 	}
+	if c.eraSeenAt > 0 && c.clock() <= c.eraSeenAt+leaseTTL+takeoverMargin {
+		return false
+	}
 	return stored.Holder == "" || c.clock() > leaseEnd+takeoverMargin
 }
 
@@ -306,39 +346,46 @@
 // writeRow writes the row. The lease runs from before the write was sent.
 func (c *Candidate) writeRow(ctx context.Context, next row) error {
 	c.mu.Lock()
-	expect := c.version
+	expect := c.position
 	c.mu.Unlock()
 	sent := c.clock()
-	version, err := c.putRow(ctx, next, expect)
+	written, err := c.putRow(ctx, next, expect)
 	if errors.Is(err, ErrConflict) {
-		return c.resolveConflict(ctx)
+		return c.resolveConflict(ctx, errors.Is(err, ErrEraChanged))
 	}
 	if err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.version, c.row, c.versionSeenAt, c.otherLeaseEnd = version, next, sent, 0
+	c.moveTo(written, sent)
+	c.row, c.mustRetake, c.highestTerm = next, false, max(c.highestTerm, next.Term)
 	c.ownLeaseEnd = sent + leaseTTL
 	return nil
 }
 
 // putRow writes the row without changing the state of the candidate.
-func (c *Candidate) putRow(ctx context.Context, next row, expect table.Version) (table.Version, error) {
+func (c *Candidate) putRow(ctx context.Context, next row, expect position.Position) (position.Position, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
-		return 0, fmt.Errorf("encode the leader's row: %w", err)
+		return position.Position{}, fmt.Errorf("encode the leader's row: %w", err)
 	}
-	version, err := c.rows.Put(ctx, rowKey, expect, value)
+	written, err := c.rows.Put(ctx, rowKey, expect, value)
 	if err != nil {
-		return 0, fmt.Errorf("write the leader's row: %w", err)
+		return position.Position{}, fmt.Errorf("write the leader's row: %w", err)
 	}
-	return version, nil
+	return written, nil
 }
 
 // resolveConflict reads the row after a conflict. Either an earlier write of this
-// node was done but its answer was lost, or another node leads.
-func (c *Candidate) resolveConflict(ctx context.Context) error {
+// node was done but its answer was lost, or another node leads. If replacedUnknown is
+// true, the row may have been that of another leader before this node wrote it.
+func (c *Candidate) resolveConflict(ctx context.Context, replacedUnknown bool) error {
+	if replacedUnknown {
+		c.mu.Lock()
+		c.row = row{}
+		c.mu.Unlock()
+	}
 	stored, err := c.readRow(ctx)
 	if err != nil {
 		return err
@@ -357,7 +404,7 @@
 	}
 	c.mu.Lock()
 	c.released = true
-	next, expect := row{Term: c.row.Term}, c.version
+	next, expect := row{Term: c.row.Term}, c.position
 	c.mu.Unlock()
 	if _, err := c.putRow(ctx, next, expect); err != nil {
 		return fmt.Errorf("release the leader's lease: %w; it expires on its own", err)
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -12,6 +12,7 @@
 
 	"currantladder.example/currantladder/internal/connection/table"
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/position"
 )
 
 // fakeRows is an in-memory row store with fault injection.
@@ -19,6 +20,7 @@
 	mu      sync.Mutex
 	row     table.Row
 	version table.Version
+	era     int64
 	// unreachable holds the names of the nodes whose calls fail.
 	unreachable map[string]bool
 	// lostReplies is the number of next writes that are done but return an error.
@@ -41,26 +43,31 @@
 	if c.unreachable[c.name] {
 		return table.Row{}, errUnreachable
 	}
-	return c.row, nil
+	current := c.row
+	current.Era = c.era
+	return current, nil
 }
 
-func (c client) Put(_ context.Context, key string, expect table.Version, value json.RawMessage) (table.Version, error) {
+func (c client) Put(_ context.Context, key string, expect position.Position, value json.RawMessage) (position.Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls++
 	if c.unreachable[c.name] {
-		return 0, errUnreachable
+		return position.Position{}, errUnreachable
 	}
-	if c.row.Version != expect {
-		return 0, ErrConflict
+	if int64(c.row.Version) != expect.Version {
+		return position.Position{}, ErrConflict
 	}
 	c.version++
 	c.row = table.Row{Key: key, Version: c.version, Value: value}
 	if c.lostReplies > 0 {
 		c.lostReplies--
-		return 0, errUnreachable
+		return position.Position{}, errUnreachable
 	}
-	return c.version, nil
+	if c.era != expect.Era && expect.Version > 0 {
+		return position.Position{}, ErrEraChanged
+	}
+	return position.Position{Era: c.era, Version: int64(c.version)}, nil
 }
 
 func (f *fakeRows) setUnreachable(name string, unreachable bool) {
@@ -86,6 +93,9 @@
 	// deference is how long nodes defer to the others; it is not changed after the
 	// start.
 	deference map[string]time.Duration
+	// highestTerm is the highest term that the nodes know from their hosts; it is not
+	// changed after the start.
+	highestTerm int64
 }
 
 func newElection(names ...string) *election { return newElectionWith(nil, names...) }
@@ -104,6 +114,8 @@
 		go e.candidates[name].Run(ctx, Eligibility{
 			MayLead:   func() bool { return true },
 			Deference: func() time.Duration { return e.deference[name] },
+
+			HighestTerm: func() int64 { return e.highestTerm },
 		})
 		go e.sendNotices(ctx, name)
 	}
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -207,6 +207,9 @@
 	return services
 }
 
+// TermOf returns the term of the leader that gave out an epoch.
+func TermOf(epoch int64) int64 { return epoch / epochsPerTerm }
+
 // readyToPlan starts a new term where needed and reports whether planning may
 // begin. At the first start of the fleet, that is once the host list has settled.
 func (c *Controller) readyToPlan(term int64, view *fleet.View, now time.Time) bool {
