Take the failures of a cut node for no outage of the store

Cause: the node that reads the host list for two others was cut from the store. It got the removal from a peer, but its own failed call made it count as lapsed around an outage, so all three kept the host for 1.8 s. Ruled out: the restore (3 s later), late delivery (known after 0.5 s).

A fresh copy of a peer now shows whether the store answers others; only failures that no fresh copy contradicts are an outage. TestFailuresOfACutNodeAreNoOutage.

--- a/internal/connection/feed/feed.go
+++ b/internal/connection/feed/feed.go
@@ -45,8 +45,8 @@
 	// not exist.
 	Complete bool `json:"whole,omitempty"`
 	// ConfirmedAgo and FailedAgo are set by a node that serves its copy: the
-	// time since the store last confirmed the copy, and since a call to the
-	// store last failed at that node. FailedAgo is 0 if none failed.
+	// time since the store last confirmed the copy, and since Follower.LastOutage
+	// there. FailedAgo is 0 if there was none.
 	ConfirmedAgo time.Duration `json:"confirmedAgo,omitempty"`
 	FailedAgo    time.Duration `json:"failedAgo,omitempty"`
 }
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -95,7 +95,10 @@
 	// it reads from; lastFailure is when a call to the store last failed there.
 	lastConfirmed time.Time
 	lastFailure   time.Time
-	storeLost     bool
+	// lastOutage is lastFailure without the failures during which another node had a
+	// fresh copy: then the store answers others.
+	lastOutage time.Time
+	storeLost  bool
 	// hubQuarantinedUntil is the time until which the hub is not read from, and
 	// deputiesQuarantinedUntil the same for the deputies.
 	hubQuarantinedUntil      time.Time
@@ -122,6 +125,14 @@
 	return f.lastConfirmed, f.lastFailure
 }
 
+// LastOutage returns when a call to the store last failed while no other node was
+// known to have a fresh copy; the zero time means never.
+func (f *Follower) LastOutage() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastOutage
+}
+
 // Snapshot returns the whole copy for another node, and whether it was ever
 // loaded.
 func (f *Follower) Snapshot() (Batch, bool) {
@@ -136,12 +147,12 @@
 	return f.withAge(batch), err
 }
 
-// withAge returns b with the age of the copy and of the last store failure.
+// withAge returns b with the age of the copy and of the last outage of the store.
 func (f *Follower) withAge(b Batch) Batch {
-	lastConfirmed, lastFailure := f.LastContact()
+	lastConfirmed, _ := f.LastContact()
 	b.ConfirmedAgo = time.Since(lastConfirmed)
-	if !lastFailure.IsZero() {
-		b.FailedAgo = time.Since(lastFailure)
+	if lastOutage := f.LastOutage(); !lastOutage.IsZero() {
+		b.FailedAgo = time.Since(lastOutage)
 	}
 	return b
 }
@@ -350,18 +361,27 @@
 }
 
 // recordPeerCopy records the age of a peer's copy. The store still counts as
-// lost.
+// lost, but a fresh copy shows whether that is an outage for all nodes.
 func (f *Follower) recordPeerCopy(b Batch) {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := time.Now().Add(-b.ConfirmedAgo); at.After(f.lastConfirmed) {
+	if at := now.Add(-b.ConfirmedAgo); at.After(f.lastConfirmed) {
 		f.lastConfirmed = at
 	}
+	if b.ConfirmedAgo > maxCopyAge {
+		return
+	}
+	f.lastOutage = time.Time{}
+	if b.FailedAgo > 0 {
+		f.lastOutage = now.Add(-b.FailedAgo)
+	}
 }
 
 func (f *Follower) recordStoreFailure(err error) {
 	f.mu.Lock()
 	f.lastFailure = time.Now()
+	f.lastOutage = f.lastFailure
 	first := !f.storeLost
 	f.storeLost = true
 	f.mu.Unlock()
@@ -379,8 +399,9 @@
 	if at := now.Add(-b.ConfirmedAgo); at.After(f.lastConfirmed) {
 		f.lastConfirmed = at
 	}
-	if at := now.Add(-b.FailedAgo); b.FailedAgo > 0 && at.After(f.lastFailure) {
-		f.lastFailure = at
+	if at := now.Add(-b.FailedAgo); b.FailedAgo > 0 {
+		f.lastFailure = latest(f.lastFailure, at)
+		f.lastOutage = latest(f.lastOutage, at)
 	}
 	regained := f.storeLost && b.ConfirmedAgo <= maxCopyAge
 	f.storeLost = f.storeLost && !regained
@@ -392,6 +413,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/connection/feed/restore_test.go
+++ b/internal/connection/feed/restore_test.go
@@ -77,3 +77,24 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestFailuresOfACutNodeAreNoOutage guards against hosts that are kept although they have
+// left, because only this node is cut from the store.
+func TestFailuresOfACutNodeAreNoOutage(t *testing.T) {
+	for name, test := range map[string]struct {
+		peer       Batch
+		wantOutage bool
+	}{
+		"the store answers the peer":  {Batch{ConfirmedAgo: 300 * time.Millisecond}, false},
+		"it failed the peer long ago": {Batch{ConfirmedAgo: 300 * time.Millisecond, FailedAgo: time.Minute}, false},
+		"it failed the peer just now": {Batch{ConfirmedAgo: 300 * time.Millisecond, FailedAgo: time.Second}, true},
+		"the copy of the peer is old": {Batch{ConfirmedAgo: 2 * maxCopyAge}, true},
+	} {
+		follower := NewFollower(TopicHosts, nil, nil, eventlog.Discard(), nil)
+		follower.recordStoreFailure(errors.New("no answer"))
+		follower.recordPeerCopy(test.peer)
+		if outage := time.Since(follower.LastOutage()) < 2500*time.Millisecond; outage != test.wantOutage {
+			t.Errorf("%s: got outage %t, want %t", name, outage, test.wantOutage)
+		}
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -142,8 +142,7 @@
 			g.builder.applyRestoredHosts(changed, version, time.Now())
 			return
 		}
-		_, lastStoreFailure := g.hosts.LastContact()
-		g.builder.applyHosts(changed, version, lastStoreFailure, time.Now())
+		g.builder.applyHosts(changed, version, g.hosts.LastOutage(), time.Now())
 	})
 	g.candidate = leader.New(p.Store, s.Node, bootClock, log)
 	g.controller = formation.NewController(formation.Options{
