--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -102,6 +102,8 @@
 	}},
 	{"refuse host connections", func(s *Soak, r *rand.Rand) { s.injectLinkFault(r, s.randomHost(r).relay, linkState{refuse: true}) }},
 	{"reset host connections", func(s *Soak, r *rand.Rand) { s.randomHost(r).relay.resetConns() }},
+	{"store comes back from a copy", func(s *Soak, r *rand.Rand) { s.restoreStore(r) }},
+	{"crashing plain request", func(s *Soak, r *rand.Rand) { s.sendCrashingTarget(r) }},
 	{"crashing prompt part", func(s *Soak, r *rand.Rand) { s.sendCrashingPart(r) }},
 	{"host names a limit", func(s *Soak, r *rand.Rand) { s.limitHost(r) }},
 	{"change configuration", func(s *Soak, _ *rand.Rand) { s.changeConfiguration() }},
@@ -150,6 +152,43 @@
 	}
 }
 
+// maxCrashDelay is how long after a host began to run the crashing plain request it
+// crashes at most. The nodes give the attempt up before that at times.
+const maxCrashDelay = 500 * time.Millisecond
+
+// sendCrashingTarget sends one plain request that crashes hosts to random nodes again
+// and again, for the duration of one fault. The callers ignore how they end.
+func (s *Soak) sendCrashingTarget(r *rand.Rand) {
+	path := fmt.Sprintf("/safe/crash%d", r.Int63())
+	s.fleet.Crashing.SetTarget(path, time.Duration(r.Int63n(int64(maxCrashDelay))))
+	defer s.fleet.Crashing.SetTarget("", 0)
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	duration := minFaultDuration + time.Duration(r.Int63n(int64(maxFaultDuration-minFaultDuration)))
+	for i := range int(duration / crashingRequestInterval) {
+		address := s.randomNode(r).callerAddress
+		callers.Go(func() {
+			caller := &standin.Caller{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Ledger: s.ledger, Host: "a.example", Key: "key"}
+			caller.Call(context.Background(), http.MethodGet, address, path, fmt.Sprintf("s%d-%s-%d", s.options.Seed, path, i), requestTimeout)
+		})
+		time.Sleep(crashingRequestInterval)
+	}
+}
+
+// restoreStore lets the store refuse calls for a moment and come back from a copy. The
+// hosts and the operator then write again what was lost.
+func (s *Soak) restoreStore(r *rand.Rand) {
+	s.store.Checkpoint()
+	sleepFaultDuration(r)
+	s.store.SetFaults(standin.StoreFaults{RefuseStatus: http.StatusServiceUnavailable})
+	time.Sleep(minFaultDuration)
+	s.store.Restore()
+	s.store.SetFaults(standin.StoreFaults{})
+	time.Sleep(minFaultDuration)
+	s.fleet.RegisterAgain(hostRegistrationTTL)
+	s.writeConfiguration()
+}
+
 // Limit that a host names, and the platform's bound: from limitGrace after an answer
 // first named it, at most limitFactor times what it allows in limitWindow, and
 // limitSlack more.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -246,6 +246,13 @@
 func (s *Soak) changeConfiguration() {
 	s.mu.Lock()
 	s.revision++
+	s.mu.Unlock()
+	s.writeConfiguration()
+}
+
+// writeConfiguration writes the newest revision.
+func (s *Soak) writeConfiguration() {
+	s.mu.Lock()
 	revision := s.revision
 	s.mu.Unlock()
 	s.store.Put("op", "config", standin.Configuration(revision, groupSizes))
