Hold a crash against a run whose caller has just left (serve)

A run that its caller left is remembered for 0.5 s and is isolated if it comes again in that time; its engine is checked every 50 ms, by one goroutine an engine, and a crash found then or by another run is held against it. TestDepartedRunIsForgotten covers the end of that time.

--- a/internal/request/dispatch/crash.go
+++ b/internal/request/dispatch/crash.go
@@ -33,8 +33,19 @@
 	engineCheckTimeout = 100 * time.Millisecond
 	// maxEngineChecks is the largest number of engines that are checked at once.
 	maxEngineChecks = 16
+	// departedCheckInterval separates further checks of an engine that still ran at
+	// the first one, and departedWindow is how long after the departure a crash is
+	// held against the run.
+	departedCheckInterval = 50 * time.Millisecond
+	departedWindow        = 500 * time.Millisecond
 )
 
+// departedRun is a run whose caller left while the engine was at work.
+type departedRun struct {
+	fingerprint uint64
+	at          time.Time
+}
+
 // reportIfGone reports a crash if the engine of a run whose caller left is gone. It
 // blocks up to engineCheckTimeout.
 func (h *Home) reportIfGone(p *pool, r peer.HomeRequest, target Target) {
@@ -50,7 +61,62 @@
 	}
 	if h.client.Gone(ctx, target.Address) {
 		h.reportCrash(p, r.Model, target)
+		return
+	}
+	h.watchDeparted(p, r, target)
+}
+
+// watchDeparted remembers a run whose caller left, so that a crash of its engine within
+// departedWindow is held against it. One goroutine checks each engine meanwhile.
+func (h *Home) watchDeparted(p *pool, r peer.HomeRequest, target Target) {
+	key := target.key()
+	h.mu.Lock()
+	h.departed[key] = append(h.departed[key], departedRun{r.Fingerprint, time.Now()})
+	watched := len(h.departed[key]) > 1
+	h.mu.Unlock()
+	if watched {
+		return
 	}
+	go func() {
+		ticker := time.NewTicker(departedCheckInterval)
+		defer ticker.Stop()
+		for h.dropDeparted(key) {
+			select {
+			case <-h.ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			ctx, cancel := context.WithTimeout(h.ctx, engineCheckTimeout)
+			if h.client.Gone(ctx, target.Address) {
+				h.reportCrash(p, r.Model, target)
+			}
+			cancel()
+		}
+	}()
+}
+
+// dropDeparted drops the departed runs of an engine that are older than departedWindow,
+// and reports whether any is left.
+func (h *Home) dropDeparted(key string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.departed[key] = slices.DeleteFunc(h.departed[key], func(d departedRun) bool { return time.Since(d.at) >= departedWindow })
+	if len(h.departed[key]) > 0 {
+		return true
+	}
+	delete(h.departed, key)
+	return false
+}
+
+// hasDeparted reports whether a run of the request was left by its caller within
+// departedWindow. The caller must hold mu.
+func (h *Home) hasDeparted(fingerprint uint64) bool {
+	for _, runs := range h.departed {
+		if slices.ContainsFunc(runs, func(d departedRun) bool { return d.fingerprint == fingerprint }) {
+			return true
+		}
+	}
+	return false
 }
 
 func (h *Home) addUnverified(fingerprint uint64, count int) {
@@ -64,12 +130,12 @@
 
 // checkSuspect reports whether a request must be refused, and whether it must run on a
 // group without other work. The latter is also true while the engine of an earlier run
-// of it is being checked.
+// of it is being checked, and shortly after.
 func (h *Home) checkSuspect(fingerprint uint64) (refuse, isolate bool) {
 	refuse, isolate = h.suspects.Check(fingerprint, time.Now())
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return refuse, isolate || h.unverified[fingerprint] > 0
+	return refuse, isolate || h.unverified[fingerprint] > 0 || h.hasDeparted(fingerprint)
 }
 
 // isCrash reports whether the engine broke the connection by itself. A refusal,
@@ -101,6 +167,9 @@
 	for _, r := range h.inFlight[key] {
 		fingerprints = append(fingerprints, r.fingerprint)
 	}
+	for _, d := range h.departed[key] {
+		fingerprints = append(fingerprints, d.fingerprint)
+	}
 	if h.onCrash != nil {
 		h.onCrash(target.Group, fingerprints)
 	}
--- a/internal/request/dispatch/crash_test.go
+++ b/internal/request/dispatch/crash_test.go
@@ -112,6 +112,30 @@
 	}
 }
 
+// TestDepartedRunIsForgotten verifies that a run whose caller left an engine that goes on
+// is isolated for a short time only.
+func TestDepartedRunIsForgotten(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	d := newDepartureTest(t, func(_ http.ResponseWriter, r *http.Request) {
+		readBody(r)
+		leave()
+		<-r.Context().Done()
+	})
+	d.serve(ctx, t, 7)
+	if _, isolate := d.home.checkSuspect(7); !isolate {
+		t.Error("a run whose caller has just left is not isolated")
+	}
+	for deadline := time.Now().Add(20 * departedWindow); ; time.Sleep(departedCheckInterval) {
+		if _, isolate := d.home.checkSuspect(7); !isolate {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the run is still isolated %v after its caller left", 20*departedWindow)
+		}
+	}
+}
+
 // TestUnverifiedRequestIsIsolated verifies that a request whose last run was cancelled
 // runs without other work until its engine has been checked.
 func TestUnverifiedRequestIsIsolated(t *testing.T) {
--- a/internal/request/dispatch/home.go
+++ b/internal/request/dispatch/home.go
@@ -64,8 +64,11 @@
 	// unverified counts the runs by fingerprint whose caller left and whose engine
 	// is being checked.
 	unverified map[uint64]int
-	priority   map[string]int
-	loops      sync.WaitGroup
+	// departed contains the runs by group whose caller left within departedWindow
+	// while the engine was at work.
+	departed map[string][]departedRun
+	priority map[string]int
+	loops    sync.WaitGroup
 	// engineChecks has an element for each engine that is being checked.
 	engineChecks chan struct{}
 }
@@ -90,6 +93,7 @@
 		onCrash:      onCrash,
 		crashedAt:    make(map[string]time.Time),
 		unverified:   make(map[uint64]int),
+		departed:     make(map[string][]departedRun),
 		engineChecks: make(chan struct{}, maxEngineChecks),
 		pools:        make(map[string]*pool),
 		targets:      make(map[string]map[string]Target),
