--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -138,15 +138,22 @@
 	part := fmt.Sprintf("crash%d", r.Int63())
 	s.fleet.Crashing.Set(part)
 	defer s.fleet.Crashing.Set()
+	s.sendCrashing(r, func(caller *standin.Caller, address string, i int) {
+		caller.Model, caller.PromptParts = "big", fmt.Sprintf("common:40,%s:10,own%d:5", part, i)
+		caller.Stream(context.Background(), address, "/stream/1", fmt.Sprintf("s%d-%s-%d", s.options.Seed, part, i), 10, requestTimeout)
+	})
+}
+
+// sendCrashing calls send with a new caller and a random node at intervals, for the
+// duration of one fault, and blocks until all calls have returned.
+func (s *Soak) sendCrashing(r *rand.Rand, send func(caller *standin.Caller, address string, i int)) {
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	duration := minFaultDuration + time.Duration(r.Int63n(int64(maxFaultDuration-minFaultDuration)))
 	for i := range int(duration / crashingRequestInterval) {
 		address := s.randomNode(r).callerAddress
 		callers.Go(func() {
-			caller := &standin.Caller{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Ledger: s.ledger, Host: "a.example", Key: "key", Model: "big"}
-			caller.PromptParts = fmt.Sprintf("common:40,%s:10,own%d:5", part, i)
-			caller.Stream(context.Background(), address, "/stream/1", fmt.Sprintf("s%d-%s-%d", s.options.Seed, part, i), 10, requestTimeout)
+			send(&standin.Caller{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Ledger: s.ledger, Host: "a.example", Key: "key"}, address, i)
 		})
 		time.Sleep(crashingRequestInterval)
 	}
@@ -162,17 +169,9 @@
 	path := fmt.Sprintf("/safe/crash%d", r.Int63())
 	s.fleet.Crashing.SetTarget(path, time.Duration(r.Int63n(int64(maxCrashDelay))))
 	defer s.fleet.Crashing.SetTarget("", 0)
-	var callers sync.WaitGroup
-	defer callers.Wait()
-	duration := minFaultDuration + time.Duration(r.Int63n(int64(maxFaultDuration-minFaultDuration)))
-	for i := range int(duration / crashingRequestInterval) {
-		address := s.randomNode(r).callerAddress
-		callers.Go(func() {
-			caller := &standin.Caller{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Ledger: s.ledger, Host: "a.example", Key: "key"}
-			caller.Call(context.Background(), http.MethodGet, address, path, fmt.Sprintf("s%d-%s-%d", s.options.Seed, path, i), requestTimeout)
-		})
-		time.Sleep(crashingRequestInterval)
-	}
+	s.sendCrashing(r, func(caller *standin.Caller, address string, i int) {
+		caller.Call(context.Background(), http.MethodGet, address, path, fmt.Sprintf("s%d-%s-%d", s.options.Seed, path, i), requestTimeout)
+	})
 }
 
 // restoreStore lets the store refuse calls for a moment and come back from a copy. The
