--- a/internal/request/poison/verdict_test.go
+++ b/internal/request/poison/verdict_test.go
@@ -169,6 +169,20 @@
 	}
 }
 
+// TestRequestsThatDifferInTheirPromptAreNoRepeat guards against a verdict on all requests
+// with one target and body because some of their prompts crash hosts.
+func TestRequestsThatDifferInTheirPromptAreNoRepeat(t *testing.T) {
+	tracker, now := New(), time.Unix(1e9, 0)
+	for i := range 4 {
+		now = now.Add(time.Second)
+		host := fmt.Sprint("host", i)
+		tracker.Lost(identify([]string{"common", fmt.Sprint("topic", i%2)}, 1), host, now)
+	}
+	if tracker.Refused(identify([]string{"common", "topic9"}, 1)) || tracker.Suspected(identify([]string{"common", "topic9"}, 1), now) {
+		t.Error("a request with another prompt is refused or suspected, want it accepted")
+	}
+}
+
 // TestRepeatedRequestIsRefusedWithoutAnswersToCompare guards against a request that
 // crashes every host of a service which therefore answers nothing.
 func TestRepeatedRequestIsRefusedWithoutAnswersToCompare(t *testing.T) {
