Check a host also if its registration is gone when the check is due

Cause: a host that was no longer listed counted as one that had left, so its crash after a given-up attempt was held against nobody; the stand-in removes a crashed host at once, and whether the node had read that 0.1 s later was a matter of moments (logs: 29 attempts given up, no event 1369).

A host that leaves goes on after its registration was removed, so a refused dial tells. A host that has already said that it leaves is not checked. TestCrashAfterGivenUpAttemptIsNoticed has both cases; 'registration is gone' fails without the change.

--- a/internal/request/forward/crashcheck.go
+++ b/internal/request/forward/crashcheck.go
@@ -26,7 +26,7 @@
 // host is checked; otherwise its other connections have to show the crash.
 func (s *requestState) giveUp(host *fleet.Host, check bool) {
 	s.Poison.GaveUp(s.identity, hostLife(host), time.Now())
-	if !check {
+	if current := s.View.Load().Host(host.ID); !check || current != nil && current.State == fleet.HostLeaving {
 		return
 	}
 	select {
@@ -100,13 +100,23 @@
 	}
 }
 
+// crashedSince reports whether the process of a host is gone that worked moments ago. A
+// host that leaves goes on after its registration was removed; a crashed one does not.
+// It blocks while the host is checked.
+func (c *Core) crashedSince(ctx context.Context, host *fleet.Host) bool {
+	if c.View.Load().Host(host.ID) == nil {
+		return c.Endpoint.Gone(ctx, host.Address)
+	}
+	return c.crashed(ctx, host)
+}
+
 // checkHosts checks hosts at the same time and blocks until all are checked.
 func (c *Core) checkHosts(ctx context.Context, hosts []*fleet.Host) {
 	var checks sync.WaitGroup
 	for _, host := range hosts {
 		checks.Go(func() {
 			c.Metrics.Counter("forward_crash_checks").Inc(1)
-			if !c.crashed(ctx, host) {
+			if !c.crashedSince(ctx, host) {
 				return
 			}
 			findings, suspected := c.Poison.Crashed(hostLife(host), time.Now())
--- a/internal/request/forward/crashcheck_test.go
+++ b/internal/request/forward/crashcheck_test.go
@@ -85,10 +85,19 @@
 // TestCrashAfterGivenUpAttemptIsNoticed guards against hosts that crash just after the
 // node gave an attempt up, which blamed nobody.
 func TestCrashAfterGivenUpAttemptIsNoticed(t *testing.T) {
-	for name, kind := range map[string]fleet.Kind{"plain": fleet.KindIdempotent, "stream": fleet.KindStream} {
+	for name, test := range map[string]struct {
+		kind                  fleet.Kind
+		leaving, unregistered bool
+		want                  int
+	}{
+		"plain":                          {fleet.KindIdempotent, false, false, 1},
+		"stream":                         {fleet.KindStream, false, false, 1},
+		"plain, registration is gone":    {fleet.KindIdempotent, false, true, 1},
+		"plain, said before it would go": {fleet.KindIdempotent, true, false, 0},
+	} {
 		t.Run(name, func(t *testing.T) {
-			setup := newTestSetup(kind, 2, map[string]hostBehavior{"a": neverAnswer, "b": neverAnswer})
-			setup.endpoint.firstGone = true
+			setup := newTestSetup(test.kind, 2, map[string]hostBehavior{"a": neverAnswer, "b": neverAnswer})
+			setup.endpoint.firstGone, setup.leaving, setup.unregistered = true, test.leaving, test.unregistered
 			synctest.Test(t, func(t *testing.T) {
 				setup.start()
 				ctx, cancel := context.WithCancel(context.Background())
@@ -96,8 +105,8 @@
 				go setup.core.RunCrashChecks(ctx)
 				setup.serve(ctx)
 				time.Sleep(time.Second)
-				if got := setup.crashesHeldAgainstRequest(); got != 1 {
-					t.Errorf("%d crashes are held against the request, want 1", got)
+				if got := setup.crashesHeldAgainstRequest(); got != test.want {
+					t.Errorf("%d crashes are held against the request, want %d", got, test.want)
 				}
 			})
 		})
