Tell requests apart by their whole prompt

Cause: the trait of a whole request was made of target, account and body, and the rule for repeated requests compared only the shared prompt parts beside it. The test's crashing requests differ in their last part alone, so three of them counted as one request that came again; the verdict then refused every request of that caller with that target. Ruled out: load by itself, the statistical comparison (it refuses after four or five crashes, and only the part).

--- a/internal/process/gateway/poison_test.go
+++ b/internal/process/gateway/poison_test.go
@@ -11,7 +11,7 @@
 )
 
 func poisonRequest(parts ...string) poison.Request {
-	r := poison.Request{Class: "s/m", Whole: poison.RequestTrait("s", "", "", fmt.Sprint(parts, time.Now().UnixNano()), "", nil)}
+	r := poison.Request{Class: "s/m", Whole: poison.RequestTrait("s", "", "", fmt.Sprint(parts, time.Now().UnixNano()), "", "", nil)}
 	for _, p := range parts {
 		r.Parts = append(r.Parts, poison.PartTrait("s", p))
 	}
--- a/internal/request/forward/crashcheck_test.go
+++ b/internal/request/forward/crashcheck_test.go
@@ -77,7 +77,7 @@
 // crashesHeldAgainstRequest returns the crashes that speak against the request that
 // setup.serve sends.
 func (setup *testSetup) crashesHeldAgainstRequest() int {
-	identity := poison.Request{Class: "service/m", Whole: poison.RequestTrait("service", http.MethodPost, "example", "/x", "account", nil)}
+	identity := poison.Request{Class: "service/m", Whole: poison.RequestTrait("service", http.MethodPost, "example", "/x", "account", "", nil)}
 	crashedHosts, _ := setup.core.Poison.Evidence(identity, time.Now())
 	return crashedHosts
 }
--- a/internal/request/forward/poison.go
+++ b/internal/request/forward/poison.go
@@ -22,7 +22,7 @@
 func (s *requestState) identify() poison.Request {
 	r := poison.Request{
 		Class: s.service.Name + "/" + s.request.Model,
-		Whole: poison.RequestTrait(s.service.Name, s.request.Method, s.request.Host, s.request.Target, s.account, s.request.Body),
+		Whole: poison.RequestTrait(s.service.Name, s.request.Method, s.request.Host, s.request.Target, s.account, s.request.Prompt, s.request.Body),
 	}
 	for _, part := range s.request.SharedParts {
 		r.Parts = append(r.Parts, poison.PartTrait(s.service.Name, part))
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -36,6 +36,8 @@
 	Model           string
 	PromptTokens    int
 	MaxOutputTokens int
+	// Prompt describes the prompt of a generation as the caller sent it, or is "".
+	Prompt string
 	// SharedParts are the IDs of the parts of the prompt that other requests may
 	// share, in order.
 	SharedParts []string
--- a/internal/request/poison/repeat.go
+++ b/internal/request/poison/repeat.go
@@ -23,24 +23,13 @@
 // wholeOf returns the whole-request trait of a suspected request.
 func wholeOf(traits []Trait) Trait { return traits[len(traits)-1] }
 
-// repeats returns what speaks against a whole request, nothing if requests with other
-// prompts are alike in the rest. The caller holds mu.
+// repeats returns what speaks against a whole request. The caller holds mu.
 func (t *Tracker) repeats(whole Trait, now time.Time) repeat {
 	acquitted := t.acquittals[whole].began
 	var with []*loss
-	var same []Trait
 	r := repeat{}
 	for _, l := range t.losses {
 		if l.traits[whole] && l.at.After(acquitted) && now.Sub(l.at) < lossTTL {
-			for _, traits := range l.requests {
-				if wholeOf(traits) != whole {
-					continue
-				}
-				if same != nil && !slices.Equal(same, traits) {
-					return repeat{} // the prompts differ
-				}
-				same = traits
-			}
 			with = append(with, l)
 			r.unexplained = r.unexplained || !t.isExplained(l)
 		}
--- a/internal/request/poison/simulation_test.go
+++ b/internal/request/poison/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -76,7 +77,7 @@
 }
 
 func identify(parts []string, whole uint64) Request {
-	r := Request{Class: "s/m", Whole: RequestTrait("s", "POST", "h", fmt.Sprint(whole), "account", nil)}
+	r := Request{Class: "s/m", Whole: RequestTrait("s", "POST", "h", fmt.Sprint(whole), "account", strings.Join(parts, ","), nil)}
 	for _, p := range parts {
 		r.Parts = append(r.Parts, PartTrait("s", p))
 	}
--- a/internal/request/poison/trait.go
+++ b/internal/request/poison/trait.go
@@ -18,8 +18,8 @@
 
 // RequestTrait returns the trait of requests that are alike in everything but their
 // IDs.
-func RequestTrait(service, method, host, target, account string, body []byte) Trait {
-	return hashOf("request", service, method, host, target, account, string(body))
+func RequestTrait(service, method, host, target, account, prompt string, body []byte) Trait {
+	return hashOf("request", service, method, host, target, account, prompt, string(body))
 }
 
 // hashOf hashes fields. Each is preceded by its length, so that no two lists of
