Don't refuse a popular request because a small service's hosts crashed one by one

What callers saw, in the simulation: while the hosts of a service of 3 or 6 crash 0.15 s apart, for whatever reason, a popular request is in flight at three of them before any of them can answer it.

Cause: the rule took three crashes without an answer between them for evidence even where none could have come. Class: absence of an answer taken for evidence without asking whether there was time for one.

A node that has answered a request before says so when the request was at a crash, in the acquittals that it sends anyway. Such a request is refused only if crashes more than a second apart speak against it, and retried as others are until then.

--- a/internal/request/poison/evidence.go
+++ b/internal/request/poison/evidence.go
@@ -69,7 +69,7 @@
 	}
 	slices.SortFunc(with, func(a, b *loss) int { return a.at.Compare(b.at) })
 	first := with[0]
-	e := evidence{losses: len(with), episodes: countEpisodes(with), first: first.at}
+	e := evidence{losses: len(with), episodes: countEpisodes(with, episodeLength), first: first.at}
 	if e.losses < minSuspiciousLosses {
 		e.chance = 1
 		return e
@@ -99,13 +99,13 @@
 	return e
 }
 
-// countEpisodes counts the crashes that are apart by more than episodeLength from
+// countEpisodes counts the crashes that are apart by more than the given length from
 // the first one of their episode. The crashes are in order of time.
-func countEpisodes(losses []*loss) int {
+func countEpisodes(losses []*loss, length time.Duration) int {
 	count := 0
 	var start time.Time
 	for _, l := range losses {
-		if count == 0 || l.at.Sub(start) > episodeLength {
+		if count == 0 || l.at.Sub(start) > length {
 			count++
 			start = l.at
 		}
--- a/internal/request/poison/frequency.go
+++ b/internal/request/poison/frequency.go
@@ -67,6 +67,13 @@
 	cache.Add(trait, count.plusOne(now))
 }
 
+// lastAnswered returns when a whole request was last answered, or false if that is not
+// known.
+func (f *frequencies) lastAnswered(whole Trait) (time.Time, bool) {
+	count, known := f.requests.Peek(whole)
+	return count.at, known
+}
+
 // share returns the estimated share of the answered requests of a class that have
 // the trait, above 0 and at most 1.
 func (f *frequencies) share(class string, trait Trait, now time.Time) float64 {
--- a/internal/request/poison/repeat.go
+++ b/internal/request/poison/repeat.go
@@ -5,6 +5,15 @@
 	"time"
 )
 
+const (
+	// answeredEpisodeLength and minAnsweredEpisodes are episodeLength and minEpisodes
+	// for a request that was answered before. A popular request is in flight at most
+	// hosts of a small service that crash one after the other, and is not answered
+	// until the first of them is back.
+	answeredEpisodeLength = time.Second
+	minAnsweredEpisodes   = 2
+)
+
 // repeat is what speaks against a whole request that came again, whatever share of the
 // answered requests it has: one that crashes nothing is answered in between.
 type repeat struct {
@@ -12,12 +21,22 @@
 	// began well; episodes counts those that are apart in time.
 	losses, episodes int
 	first            time.Time
+	// answeredBefore is true if the request began well before the first of them.
+	answeredBefore bool
 	// unexplained is true if no convicted trait was at one of the crashes.
 	unexplained bool
 }
 
 func (r repeat) convincing() bool {
-	return r.losses >= minLosses && r.episodes >= minEpisodes && r.unexplained
+	required := minEpisodes
+	if r.answeredBefore {
+		required = minAnsweredEpisodes
+	}
+	return r.losses >= minLosses && r.episodes >= required && r.unexplained
+}
+
+func (r repeat) suspicious() bool {
+	return r.losses >= minSuspiciousLosses && (!r.answeredBefore || r.episodes >= minSuspiciousLosses)
 }
 
 // wholeOf returns the whole-request trait of a suspected request.
@@ -27,7 +46,7 @@
 func (t *Tracker) repeats(whole Trait, now time.Time) repeat {
 	acquitted := t.acquittals[whole].began
 	var with []*loss
-	r := repeat{}
+	r := repeat{answeredBefore: !acquitted.IsZero()}
 	for _, l := range t.losses {
 		if l.traits[whole] && l.at.After(acquitted) && now.Sub(l.at) < lossTTL {
 			with = append(with, l)
@@ -38,7 +57,11 @@
 		return r
 	}
 	slices.SortFunc(with, func(a, b *loss) int { return a.at.Compare(b.at) })
-	r.losses, r.episodes, r.first = len(with), countEpisodes(with), with[0].at
+	length := episodeLength
+	if r.answeredBefore {
+		length = answeredEpisodeLength
+	}
+	r.losses, r.episodes, r.first = len(with), countEpisodes(with, length), with[0].at
 	return r
 }
 
--- a/internal/request/poison/repeat_simulation_test.go
+++ b/internal/request/poison/repeat_simulation_test.go
@@ -25,8 +25,14 @@
 			"just started":             func(*simulation) {},
 			"after answers":            func(s *simulation) { s.poisonShare = 0; s.run(10 * time.Second); s.poisonShare = 1.0 / 13 },
 			"attempts given up before": func(s *simulation) { s.giveUpLead = 20 * time.Millisecond },
-			"few different requests":   func(s *simulation) { s.distinctSound = 4 },
-			"many requests":            func(s *simulation) { s.requestsPerSecond, s.poisonShare = 130, 1.0/130 },
+			"request was answered before": func(s *simulation) {
+				for _, n := range s.nodes {
+					n.Began(identify(nil, 0), s.now, s.now)
+				}
+				s.now = s.now.Add(time.Second)
+			},
+			"few different requests": func(s *simulation) { s.distinctSound = 4 },
+			"many requests":          func(s *simulation) { s.requestsPerSecond, s.poisonShare = 130, 1.0/130 },
 		} {
 			for seed := range uint64(simulatedSeeds) {
 				t.Run(fmt.Sprint(hosts, " hosts/", name, "/", seed), func(t *testing.T) {
@@ -64,3 +70,47 @@
 		}
 	}
 }
+
+// TestCrashesOfASmallServiceBlameNoPopularRequest guards against the refusal of a sound request that was at each crashed host.
+func TestCrashesOfASmallServiceBlameNoPopularRequest(t *testing.T) {
+	crashAll := func(interval time.Duration) func(s *simulation) {
+		return func(s *simulation) {
+			for range 8 {
+				s.run(8 * time.Second)
+				for i := range s.hosts {
+					s.crash(i)
+					s.run(interval)
+				}
+			}
+		}
+	}
+	for name, scenario := range map[string]func(s *simulation){
+		"all at once":         crashAll(0),
+		"one after the other": crashAll(150 * time.Millisecond),
+		"one a second": func(s *simulation) {
+			for range 60 {
+				s.run(time.Second)
+				s.crash(s.random.IntN(len(s.hosts)))
+			}
+		},
+	} {
+		for _, hosts := range []int{3, 6} {
+			for _, distinct := range []int{1, 2, 4} {
+				for seed := range uint64(simulatedSeeds) {
+					t.Run(fmt.Sprint(name, "/", hosts, " hosts, ", distinct, " requests/", seed), func(t *testing.T) {
+						t.Parallel()
+						s := newPlainSimulation(t, seed, 6, hosts)
+						s.poisonShare, s.distinctSound = 0, distinct
+						s.run(10 * time.Second)
+						scenario(s)
+						s.run(5 * time.Second)
+						s.checkConvicted()
+						if s.soundRefused > 0 {
+							t.Errorf("%d of %d sound requests were refused", s.soundRefused, s.soundSent)
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -181,7 +181,7 @@
 	if len(t.losses) == 0 {
 		return false
 	}
-	if t.repeats(r.Whole, now).losses >= minSuspiciousLosses {
+	if t.repeats(r.Whole, now).suspicious() {
 		return true
 	}
 	unexplained, _ := t.splitByExplanation(now)
@@ -296,11 +296,21 @@
 			}
 			l.learnedAt = now
 			learned = true
+			t.recordAnsweredBefore(wholeOf(traits), l.at, now)
 		}
 	}
 	return learned
 }
 
+// recordAnsweredBefore records, for other nodes too, when this node last had an answer
+// to a request that was now at a crash. The caller holds mu.
+func (t *Tracker) recordAnsweredBefore(whole Trait, crashedAt, now time.Time) {
+	at, known := t.frequency.lastAnswered(whole)
+	if known && at.Before(crashedAt) && now.Sub(at) < lossTTL && at.After(t.acquittals[whole].began) {
+		t.acquittals[whole] = acquittal{at, now}
+	}
+}
+
 // convict passes a verdict on each candidate against which there is enough evidence,
 // the strongest first. Crashes that a convicted trait explains are no evidence
 // against the other traits that were there. The caller holds mu.
