Evidence against repeated requests: usual terms, one constant less

Names and comments of the new files, without change of behaviour: evidence instead of what speaks against a request, records instead of remembers. A constant that had the value of minEpisodes and a function of one use are gone.

--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -326,7 +326,8 @@
 }
 
 func (f *Follower) apply(b Batch) {
-	before, loaded := f.table.Position(), f.tableLoaded()
+	_, loaded := f.table.Version()
+	before := f.table.Position()
 	changed := f.table.Apply(b)
 	after := f.table.Position()
 	restored := loaded && after.Era > before.Era
@@ -336,11 +337,6 @@
 	f.notify(changed, restored)
 }
 
-func (f *Follower) tableLoaded() bool {
-	_, loaded := f.table.Version()
-	return loaded
-}
-
 // readFromPeers reads once from the first peer that answers, and reports whether
 // its copy is fresh.
 func (f *Follower) readFromPeers(ctx context.Context, peers []Source) bool {
--- a/internal/process/gateway/restore.go
+++ b/internal/process/gateway/restore.go
@@ -90,8 +90,9 @@
 	}
 }
 
-// staysLeaving returns the host as leaving if it said so in this life before the store
-// came back from a copy that may be older than that. The caller must hold mu.
+// staysLeaving returns the host as leaving if it was registered so in this life and the
+// store has come back since then from a copy that may be older. The caller must hold
+// mu.
 func (b *viewBuilder) staysLeaving(host *fleet.Host, now time.Time) *fleet.Host {
 	if b.restoredAt.IsZero() || now.Sub(b.restoredAt) >= restoredRemovalDelay || b.ended.State(host) != fleet.LifeLeaving {
 		return host
--- a/internal/request/dispatch/crash.go
+++ b/internal/request/dispatch/crash.go
@@ -66,8 +66,8 @@
 	h.watchDeparted(p, r, target)
 }
 
-// watchDeparted remembers a run whose caller left, so that a crash of its engine within
-// departedWindow is held against it. One goroutine checks each engine meanwhile.
+// watchDeparted records a run whose caller left, so that a crash of its engine within
+// departedWindow is held against it. One goroutine checks each engine during that time.
 func (h *Home) watchDeparted(p *pool, r peer.HomeRequest, target Target) {
 	key := target.key()
 	h.mu.Lock()
--- a/internal/request/forward/crashcheck.go
+++ b/internal/request/forward/crashcheck.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// crashCheckSchedule says when hosts are to be checked.
+// crashCheckSchedule holds the scheduled checks by life of the host.
 type crashCheckSchedule map[string]*scheduledCheck
 
 type scheduledCheck struct {
@@ -100,9 +100,9 @@
 	}
 }
 
-// crashedSince reports whether the process of a host is gone that worked moments ago. A
-// host that leaves goes on after its registration was removed; a crashed one does not.
-// It blocks while the host is checked.
+// crashedSince reports whether the process of a host has ended that worked moments ago.
+// The process of a host that leaves runs on after its registration was removed. It
+// blocks while the host is checked.
 func (c *Core) crashedSince(ctx context.Context, host *fleet.Host) bool {
 	if c.View.Load().Host(host.ID) == nil {
 		return c.Endpoint.Gone(ctx, host.Address)
--- a/internal/request/poison/repeat.go
+++ b/internal/request/poison/repeat.go
@@ -5,18 +5,14 @@
 	"time"
 )
 
-const (
-	// answeredEpisodeLength and minAnsweredEpisodes are episodeLength and minEpisodes
-	// for a request that was answered before. A popular request is in flight at most
-	// hosts of a small service that crash one after the other, and is not answered
-	// until the first of them is back.
-	answeredEpisodeLength = time.Second
-	minAnsweredEpisodes   = 2
-)
+// answeredEpisodeLength is episodeLength for a request that was answered before. A
+// popular request is in flight at most hosts of a small service that crash one after
+// the other, and is not answered until the first of them is back.
+const answeredEpisodeLength = time.Second
 
-// repeat is what speaks against a whole request that came again, whatever share of the
-// answered requests it has: one that crashes nothing is answered in between.
-type repeat struct {
+// repeatEvidence is the evidence against a whole request that was sent again, whatever
+// its share of the answered requests: a sound request is answered in between.
+type repeatEvidence struct {
 	// losses counts the crashed endpoints at which the request was since it last
 	// began well; episodes counts those that are apart in time.
 	losses, episodes int
@@ -27,26 +23,22 @@
 	unexplained bool
 }
 
-func (r repeat) convincing() bool {
-	required := minEpisodes
-	if r.answeredBefore {
-		required = minAnsweredEpisodes
-	}
-	return r.losses >= minLosses && r.episodes >= required && r.unexplained
+func (r repeatEvidence) convincing() bool {
+	return r.losses >= minLosses && r.episodes >= minEpisodes && r.unexplained
 }
 
-func (r repeat) suspicious() bool {
+func (r repeatEvidence) suspicious() bool {
 	return r.losses >= minSuspiciousLosses && (!r.answeredBefore || r.episodes >= minSuspiciousLosses)
 }
 
 // wholeOf returns the whole-request trait of a suspected request.
 func wholeOf(traits []Trait) Trait { return traits[len(traits)-1] }
 
-// repeats returns what speaks against a whole request. The caller holds mu.
-func (t *Tracker) repeats(whole Trait, now time.Time) repeat {
+// weighRepeat returns the evidence against a whole request. The caller holds mu.
+func (t *Tracker) weighRepeat(whole Trait, now time.Time) repeatEvidence {
 	acquitted := t.acquittals[whole].began
 	var with []*loss
-	r := repeat{answeredBefore: !acquitted.IsZero()}
+	r := repeatEvidence{answeredBefore: !acquitted.IsZero()}
 	for _, l := range t.losses {
 		if l.traits[whole] && l.at.After(acquitted) && now.Sub(l.at) < lossTTL {
 			with = append(with, l)
@@ -65,18 +57,18 @@
 	return r
 }
 
-// convictRepeats passes a verdict on the whole requests among the candidates that were
-// at the most crashes. While several were at the same minLosses crashes, the next one
-// has to tell them apart. The caller holds mu.
+// convictRepeats convicts those whole requests among the candidates that were at the
+// most crashes. It convicts none while several were at the same minLosses crashes: the
+// next crash distinguishes them. The caller holds mu.
 func (t *Tracker) convictRepeats(candidates []Trait, now time.Time) []Finding {
 	wholes := t.wholesAtCrashes()
 	var worst []Trait
-	var strongest repeat
+	var strongest repeatEvidence
 	for _, trait := range candidates {
 		if !wholes[trait] || t.isRefused(trait) {
 			continue
 		}
-		r := t.repeats(trait, now)
+		r := t.weighRepeat(trait, now)
 		if !r.convincing() || r.losses < strongest.losses {
 			continue
 		}
@@ -95,8 +87,8 @@
 	return findings
 }
 
-// withOwnRequests adds to the unexplained crashes those that only the verdicts on whole
-// requests with the trait explain: the trait may be what makes these crash. The caller
+// withOwnRequests adds to the unexplained crashes those that are explained only by
+// convicted whole requests with the trait: the trait may be their cause. The caller
 // holds mu.
 func (t *Tracker) withOwnRequests(trait Trait, unexplained, explained []*loss) []*loss {
 	out := slices.Clip(unexplained)
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -181,7 +181,7 @@
 	if len(t.losses) == 0 {
 		return false
 	}
-	if t.repeats(r.Whole, now).suspicious() {
+	if t.weighRepeat(r.Whole, now).suspicious() {
 		return true
 	}
 	unexplained, _ := t.splitByExplanation(now)
@@ -190,8 +190,8 @@
 	})
 }
 
-// Evidence returns how many crashed endpoints speak against the whole request, and
-// the probability that it was there by chance. It is for log lines.
+// Evidence returns at how many crashed endpoints the whole request was since it last
+// began well, and the probability that it was there by chance. It is for log lines.
 func (t *Tracker) Evidence(r Request, now time.Time) (crashedHosts int, chance float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -333,7 +333,7 @@
 	}
 }
 
-// refuse passes a verdict on a trait. The caller holds mu.
+// refuse convicts a trait. The caller holds mu.
 func (t *Tracker) refuse(trait Trait, firstLoss time.Time, losses int, now time.Time) Finding {
 	version := 1
 	if former := t.verdicts[trait]; former != nil {
--- a/internal/version/fleet/lives.go
+++ b/internal/version/fleet/lives.go
@@ -13,14 +13,14 @@
 	maxEndedLives = 4096
 )
 
-// EndedLives remembers the hosts that this node has seen leave, so that an older copy
-// of the host list does not bring them back. It is not safe for concurrent use.
+// EndedLives records the hosts that this node has seen leave, so that an older copy of
+// the host list does not restore them. It is not safe for concurrent use.
 type EndedLives struct{ lives map[string]endedLife }
 
 type endedLife struct {
 	started time.Time
-	// leaving is true if the host said that it leaves, and removed if its
-	// registration is gone.
+	// leaving is true if the host was registered as leaving, and removed if its
+	// registration was removed.
 	leaving, removed bool
 	at               time.Time
 }
@@ -28,7 +28,7 @@
 // NewEndedLives returns a memory without any host.
 func NewEndedLives() *EndedLives { return &EndedLives{lives: map[string]endedLife{}} }
 
-// Registered records that a host is registered, which may say that it leaves.
+// Registered records the registration of a host, which may be leaving.
 func (e *EndedLives) Registered(h *Host, now time.Time) {
 	if h.State == HostLeaving {
 		e.record(h, false, now)
@@ -57,7 +57,7 @@
 const (
 	// LifeOpen is a life that has not ended as far as this node knows.
 	LifeOpen LifeState = iota
-	// LifeLeaving is one whose host said that it leaves.
+	// LifeLeaving is one whose host was registered as leaving.
 	LifeLeaving
 	// LifeRemoved is one whose registration was removed.
 	LifeRemoved
