Give each call of a service its own connection (serve)

Answers of services name no request, so nothing told them apart; the platform's codec checks the request's ID and was tested in, this one was not. Engines' chunks name their request.

TestEarlierAnswerReachesNoOtherCall failed with the answer of r1 for r2, after a 200 and after a 503; it passes now.

TestNoReplayByTransport asked for the second call of a service to be on the reused connection. There is none now; it asks for a second connection and, as before, for one execution before a server that breaks every later request, on any connection.

--- a/internal/connection/endpoint/client.go
+++ b/internal/connection/endpoint/client.go
@@ -58,7 +58,12 @@
 }
 
 // Client calls engines and services. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	// http keeps connections to engines, whose chunks name their request. The answers
+	// of services name none: single opens a connection for each call, so that an
+	// answer that an endpoint writes again reaches no other call.
+	http, single *http.Client
+}
 
 // DialFunc opens a connection to host:port.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -71,13 +76,17 @@
 
 // NewClientOver returns a client that opens its connections with dial.
 func NewClientOver(dial DialFunc) *Client {
-	transport := &http.Transport{
+	pooled := &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
+	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	return &Client{
+		http:   &http.Client{Transport: pooled, CheckRedirect: refuseRedirect},
+		single: &http.Client{Transport: unpooled, CheckRedirect: refuseRedirect},
+	}
 }
 
 // Close closes idle connections.
@@ -182,8 +191,8 @@
 	Body   []byte
 }
 
-// Call sends a request to a service endpoint and reads the whole answer. The
-// request is written to at most one connection. Errors are *CallError.
+// Call sends a request to a service endpoint over a new connection and reads the
+// whole answer. Errors are *CallError.
 func (c *Client) Call(ctx context.Context, address string, r ServiceRequest) (ServiceAnswer, error) {
 	var maybeSent atomic.Bool
 	request, err := newSingleUseRequest(withConnTrace(ctx, &maybeSent), r.Method, "http://"+address+r.Path, r.Body)
@@ -191,7 +200,7 @@
 		return ServiceAnswer{}, &CallError{Address: address, Err: err}
 	}
 	request.Header = r.Header.Clone()
-	response, err := c.http.Do(request)
+	response, err := c.single.Do(request)
 	if err != nil {
 		return ServiceAnswer{}, &CallError{Address: address, MaybeSent: maybeSent.Load(), Err: err}
 	}
