--- a/internal/connection/peer/replay_test.go
+++ b/internal/connection/peer/replay_test.go
@@ -57,7 +57,7 @@
 }
 
 // countExecutions sends a call twice, the second time on the connection kept
-// open by the first. It returns how often the server received the second call
+// open by the first if the client reuses it. It returns how often the server received the second call
 // and how many connections were opened.
 func countExecutions(t *testing.T, call func(dial endpoint.DialFunc) func()) (count, connections int64) {
 	synctest.Test(t, func(t *testing.T) {
