Keep a stream's silent attempt alive until the second one begins

What callers saw: a stream whose host fell silent for a second and went on was cut, or got 502, 503 or 504, although the host would have completed it. A change of configuration makes it likelier: groups are formed again and second hosts refuse.

Cause: moveStream cancelled the first attempt as soon as a second one had been sent, before it was known whether the second host takes the request. Class of fault: something alive is ended for a replacement that is not there yet.

Ruled out: that the first host's events are lost by the node (without a second attempt, attempts = 1, the same pause is whole).

Change: a stream may have two attempts. While the second one has sent no event, the first one goes on; its events wait (at most 16) as long as a healthy second group may need for its first event, so that streams leave dead and slow groups as before. The first event of the second run ends the first run. If the second one fails, or has not begun when that time is over, the held events are delivered and the first run stays. Events of two runs are never mixed: the headers and the order come from the run that goes on. The second attempt counts against attempts and budget as before; both hold their place at their host until they end. Log events 1370 and 1371 tell a second attempt and a stream that stayed from a move (1357).

Evidence: TestSilentHostThatGoesOnCompletesItsStream, 36 of 36 cases failed before (second host refuses the connection, declares not run, loses the answer, answers 503 or 500, is silent, breaks, begins late; pause of 0.6 and 1.2 s before event 1 and 4: got 502, 503, 504 or a stream cut after 3 events, want the whole stream); 36 pass. TestEventsOfTwoRunsAreNotMixed: 1,184 pairs of pause and delay, each event once and in order. Race detector: 3 runs of the package pass.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -88,6 +88,8 @@
 	RateLimitChanged       = Event{1367, logrus.InfoLevel, "limit of requests that a host names has changed"}
 	SuspectAnswered        = Event{1368, logrus.InfoLevel, "request that was at crashed hosts was answered; it is no longer suspected"}
 	HostCrashedAfterGiveUp = Event{1369, logrus.WarnLevel, "host crashed shortly after attempts at it were given up; their requests are suspected"}
+	SecondAttemptBegun     = Event{1370, logrus.WarnLevel, "host is silent; the request is sent to a second one as well"}
+	StreamStayed           = Event{1371, logrus.InfoLevel, "silent host went on; the stream stays at its group"}
 	RequestPanicked        = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
 
@@ -178,6 +180,8 @@
 	RateLimitChanged,
 	SuspectAnswered,
 	HostCrashedAfterGiveUp,
+	SecondAttemptBegun,
+	StreamStayed,
 	LeaderElected,
 	LeaderLost,
 	LeaderUnknown,
--- a/internal/request/forward/poison.go
+++ b/internal/request/forward/poison.go
@@ -138,9 +138,9 @@
 	s.logFindings(s.Poison.Began(s.identity, s.current.beganAt, now))
 }
 
-// checkAttempt records an attempt that goes on well, and ends one that has not begun
-// and is now known to crash hosts. It reports whether the request is finished.
-func (s *streamState) checkAttempt(now time.Time) bool {
+// checkPoisoned records an attempt that goes on well, and ends a request that has not
+// begun and is now known to crash hosts. It reports whether the request is finished.
+func (s *streamState) checkPoisoned(now time.Time) bool {
 	if s.current.events > 0 {
 		if now.Sub(s.current.beganAt) >= BeganWellDelay {
 			s.recordBegan(now)
@@ -150,7 +150,7 @@
 	if s.isTrial || !s.Poison.Refused(s.identity) {
 		return false
 	}
-	s.endAttempt(place.OutcomeAbandoned)
+	s.endAll(place.OutcomeAbandoned)
 	if s.headerSent {
 		s.abort("the request crashes endpoints")
 		return true
--- /dev/null
+++ b/internal/request/forward/stream_attempt.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/request/place"
+	"currantladder.example/currantladder/internal/request/refusal"
+	"currantladder.example/currantladder/internal/version/fleet"
+)
+
+// updateBufferSize is the number of events that an attempt may be ahead of the
+// caller. Beyond that, a slow caller slows down the endpoint.
+const updateBufferSize = 16
+
+// errAttemptPanicked reports an attempt whose handling panicked.
+var errAttemptPanicked = errors.New("handling of the attempt panicked")
+
+// attemptUpdate is one result of a running attempt: its reply, an event, or its
+// end.
+type attemptUpdate struct {
+	reply *Reply
+	event *event
+	// complete is true at the clean end of a stream.
+	complete bool
+	// err is the error that ended the attempt early.
+	err error
+	// mayHaveRun is set only with err: the endpoint may have run the request.
+	mayHaveRun bool
+}
+
+// streamAttempt is one attempt of a stream at one host.
+type streamAttempt struct {
+	host    *fleet.Host
+	updates chan attemptUpdate
+	cancel  context.CancelFunc
+	started time.Time
+	// lastProgress is when the attempt last delivered something, initially its
+	// start.
+	lastProgress time.Time
+	// header is the header of the host's answer. It is sent with the first event,
+	// because a refusal before that must not carry an endpoint's proof.
+	header http.Header
+	events int
+	// beganAt is when the first event came. beganWell is true once the host went on
+	// working after it.
+	beganAt   time.Time
+	beganWell bool
+	// held are events that wait until it is known whether the second attempt begins.
+	held []*event
+}
+
+// begin chooses an endpoint and begins an attempt there.
+func (s *streamState) begin(ctx context.Context) (*streamAttempt, *refusal.Error) {
+	choice, refused := s.chooseEndpoint()
+	if refused != nil {
+		return nil, refused
+	}
+	attemptCtx, cancel := context.WithCancel(ctx)
+	now := time.Now()
+	attempt := &streamAttempt{
+		host: choice.Host, updates: make(chan attemptUpdate, updateBufferSize), cancel: cancel, started: now, lastProgress: now,
+	}
+	go s.runAttempt(attemptCtx, attempt, s.newAttempt(choice.Host, s.lastID))
+	return attempt, nil
+}
+
+// end ends an attempt of the request and takes it out of the state.
+func (s *streamState) end(attempt *streamAttempt, outcome place.Outcome) {
+	attempt.cancel()
+	now := time.Now()
+	s.Board.Ended(attempt.host.ID, outcome, now.Sub(attempt.started), now)
+	switch attempt {
+	case s.current:
+		s.current, s.second = s.second, nil
+	case s.second:
+		s.second = nil
+	}
+}
+
+// attempts returns the running attempts, at most two.
+func (s *streamState) attempts() []*streamAttempt {
+	var running []*streamAttempt
+	for _, attempt := range []*streamAttempt{s.current, s.second} {
+		if attempt != nil {
+			running = append(running, attempt)
+		}
+	}
+	return running
+}
+
+// endAll ends all attempts.
+func (s *streamState) endAll(outcome place.Outcome) {
+	for _, attempt := range s.attempts() {
+		s.end(attempt, outcome)
+	}
+}
+
+// recordEvent records an event that the host has sent.
+func (a *streamAttempt) recordEvent(now time.Time) {
+	a.lastProgress = now
+	a.events++
+	if a.events == 1 {
+		a.beganAt = now
+	}
+}
+
+// runAttempt runs one attempt and sends its updates until the attempt or ctx ends.
+func (s *streamState) runAttempt(ctx context.Context, attempt *streamAttempt, toSend Attempt) {
+	report := func(update attemptUpdate) bool {
+		select {
+		case attempt.updates <- update:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	defer func() {
+		// A panic in this goroutine would end the whole process.
+		if cause := recover(); cause != nil {
+			s.logPanic(cause)
+			report(attemptUpdate{err: errAttemptPanicked, mayHaveRun: true})
+		}
+	}()
+	reply, err := s.Endpoint.Send(ctx, s.request, toSend)
+	if err != nil {
+		report(attemptUpdate{err: err, mayHaveRun: endpoint.MayHaveBeenSent(err)})
+		return
+	}
+	defer reply.Body.Close()
+	s.observeRateLimit(attempt.host, reply)
+	if reply.NotRun && !reply.WrongRequest {
+		report(attemptUpdate{reply: reply, err: errNotRun})
+		return
+	}
+	if !reply.Verified {
+		report(attemptUpdate{reply: reply, err: errUnverifiedAnswer, mayHaveRun: true})
+		return
+	}
+	if !report(attemptUpdate{reply: reply}) {
+		return
+	}
+	if reply.Status != http.StatusOK {
+		content, err := readWholeBody(reply.Body)
+		if err == nil {
+			err = &statusError{answer{reply.Status, reply.Header, content}}
+		}
+		report(attemptUpdate{err: err, mayHaveRun: true})
+		return
+	}
+	events := newEventReader(reply.Body)
+	for received := 0; ; received++ {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) && reply.EndsWithConnection && (received == 0 || s.crashed(ctx, attempt.host)) {
+			err = errCutAnswer
+		}
+		if errors.Is(err, io.EOF) {
+			report(attemptUpdate{complete: true})
+			return
+		}
+		if err != nil {
+			report(attemptUpdate{err: err, mayHaveRun: true})
+			return
+		}
+		s.Board.Progressed(attempt.host.ID, time.Now())
+		if !report(attemptUpdate{event: &e}) {
+			return
+		}
+	}
+}
+
+// statusError is a complete answer with a status other than 200 to a stream
+// request.
+type statusError struct{ answer answer }
+
+// Error implements error.
+func (e *statusError) Error() string {
+	return "endpoint answered with status " + strconv.Itoa(e.answer.status)
+}
--- /dev/null
+++ b/internal/request/forward/stream_second.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/request/place"
+)
+
+const (
+	// StallCheckInterval is the interval at which a stream is checked for a stall.
+	StallCheckInterval = 25 * time.Millisecond
+	// MoveBackoff is the minimum time between two tries to move a stream to
+	// another group.
+	MoveBackoff = 100 * time.Millisecond
+)
+
+// currentUpdates returns the updates of the current attempt, or nil while its held
+// events fill the buffer.
+func (s *streamState) currentUpdates() <-chan attemptUpdate {
+	if len(s.current.held) >= updateBufferSize {
+		return nil
+	}
+	return s.current.updates
+}
+
+// secondUpdates returns the updates of the second attempt, or nil if there is none.
+func (s *streamState) secondUpdates() <-chan attemptUpdate {
+	if s.second == nil {
+		return nil
+	}
+	return s.second.updates
+}
+
+// checkAttempts records an attempt that goes on well, ends a request that is now known
+// to crash hosts, and looks for silent attempts. It reports whether the request is
+// finished.
+func (s *streamState) checkAttempts(ctx context.Context, now time.Time) bool {
+	if s.checkPoisoned(now) {
+		return true
+	}
+	thresholds := s.stallThresholds()
+	stalled := false
+	for _, attempt := range s.attempts() {
+		stalled = s.checkStall(attempt, thresholds, now) || stalled
+	}
+	if s.second == nil {
+		if stalled {
+			s.beginSecond(ctx, now)
+		}
+		return false
+	}
+	if len(s.current.held) > 0 && now.Sub(s.second.started) >= thresholds.Stalled {
+		return s.stay("the second attempt has not begun", now)
+	}
+	return false
+}
+
+// stallThresholds returns the stall thresholds of the stream.
+func (s *streamState) stallThresholds() place.StallThresholds {
+	if s.service.Engine == nil || s.model == nil {
+		return place.PlainStallThresholds(s.route.LatencyTarget, s.route.PauseTarget)
+	}
+	return place.EngineStallThresholds(s.service.Engine, s.model, s.request.PromptTokens)
+}
+
+// checkStall marks the group of a silent attempt as suspected, and reports whether the
+// group or the attempt is stalled.
+func (s *streamState) checkStall(attempt *streamAttempt, thresholds place.StallThresholds, now time.Time) bool {
+	streamSilence := now.Sub(attempt.lastProgress)
+	groupSilence := streamSilence
+	if at := s.Board.Progress(attempt.host.ID); !at.IsZero() {
+		groupSilence = min(streamSilence, now.Sub(at))
+	}
+	suspect, stalled := thresholds.Evaluate(place.SilentFor{Own: streamSilence, Group: groupSilence, Began: attempt.events > 0, Suspected: s.Board.Suspected(attempt.host.ID, now)})
+	if suspect {
+		s.suspectGroup(attempt, now, groupSilence, thresholds)
+	}
+	return stalled
+}
+
+// suspectGroup marks the group of an attempt as suspected, and logs it if the suspicion
+// is new.
+func (s *streamState) suspectGroup(attempt *streamAttempt, now time.Time, silent time.Duration, thresholds place.StallThresholds) {
+	if !s.Board.Suspect(attempt.host.ID, now) {
+		return
+	}
+	s.Log.Log(eventlog.GroupSuspected, eventlog.Fields{
+		"request": s.request.ID, "host": attempt.host.ID, "group": attempt.host.Group.Name, "epoch": attempt.host.Group.Epoch,
+		"silent_ms": silent.Milliseconds(), "suspect_ms": thresholds.Suspect.Milliseconds(), "stalled_ms": thresholds.Stalled.Milliseconds(),
+		"events": attempt.events,
+	})
+}
+
+// beginSecond sends a stream whose attempt is silent to a second group as well, after
+// the last event that the caller has, if a group has room and a retry is allowed. The
+// silent attempt goes on until the second one has sent an event, because its host may be
+// sound.
+func (s *streamState) beginSecond(ctx context.Context, now time.Time) {
+	if now.Before(s.nextMoveAt) || !s.route.Repeatable() || len(s.triedHosts) >= s.route.MaxAttempts {
+		return
+	}
+	s.nextMoveAt = now.Add(MoveBackoff)
+	if !s.mayRetry(now) {
+		return
+	}
+	second, refused := s.begin(ctx)
+	if refused != nil {
+		s.retries.Refund(s.service.Name, now)
+		return
+	}
+	s.second = second
+	if s.current.events == 0 {
+		s.giveUp(s.current.host, true) // a crash may leave the connection silent
+	}
+	s.Log.Log(eventlog.SecondAttemptBegun, eventlog.Fields{
+		"request": s.request.ID, "from": s.current.host.ID, "to": second.host.ID, "silent_ms": now.Sub(s.current.lastProgress).Milliseconds(),
+		"after_event": s.lastID, "attempt": len(s.triedHosts),
+	})
+}
+
+// moveToSecond ends the silent attempt because the second one goes on. Events held for
+// the silent attempt are dropped: the second run has them.
+func (s *streamState) moveToSecond(now time.Time) {
+	silent := s.current
+	if silent.events == 0 {
+		s.giveUp(silent.host, true)
+	}
+	s.Log.Log(eventlog.StreamMoved, eventlog.Fields{
+		"request": s.request.ID, "from": silent.host.ID, "to": s.second.host.ID, "silent_ms": now.Sub(silent.lastProgress).Milliseconds(),
+		"after_event": s.lastID, "attempt": len(s.triedHosts), "held": len(silent.held),
+	})
+	s.end(silent, place.OutcomeAbandoned)
+}
+
+// stay ends the second attempt because the first one goes on, and delivers the events
+// held so far. It reports whether the request is finished because the caller left.
+func (s *streamState) stay(reason string, now time.Time) bool {
+	s.Log.Log(eventlog.StreamStayed, eventlog.Fields{
+		"request": s.request.ID, "host": s.current.host.ID, "second": s.second.host.ID, "reason": reason,
+		"after_event": s.lastID, "held": len(s.current.held),
+	})
+	if s.second.events == 0 {
+		s.giveUp(s.second.host, true)
+	}
+	s.end(s.second, place.OutcomeAbandoned)
+	return s.deliverHeld(now)
+}
+
+// deliverHeld delivers the events of the current attempt that were held for a second one
+// that has ended. It reports whether the request is finished because the caller left.
+func (s *streamState) deliverHeld(now time.Time) bool {
+	held := s.current.held
+	s.current.held = nil
+	for _, e := range held {
+		if s.handleEvent(s.current, e, now) {
+			return true
+		}
+	}
+	return false
+}
