Deliver a host's own failure where no other host can be tried

Callers saw: an idempotent request whose host answered 500, with no room at another host, was answered with a 502 of the node. Cause: servePlain drops the failure when it begins the next attempt, and refuses when no endpoint is found. Evidence: TestFailureOfAHostIsDeliveredWhereNoOtherHasRoom failed before: got 502 "", want 500 failed. The last failure that a host answered is kept until another attempt has begun, and is delivered if none can. Run: go test ./internal/request/forward.

--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -52,13 +52,21 @@
 
 // servePlain serves a request whose answer is delivered as a whole.
 func (s *requestState) servePlain(ctx context.Context) {
+	var failure *answer
 	for {
 		choice, refused := s.chooseEndpoint()
-		if refused != nil {
+		switch {
+		case refused != nil && failure != nil:
+			s.deliver(failure)
+			return
+		case refused != nil:
 			s.refuse(refused)
 			return
 		}
 		result := s.tryHost(ctx, choice.Host)
+		if result.answer != nil {
+			failure = result.answer
+		}
 		s.mayHaveRun = s.mayHaveRun || result.mayHaveRun
 		if result.err != nil && result.mayHaveRun {
 			s.logBroken(result.host, 0, result.err)
