Keep a silent attempt of an idempotent request alive beside the second one

Callers saw: an idempotent request whose host fell silent for 0.3 to 2 s and would then have answered was ended with 502, 503, 500 or 504 where the second host refused, declared not run, lost the answer, failed, was silent or slower, or where there was no second attempt. Cause: an attempt was cancelled after 0.6 of the latency target, before it was known whether another one could begin or would answer. Class: silence taken for the end of what is alive. Ruled out: non-idempotent requests and routes with one attempt (a late answer was delivered until the deadline before, too; now tested).

After the attempt timeout a second attempt begins beside the first one, within attempts, retry budget and room; else that is tried again after another timeout. The first whole answer that is no server error is delivered and ends the others. When all have failed, the caller gets a failure that a host answered, else the refusal that is true of all attempts. All state is changed by the serving goroutine; attempts only send and read. Hosts are marked on the board at the attempt timeout as before (Board.Overdue), so a dead one is avoided as early. A retry that finds no endpoint or reaches none is refunded. A failed attempt is replaced only once those beside it are overdue.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -88,6 +88,7 @@
 	RateLimitChanged       = Event{1367, logrus.InfoLevel, "limit of requests that a host names has changed"}
 	SuspectAnswered        = Event{1368, logrus.InfoLevel, "request that was at crashed hosts was answered; it is no longer suspected"}
 	HostCrashedAfterGiveUp = Event{1369, logrus.WarnLevel, "host crashed shortly after attempts at it were given up; their requests are suspected"}
+	RequestHedged          = Event{1370, logrus.WarnLevel, "host is silent; its request was sent to another host too"}
 	RequestPanicked        = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
 
@@ -178,6 +179,7 @@
 	RateLimitChanged,
 	SuspectAnswered,
 	HostCrashedAfterGiveUp,
+	RequestHedged,
 	LeaderElected,
 	LeaderLost,
 	LeaderUnknown,
--- a/internal/request/forward/crashcheck_test.go
+++ b/internal/request/forward/crashcheck_test.go
@@ -77,11 +77,15 @@
 // crashesHeldAgainstRequest returns the crashes that speak against the request that
 // setup.serve sends.
 func (setup *testSetup) crashesHeldAgainstRequest() int {
-	identity := poison.Request{Class: "service/m", Whole: poison.RequestTrait("service", http.MethodPost, "example", "/x", "account", "", nil)}
-	crashedHosts, _ := setup.core.Poison.Evidence(identity, time.Now())
+	crashedHosts, _ := setup.core.Poison.Evidence(setup.identity(), time.Now())
 	return crashedHosts
 }
 
+// identity returns the identity of the request that setup.serve sends.
+func (setup *testSetup) identity() poison.Request {
+	return poison.Request{Class: "service/m", Whole: poison.RequestTrait("service", http.MethodPost, "example", "/x", "account", "", nil)}
+}
+
 // TestCrashAfterGivenUpAttemptIsNoticed guards against hosts that crash just after the
 // node gave an attempt up, which blamed nobody.
 func TestCrashAfterGivenUpAttemptIsNoticed(t *testing.T) {
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -129,18 +129,31 @@
 		r.failureRate *= 1 - movingAverageWeight
 		r.answerTime += time.Duration(movingAverageWeight * float64(took-r.answerTime))
 	case OutcomeFailed, OutcomeRefused:
-		if now.Sub(r.lastFailure) > failureWindow {
-			r.failures = 0
-		}
-		r.failures++
-		r.lastFailure = now
-		r.failureRate += movingAverageWeight * (1 - r.failureRate)
-		quarantine := min(initialQuarantine<<min(r.failures-1, 8), maxQuarantine)
-		r.quarantinedUntil = now.Add(quarantine)
+		r.recordFailure(now)
 	case OutcomeAbandoned:
 	}
 }
 
+// Overdue records that an attempt has had no answer for long. It counts as a failure, but
+// the attempt goes on until Ended.
+func (b *Board) Overdue(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ensureHost(id).recordFailure(now)
+}
+
+// recordFailure quarantines the host for a failed attempt.
+func (r *hostRecord) recordFailure(now time.Time) {
+	if now.Sub(r.lastFailure) > failureWindow {
+		r.failures = 0
+	}
+	r.failures++
+	r.lastFailure = now
+	r.failureRate += movingAverageWeight * (1 - r.failureRate)
+	quarantine := min(initialQuarantine<<min(r.failures-1, 8), maxQuarantine)
+	r.quarantinedUntil = now.Add(quarantine)
+}
+
 // Progressed records that the host sent a part of an answer, and clears its
 // suspicion.
 func (b *Board) Progressed(id string, now time.Time) {
