--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -88,7 +88,7 @@
 	RateLimitChanged       = Event{1367, logrus.InfoLevel, "limit of requests that a host names has changed"}
 	SuspectAnswered        = Event{1368, logrus.InfoLevel, "request that was at crashed hosts was answered; it is no longer suspected"}
 	HostCrashedAfterGiveUp = Event{1369, logrus.WarnLevel, "host crashed shortly after attempts at it were given up; their requests are suspected"}
-	SecondAttemptBegun     = Event{1370, logrus.WarnLevel, "host is silent; the request is sent to a second one as well"}
+	RequestHedged          = Event{1370, logrus.WarnLevel, "host is silent; its request was sent to another host too"}
 	StreamStayed           = Event{1371, logrus.InfoLevel, "silent host went on; the stream stays at its group"}
 	RequestPanicked        = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
@@ -180,7 +180,7 @@
 	RateLimitChanged,
 	SuspectAnswered,
 	HostCrashedAfterGiveUp,
-	SecondAttemptBegun,
+	RequestHedged,
 	StreamStayed,
 	LeaderElected,
 	LeaderLost,
--- a/internal/request/forward/stream_second.go
+++ b/internal/request/forward/stream_second.go
@@ -114,8 +114,8 @@
 	if s.current.events == 0 {
 		s.giveUp(s.current.host, true) // a crash may leave the connection silent
 	}
-	s.Log.Log(eventlog.SecondAttemptBegun, eventlog.Fields{
-		"request": s.request.ID, "from": s.current.host.ID, "to": second.host.ID, "silent_ms": now.Sub(s.current.lastProgress).Milliseconds(),
+	s.Log.Log(eventlog.RequestHedged, eventlog.Fields{
+		"request": s.request.ID, "host": s.current.host.ID, "to": second.host.ID, "silent_ms": now.Sub(s.current.lastProgress).Milliseconds(),
 		"after_event": s.lastID, "attempt": len(s.triedHosts),
 	})
 }
--- a/internal/request/forward/stream_silence_test.go
+++ b/internal/request/forward/stream_silence_test.go
@@ -57,18 +57,6 @@
 	}
 }
 
-// inTurn returns hosts a and b, of which the one that gets the first attempt has the
-// first behavior.
-func inTurn(first, second hostBehavior) map[string]hostBehavior {
-	var once sync.Once
-	behavior := func(ctx context.Context, r *Request, a Attempt) (*Reply, error) {
-		chosen := second
-		once.Do(func() { chosen = first })
-		return chosen(ctx, r, a)
-	}
-	return map[string]hostBehavior{"a": behavior, "b": behavior}
-}
-
 // TestSilentHostThatGoesOnCompletesItsStream guards against streams that were cut
 // because a second attempt, begun while the first host was silent, failed.
 func TestSilentHostThatGoesOnCompletesItsStream(t *testing.T) {
@@ -86,7 +74,7 @@
 		for _, before := range []int{1, 4} {
 			for _, pause := range []time.Duration{600 * time.Millisecond, 1200 * time.Millisecond} {
 				t.Run(fmt.Sprintf("%s/before %d/%v", name, before, pause), func(t *testing.T) {
-					setup := newTestSetup(fleet.KindStream, 2, inTurn(streamWithPause(before, pause), second))
+					setup := newTurnSetup(fleet.KindStream, 2, 2, streamWithPause(before, pause), second)
 					serveOnce(t, setup, func(t *testing.T, got callerResult) {
 						if got.status != http.StatusOK || got.aborted || got.body != eventsText(1, 8) {
 							t.Errorf("got status %d, aborted %t, want 200 and the whole stream; body:\n%s", got.status, got.aborted, got.body)
@@ -122,7 +110,7 @@
 	for _, before := range []int{1, 4} {
 		for pause := 200 * time.Millisecond; pause <= 2*time.Second; pause += 50 * time.Millisecond {
 			for begin := time.Duration(0); begin <= 1500*time.Millisecond; begin += 100 * time.Millisecond {
-				setup := newTestSetup(fleet.KindStream, 2, inTurn(ranAt("first", streamWithPause(before, pause)), ranAt("second", beginLate(begin))))
+				setup := newTurnSetup(fleet.KindStream, 2, 2, ranAt("first", streamWithPause(before, pause)), ranAt("second", beginLate(begin)))
 				serveOnce(t, setup, func(t *testing.T, got callerResult) {
 					if got.aborted || got.body != eventsText(1, 8) {
 						t.Errorf("pause of %v before event %d, second begins after %v: got aborted %t, want the whole stream; body:\n%s", pause, before, begin, got.aborted, got.body)
@@ -144,7 +132,7 @@
 		context.AfterFunc(ctx, func() { left = time.Now() })
 		return streamEvents(3, testEventInterval, stall)(ctx, r, a)
 	}
-	setup := newTestSetup(fleet.KindStream, 2, inTurn(first, streamEvents(8, testEventInterval, closeStream)))
+	setup := newTurnSetup(fleet.KindStream, 2, 2, first, streamEvents(8, testEventInterval, closeStream))
 	synctest.Test(t, func(t *testing.T) {
 		setup.start()
 		started := time.Now()
@@ -203,7 +191,7 @@
 		}()
 		return verifiedReply(http.StatusOK, reader), nil
 	}
-	setup := newTestSetup(fleet.KindStream, 2, inTurn(first, neverAnswer))
+	setup := newTurnSetup(fleet.KindStream, 2, 2, first, neverAnswer)
 	synctest.Test(t, func(t *testing.T) {
 		setup.start()
 		ctx, cancel := context.WithCancel(context.Background())
