Heed what hosts say of themselves: leaving, and a time to wait (managed nodes)

What callers and hosts saw: nothing read Server-Leaving or the Retry-After of a host's 503.

Leaving is put into the node's view of the host, which first sends, second attempts, resumed streams, crash checks and the planning of groups read already. A wait is kept by life of the host beside the counts that the choice reads. Log events 1314 and 1380.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -65,6 +65,7 @@
 	FeedHubFailed      = Event{1311, logrus.WarnLevel, "node that reads a feed for others failed; the store is asked"}
 	HubChosen          = Event{1312, logrus.InfoLevel, "another node is the hub of this node's failure domain"}
 	StoreRestored      = Event{1313, logrus.WarnLevel, "the store has come back from an older copy; what was in force stays until it is written again"}
+	HostSaysLeaving    = Event{1314, logrus.InfoLevel, "host says in an answer that it leaves; it gets no new requests"}
 	HostRemovalDelayed = Event{1310, logrus.InfoLevel, "registration of a host lapsed around an outage of the store; the host is kept for now"}
 )
 
@@ -90,6 +91,7 @@
 	HostCrashedAfterGiveUp = Event{1369, logrus.WarnLevel, "host crashed shortly after attempts at it were given up; their requests are suspected"}
 	SecondAttemptBegun     = Event{1370, logrus.WarnLevel, "host is silent; the request is sent to a second one as well"}
 	StreamStayed           = Event{1371, logrus.InfoLevel, "silent host went on; the stream stays at its group"}
+	HostWaits              = Event{1380, logrus.InfoLevel, "host refused a request and wants no others for a time"}
 	RequestPanicked        = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
 
@@ -161,6 +163,7 @@
 	FeedHubFailed,
 	HubChosen,
 	StoreRestored,
+	HostSaysLeaving,
 	RequestPlaced,
 	RequestNotPlaced,
 	RequestRetried,
@@ -182,6 +185,7 @@
 	HostCrashedAfterGiveUp,
 	SecondAttemptBegun,
 	StreamStayed,
+	HostWaits,
 	LeaderElected,
 	LeaderLost,
 	LeaderUnknown,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -131,6 +131,7 @@
 		View: g.view, Board: g.board, Endpoint: p.Endpoint, Budget: forward.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Refuse: p.Refuse, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
 		Poison: g.poison, MayTryPoison: g.leads, ShareEvidence: g.sendDigestNow,
+		HostLeaves: func(host *fleet.Host, requestID string) { g.builder.hostSaysLeaving(host, requestID, time.Now()) },
 	})
 	g.builder = newViewBuilder(p.Decode, g.view, log, g.viewChanged)
 	g.configs = feed.NewFollower(feed.TopicConfiguration, p.Feed, g.upstream, log, func(changed []feed.Record, _ bool) {
--- a/internal/process/gateway/restore.go
+++ b/internal/process/gateway/restore.go
@@ -90,14 +90,13 @@
 	}
 }
 
-// staysLeaving returns the host as leaving if it was registered so in this life and the
-// store has come back since then from a copy that may be older. The caller must hold
-// mu.
+// staysLeaving returns the host as leaving if it said so in an answer in this life, or
+// if it was registered so in this life and the store has come back since then from a
+// copy that may be older. The caller must hold mu.
 func (b *viewBuilder) staysLeaving(host *fleet.Host, now time.Time) *fleet.Host {
-	if b.restoredAt.IsZero() || now.Sub(b.restoredAt) >= restoredRemovalDelay || b.ended.State(host) != fleet.LifeLeaving {
-		return host
+	restored := !b.restoredAt.IsZero() && now.Sub(b.restoredAt) < restoredRemovalDelay && b.ended.State(host) == fleet.LifeLeaving
+	if restored || b.keepsLeaving(host) {
+		return asLeaving(host)
 	}
-	leaving := *host
-	leaving.State = fleet.HostLeaving
-	return &leaving
+	return host
 }
--- a/internal/process/gateway/view.go
+++ b/internal/process/gateway/view.go
@@ -42,9 +42,11 @@
 	lapseDeadlines map[string]time.Time
 	// ended and deferred keep an older copy of the host list from undoing what this
 	// node has seen; restoredAt is when the store last came back from one.
-	ended        *fleet.EndedLives
-	deferred     map[string]deferredRecord
-	restoredAt   time.Time
+	ended      *fleet.EndedLives
+	deferred   map[string]deferredRecord
+	restoredAt time.Time
+	// said contains the hosts that have said in an answer that they leave.
+	said         map[string]saidLeaving
 	hostsVersion int64
 	readAt       time.Time
 	hostsKnown   bool
@@ -54,7 +56,7 @@
 	return &viewBuilder{
 		decode: decode, view: view, log: log, onChange: onChange,
 		hosts: map[string]*fleet.Host{}, lapseDeadlines: map[string]time.Time{},
-		ended: fleet.NewEndedLives(), deferred: map[string]deferredRecord{},
+		ended: fleet.NewEndedLives(), deferred: map[string]deferredRecord{}, said: map[string]saidLeaving{},
 	}
 }
 
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -70,6 +70,9 @@
 	// ShareEvidence is called after new evidence, so that the other nodes learn of it
 	// at once. It must not block.
 	ShareEvidence func()
+	// HostLeaves is called when a host says in an answer that it is about to leave. It
+	// must not block; nil ignores it.
+	HostLeaves func(host *fleet.Host, requestID string)
 	// FailureDomain is the failure domain of this node.
 	FailureDomain string
 }
@@ -249,9 +252,13 @@
 	}
 	s.Log.LogLimited(eventlog.RequestNotPlaced, eventlog.Fields{
 		"request": s.request.ID, "service": s.service.Name, "model": query.Model, "rank": s.rank,
-		"candidates": none.Candidates, "load": none.Load, "limit": none.Limit, "hosts_version": view.HostsVersion,
+		"candidates": none.Candidates, "waiting": none.Waiting, "load": none.Load, "limit": none.Limit, "hosts_version": view.HostsVersion,
 		"hosts_age_ms": time.Since(view.HostsRead).Milliseconds(), "attempt": len(s.triedHosts) + 1,
 	})
+	if none.Candidates == 0 && none.Waiting > 0 {
+		s.Metrics.Counter("place_refused_by_waits").Inc(1)
+		return place.Choice{}, refusal.New(refusal.KindOverloaded, http.StatusServiceUnavailable, "all endpoints ask for no requests at present; send the request again after the given time").WithRetryAfter(none.RetryAfter)
+	}
 	if none.Candidates == 0 {
 		return place.Choice{}, refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "no endpoint can run the request at present; send it again").WithRetryAfter(NoEndpointRetryAfter)
 	}
@@ -329,6 +336,21 @@
 	return true
 }
 
+// observeHost records what a host says of itself in its answer: its limit of requests,
+// that it leaves, or that it wants no requests for a time.
+func (s *requestState) observeHost(host *fleet.Host, reply *Reply) {
+	s.observeRateLimit(host, reply)
+	if reply.Leaving && s.HostLeaves != nil {
+		s.HostLeaves(host, s.request.ID)
+	}
+	if reply.Wait > 0 {
+		if until, changed := s.Board.ObserveWait(host, reply.Wait, time.Now()); changed {
+			s.Metrics.Counter("place_host_waits").Inc(1)
+			s.Log.LogLimited(eventlog.HostWaits, eventlog.Fields{"host": host.ID, "request": s.request.ID, "asked_ms": reply.Wait.Milliseconds(), "wait_ms": time.Until(until).Milliseconds()})
+		}
+	}
+}
+
 // observeRateLimit records the limit that a host names in its answer, and logs it if
 // it changed.
 func (s *requestState) observeRateLimit(host *fleet.Host, reply *Reply) {
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -148,7 +148,7 @@
 		return attemptResult{mayHaveRun: endpoint.MayHaveBeenSent(err), err: err}
 	}
 	defer reply.Body.Close()
-	s.observeRateLimit(host, reply)
+	s.observeHost(host, reply)
 	if reply.NotRun && !reply.WrongRequest {
 		return attemptResult{err: errNotRun}
 	}
--- a/internal/request/forward/stream_attempt.go
+++ b/internal/request/forward/stream_attempt.go
@@ -133,7 +133,7 @@
 		return
 	}
 	defer reply.Body.Close()
-	s.observeRateLimit(attempt.host, reply)
+	s.observeHost(attempt.host, reply)
 	if reply.NotRun && !reply.WrongRequest {
 		report(attemptUpdate{reply: reply, err: errNotRun})
 		return
--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -77,6 +77,11 @@
 	// RateLimit is the limit of requests that the host names, or nil if the answer says
 	// nothing about it.
 	RateLimit *ratelimit.Limit
+	// Leaving is true if the host says that it is about to leave.
+	Leaving bool
+	// Wait is the time for which a host that refused the request wants no others from
+	// this node, or 0.
+	Wait time.Duration
 	// EndsWithConnection is true if the answer has neither a length nor chunks, so
 	// that only the end of the connection ends it.
 	EndsWithConnection bool
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -81,6 +81,8 @@
 	// RateLimited is true if endpoints have room for the request, and the limits of
 	// requests a second that they name do not allow it now.
 	RateLimited bool
+	// Waiting is the number of endpoints that could run it but ask for no requests.
+	Waiting int
 	// RetryAfter is the delay after which room is expected.
 	RetryAfter time.Duration
 }
@@ -94,11 +96,19 @@
 	refusal := &Refusal{RetryAfter: minRetryAfter}
 	var candidates []candidate
 	ownInFlight := 0
+	var firstWaitEnd time.Time
 	for _, host := range view.ServiceHosts(q.Service.Name) {
 		if !b.isEligible(host, q, now) {
 			continue
 		}
-		c := candidate{host: host, limit: hostLimit(host, q), reported: b.load(host.ID, now)}
+		if end := b.waitUntil(host); now.Before(end) {
+			refusal.Waiting++
+			if firstWaitEnd.IsZero() || end.Before(firstWaitEnd) {
+				firstWaitEnd = end
+			}
+			continue
+		}
+		c := candidate{host: host, limit: b.rampedLimit(host, hostLimit(host, q), now), reported: b.load(host.ID, now)}
 		if r := b.hosts[host.ID]; r != nil {
 			c.ownInFlight = r.inFlight
 		}
@@ -108,6 +118,10 @@
 		refusal.Limit += c.limit
 		candidates = append(candidates, c)
 	}
+	if refusal.Candidates == 0 && refusal.Waiting > 0 {
+		refusal.RetryAfter = b.waitRetryAfter(firstWaitEnd, now)
+		return Choice{}, refusal
+	}
 	asked := 0.0
 	if len(candidates) > 0 { // callers may name any model, so only those that are served are counted
 		asked = b.limiter.Asked(q.Service.Name+"/"+q.Model, now)
