--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -41,7 +41,7 @@
 		return attemptResult{mayHaveRun: endpoint.MayHaveBeenSent(err), err: err}
 	}
 	defer reply.Body.Close()
-	s.observeRateLimit(host, reply)
+	s.observeHost(host, reply)
 	if reply.NotRun && !reply.WrongRequest {
 		return attemptResult{err: errNotRun}
 	}
