Do not refuse a sent stream as not run at its deadline

Callers saw: a stream that was passed on and had no reply when its time was over was refused with 503, the promise that it did not run and never will. The host may be at work on it (queue, prefill). For a stream that may not be resumed a caller then sends the request again, so that it runs twice. Cause: requestState.mayHaveRun is set by the reply, an event or an error of the attempt. At the end of the context handleContextEnd does not wait for the attempt, whose error is dropped, so that an attempt without a reply counts as unsent. Plain requests wait for the error of Send and are right. Evidence: TestSentStreamIsNotRefusedAsNotRunAtItsDeadline, on: got status 503, want 504. Fix: a stream whose attempt has been begun may have run once its context ends. An attempt still in its dial is held to have been sent, too: the dial takes 250 ms at most, and 504 promises nothing. Run: go test ./internal/request/forward.

--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -311,6 +311,9 @@
 
 // deadlineRefusal returns the refusal of a request whose deadline has passed.
 func (s *requestState) deadlineRefusal() *refusal.Error {
+	if s.route.Kind == fleet.KindStream && len(s.triedHosts) > 0 {
+		s.mayHaveRun = true // the endpoint of an attempt without a reply may run it
+	}
 	if s.mayHaveRun {
 		return refusal.NewMayHaveRun(refusal.KindDeadline, http.StatusGatewayTimeout, "the time of the request is over; it may have run")
 	}
