Close the connections of a stopping node by their state, not by time

Callers saw: in a planned stop a request on a connection that had been opened before the listener closed was read and its connection closed without an answer; where nothing was in flight at 2.5 s, the node closed at once and had refused nobody. Cause: the stop ended with http.Server.Shutdown. While it runs, net/http still reads requests on new and idle connections, and drops them (conn.serve returns after readRequest if the server is shutting down). After 300 ms the rest was closed in whatever state it was. Evidence, on: TestStopAnswersRequestsOnConnectionsOpenedBefore: 13 of 13 requests sent 2.55 to 3.15 s after the stop, on connections opened at 2.4 s: got "unexpected EOF", want an answer or a refusal. TestStopClosesIdleConnectionsWithoutReset: the idle connection was open 4 s after the stop, want its end. TestStopUnderLoadLosesNoRequest and TestStopDeliversAnswersThatComeLate passed before, too; they hold what was right. Ruled out: requests passed on and cut in calm by this path (60 callers until the end, none cut); it lost only requests that had been read and not passed on. Fix: the phase of a stop is a function of the time since SIGTERM and the requests in flight, asked for each request. Package conntrack follows each connection: a read deadline in the past ends the wait for a next request before any byte is read, so that a request that crosses the close is either answered or unread. A node listens and refuses until its end instead of until 2.9 s, closes idle connections from 2.9 s on, and ends at 3.4 s at the earliest (2.5 s before). A stop_time under 8 s shortens the phases; before, one of 3 s admitted requests to its end. All listeners share one limit for their close (up to four times 300 ms before, beyond stop_time). Run: go test -race ./internal/connection/conntrack ./internal/process/gateway ./internal/process/eventlog, and -run Stop of ./platform with -race.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -10,6 +10,7 @@
 	NodeStopped  = Event{1004, logrus.InfoLevel, "node stopped"}
 	NodeIsolated = Event{1005, logrus.WarnLevel, "node reaches neither the table service nor a peer and refuses work"}
 	NodeRejoined = Event{1006, logrus.InfoLevel, "node reaches the table service or a peer again"}
+	NodeRefusing = Event{1007, logrus.InfoLevel, "stopping node refuses requests and closes idle connections"}
 )
 
 // Events of configuration, 1100 to 1149.
@@ -128,6 +129,7 @@
 	NodeStopped,
 	NodeIsolated,
 	NodeRejoined,
+	NodeRefusing,
 	ConfigApplied,
 	ConfigAccepted,
 	ConfigHeadUnreadable,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/conntrack"
 	"currantladder.example/currantladder/internal/connection/feed"
 	"currantladder.example/currantladder/internal/connection/table"
 	"currantladder.example/currantladder/internal/process/eventlog"
@@ -24,32 +25,12 @@
 	"currantladder.example/currantladder/internal/request/forward"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
-	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/fleet"
 	"currantladder.example/currantladder/internal/version/formation"
 )
 
-// Times of a graceful stop, and limits of a running node.
+// Limits of a running node.
 const (
-	// balancerDetectionDelay is the time that the platform's load balancer needs
-	// to detect that a node is not ready: two checks one second apart, plus one
-	// that is under way.
-	balancerDetectionDelay = 2500 * time.Millisecond
-	// admissionCutoff is the time after SIGTERM from which requests are refused.
-	// Requests accepted earlier have the remaining stop time to finish.
-	admissionCutoff = 2900 * time.Millisecond
-	// stoppingRetryAfter is the retry delay sent to callers that are refused
-	// after the cutoff. It is short because other nodes accept them at once.
-	stoppingRetryAfter = 50 * time.Millisecond
-	// stopMargin is the part of the stop time that is reserved for closing
-	// connections.
-	stopMargin = 700 * time.Millisecond
-	// drainPollInterval is the time between two counts of the requests in flight.
-	drainPollInterval = 50 * time.Millisecond
-	// releaseTimeout limits the release of the leadership.
-	releaseTimeout = time.Second
-	// closeTimeout limits the graceful close of idle connections of a listener.
-	closeTimeout = 300 * time.Millisecond
 	// maxServedCopyAge is the age above which a node does not offer its copies of
 	// the feeds to others. The store confirms them at least every two seconds.
 	maxServedCopyAge = 3 * time.Second
@@ -116,9 +97,9 @@
 
 	inFlight   atomic.Int64
 	hadTraffic atomic.Bool
-	stopping   atomic.Bool
-	// refusing is true once a stopping node accepts no more requests.
-	refusing atomic.Bool
+	stops      stopClock
+	// conns follows the callers' connections.
+	conns *conntrack.Tracker
 	// background counts the goroutines of the servers and of the loops that Run
 	// starts.
 	background sync.WaitGroup
@@ -126,10 +107,11 @@
 
 // New returns a node that does nothing until Run.
 func New(s *Settings, p Platform, log *eventlog.Logger) *Gateway {
-	g := &Gateway{settings: s, platform: p, log: log, metrics: metrics.New(s.Node), view: &fleet.ViewHolder{}, board: place.NewBoard(), poison: poison.New()}
+	g := &Gateway{settings: s, platform: p, log: log, metrics: metrics.New(s.Node), view: &fleet.ViewHolder{}, board: place.NewBoard(), poison: poison.New(), conns: conntrack.New()}
+	g.stops.schedule = newStopSchedule(s.StopTime)
 	g.core = forward.New(forward.Options{
 		View: g.view, Board: g.board, Endpoint: p.Endpoint, Budget: forward.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
-		Refuse: p.Refuse, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
+		Refuse: g.refuse, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
 		Poison: g.poison, MayTryPoison: g.leads, ShareEvidence: g.sendDigestNow,
 	})
 	g.builder = newViewBuilder(p.Decode, g.view, log, g.viewChanged)
@@ -220,6 +202,9 @@
 	return nil
 }
 
+// callersListener is the name of the first listener.
+const callersListener = "callers"
+
 // server is an HTTP server with its listener.
 type server struct {
 	http     *http.Server
@@ -237,7 +222,7 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"callers", g.settings.Callers, g.trackRequests(g.platform.Callers(g.core))},
+		{callersListener, g.settings.Callers, g.trackRequests(g.platform.Callers(g.core))},
 		{"readiness", g.settings.Ready, ready},
 		{"peers", g.settings.Peers, feedHandler(followers)},
 		{"metrics", g.settings.Metrics, scrape},
@@ -250,9 +235,12 @@
 			return nil, fmt.Errorf("listen for %s on %s: %w; choose a free address", l.name, l.address, err)
 		}
 		s := server{&http.Server{Handler: l.handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes}, listener}
+		if l.name == callersListener {
+			s.listener, s.http.ConnState = g.conns.Listener(listener), g.conns.ConnState
+		}
 		servers = append(servers, s)
 		g.background.Go(func() {
-			if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !g.stopping.Load() {
+			if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !g.stops.stopping() {
 				g.log.Log(eventlog.NodeStopping, eventlog.Fields{"listener": l.name, "error": err.Error()})
 			}
 		})
@@ -260,25 +248,6 @@
 	return servers, nil
 }
 
-// trackRequests counts requests in flight. Once the node is stopping, it asks
-// callers to close their connections, and refuses requests after the cutoff.
-func (g *Gateway) trackRequests(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g.inFlight.Add(1)
-		defer g.inFlight.Add(-1)
-		g.hadTraffic.Store(true)
-		if g.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		if g.refusing.Load() {
-			g.log.LogLimited(eventlog.RequestRefused, eventlog.Fields{"kind": refusal.KindNodeStopping, "status": http.StatusServiceUnavailable, "ran": refusal.RanNo})
-			g.platform.Refuse(w, refusal.New(refusal.KindNodeStopping, http.StatusServiceUnavailable, "the node is stopping; send the request again").WithRetryAfter(stoppingRetryAfter))
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // hasFreshFeeds reports whether the node can serve fresh copies of both feeds to
 // other nodes.
 func (g *Gateway) hasFreshFeeds() bool {
@@ -289,21 +258,21 @@
 			return false
 		}
 	}
-	return !g.stopping.Load()
+	return !g.stops.stopping()
 }
 
 // ready reports whether the node has loaded its configuration and the host list
 // and is not stopping. Only then may it lead.
 func (g *Gateway) ready() bool {
 	view := g.view.Load()
-	return !g.stopping.Load() && view.Configuration != nil && view.HostsKnown
+	return !g.stops.stopping() && view.Configuration != nil && view.HostsKnown
 }
 
 // readyz answers 200 while the node is ready, and 503 otherwise.
 func (g *Gateway) readyz(w http.ResponseWriter, _ *http.Request) {
 	view := g.view.Load()
 	switch {
-	case g.stopping.Load():
+	case g.stops.stopping():
 		http.Error(w, "the node is stopping", http.StatusServiceUnavailable)
 	case view.Configuration == nil || !view.HostsKnown:
 		http.Error(w, "configuration or host list are not known yet", http.StatusServiceUnavailable)
@@ -337,39 +306,3 @@
 		}
 	}
 }
-
-// stop fails the readiness check, releases the leadership, waits for requests in
-// flight and closes the listeners.
-func (g *Gateway) stop(servers []server, cancelBackground context.CancelFunc) {
-	started := time.Now()
-	g.stopping.Store(true)
-	g.log.Log(eventlog.NodeStopping, eventlog.Fields{"in_flight": g.inFlight.Load()})
-	release, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	if err := g.candidate.Release(release); err != nil {
-		g.log.Log(eventlog.LeaderUnknown, eventlog.Fields{"error": err.Error()})
-	}
-	cancel()
-	deadline := started.Add(g.settings.StopTime - stopMargin)
-	for time.Now().Before(deadline) {
-		if time.Since(started) >= balancerDetectionDelay && g.inFlight.Load() == 0 {
-			break
-		}
-		if time.Since(started) >= admissionCutoff && !g.refusing.Swap(true) {
-			servers[0].listener.Close() // the callers' listener: other nodes accept new connections
-		}
-		time.Sleep(drainPollInterval)
-	}
-	unfinished := g.inFlight.Load()
-	cancelBackground()
-	for _, s := range servers {
-		closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		if err := s.http.Shutdown(closing); err != nil {
-			s.http.Close()
-		}
-		cancel()
-	}
-	g.log.Log(eventlog.NodeStopped, eventlog.Fields{"cut": unfinished, "took_ms": time.Since(started).Milliseconds()})
-	if err := g.metrics.Close(); err != nil {
-		g.log.Log(eventlog.NodeStopped, eventlog.Fields{"error": err.Error()})
-	}
-}
