Refuse requests that become whole after a stopping node's cutoff

Callers saw: a request whose head came before the cutoff of a planned stop and whose body came after it was passed on late in the grace, with little or no time left, and cut at its end; also one that may not be repeated. Cause: the decision to admit was made when the handler began, which is when the head has been read. Fix: Core.Serve asks Admit once the request is whole. The check at the head stays: it spares reading the body.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -111,7 +111,7 @@
 	g.stops.schedule = newStopSchedule(s.StopTime)
 	g.core = forward.New(forward.Options{
 		View: g.view, Board: g.board, Endpoint: p.Endpoint, Budget: forward.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
-		Refuse: g.refuse, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
+		Refuse: g.refuse, Admit: g.admit, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
 		Poison: g.poison, MayTryPoison: g.leads, ShareEvidence: g.sendDigestNow,
 	})
 	g.builder = newViewBuilder(p.Decode, g.view, log, g.viewChanged)
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -72,6 +72,8 @@
 	ShareEvidence func()
 	// FailureDomain is the failure domain of this node.
 	FailureDomain string
+	// Admit returns the refusal of a request that is complete now, or nil. It may be nil.
+	Admit func() *refusal.Error
 }
 
 // Core serves requests. It is safe for concurrent use.
@@ -85,6 +87,9 @@
 
 // New returns a core. RunCrashChecks must run beside it.
 func New(o Options) *Core {
+	if o.Admit == nil {
+		o.Admit = func() *refusal.Error { return nil }
+	}
 	return &Core{Options: o, retries: retry.NewBudget(), crashChecks: make(chan *fleet.Host, maxWaitingCrashChecks)}
 }
 
@@ -130,6 +135,10 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
+	if refused := s.Admit(); refused != nil {
+		s.refuse(refused)
+		return
+	}
 	if refused := s.authorize(view); refused != nil {
 		s.refuse(refused)
 		return
