Answer the requests that are in flight at the end of a stop

Callers saw: at the end of a planned stop the connections of requests in flight were closed with no answer, among them requests that were taken during the stop and passed on, and ones that may not be repeated. Cause: the stop ended by closing connections. Nothing ended the requests themselves, whose time could go beyond that of the node; their hosts were told that longer time, too. Fix: the contexts of callers' requests descend from one that the node ends 0.7 s before stop_time, with a refusal as its cause. A request that was sent gets 504, one that was not 503; both ends read it as they read a deadline. Only streams that have begun are cut, as before. Attempts get no more time than the node has left.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -100,6 +100,10 @@
 	stops      stopClock
 	// conns follows the callers' connections.
 	conns *conntrack.Tracker
+	// requests is the parent of the contexts of callers' requests; endRequests ends
+	// them, with the refusal of those that have no answer yet.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 	// background counts the goroutines of the servers and of the loops that Run
 	// starts.
 	background sync.WaitGroup
@@ -109,9 +113,10 @@
 func New(s *Settings, p Platform, log *eventlog.Logger) *Gateway {
 	g := &Gateway{settings: s, platform: p, log: log, metrics: metrics.New(s.Node), view: &fleet.ViewHolder{}, board: place.NewBoard(), poison: poison.New(), conns: conntrack.New()}
 	g.stops.schedule = newStopSchedule(s.StopTime)
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.core = forward.New(forward.Options{
 		View: g.view, Board: g.board, Endpoint: p.Endpoint, Budget: forward.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
-		Refuse: g.refuse, Admit: g.admit, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
+		Refuse: g.refuse, Admit: g.admit, RequestsEnd: g.stops.requestsEnd, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
 		Poison: g.poison, MayTryPoison: g.leads, ShareEvidence: g.sendDigestNow,
 	})
 	g.builder = newViewBuilder(p.Decode, g.view, log, g.viewChanged)
@@ -237,6 +242,7 @@
 		s := server{&http.Server{Handler: l.handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes}, listener}
 		if l.name == callersListener {
 			s.listener, s.http.ConnState = g.conns.Listener(listener), g.conns.ConnState
+			s.http.BaseContext = func(net.Listener) context.Context { return g.requests }
 		}
 		servers = append(servers, s)
 		g.background.Go(func() {
--- a/internal/process/gateway/stop.go
+++ b/internal/process/gateway/stop.go
@@ -108,6 +108,15 @@
 	return c.schedule.phase(now.Sub(*begun), inFlight)
 }
 
+// requestsEnd returns when requests in flight end at the latest, or zero if the node
+// is not stopping.
+func (c *stopClock) requestsEnd() time.Time {
+	if begun := c.begun.Load(); begun != nil {
+		return begun.Add(c.schedule.end)
+	}
+	return time.Time{}
+}
+
 // admit returns the refusal of a request that is complete now, or nil if the node
 // accepts it.
 func (g *Gateway) admit() *refusal.Error {
@@ -146,7 +155,8 @@
 }
 
 // stop fails the readiness check, releases the leadership, drains the callers'
-// connections and closes the listeners. Requests still in flight at its end are cut.
+// connections and closes the listeners. Every request that was read gets an answer
+// before its connection is closed; only streams that have begun may be cut.
 func (g *Gateway) stop(servers []server, cancelBackground context.CancelFunc) {
 	started := time.Now()
 	g.stops.begin(started)
@@ -155,6 +165,7 @@
 	released.Go(g.releaseLeadership)
 	g.drain()
 	unfinished := g.inFlight.Load()
+	g.endRequests(refusal.New(refusal.KindNodeStopping, http.StatusServiceUnavailable, "the node stopped before an endpoint took the request; send it again").WithRetryAfter(stoppingRetryAfter))
 	closing, cancel := context.WithTimeout(context.Background(), g.stops.schedule.closeTimeout)
 	defer cancel()
 	cut := g.closeCallers(closing, servers[0])
--- a/internal/process/gateway/stop_test.go
+++ b/internal/process/gateway/stop_test.go
@@ -44,15 +44,16 @@
 	}
 }
 
-// TestStopClock verifies that a node serves until its stop begins.
+// TestStopClock verifies that a node serves until its stop begins, and when its requests
+// end then.
 func TestStopClock(t *testing.T) {
 	c := stopClock{schedule: newStopSchedule(8 * time.Second)}
 	now := time.Now()
-	if c.stopping() || c.phase(now, 0) != phaseServing {
+	if c.stopping() || c.phase(now, 0) != phaseServing || !c.requestsEnd().IsZero() {
 		t.Error("a clock that has not begun must report a serving node")
 	}
 	c.begin(now)
-	if !c.stopping() || c.phase(now.Add(3*time.Second), 0) != phaseRefusing {
-		t.Errorf("3 s after its begin: got phase %d, want refusing", c.phase(now.Add(3*time.Second), 0))
+	if !c.stopping() || c.phase(now.Add(3*time.Second), 0) != phaseRefusing || !c.requestsEnd().Equal(now.Add(7300*time.Millisecond)) {
+		t.Errorf("3 s after its begin: got phase %d and end %v, want refusing and 7.3 s", c.phase(now.Add(3*time.Second), 0), c.requestsEnd().Sub(now))
 	}
 }
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -72,8 +72,10 @@
 	ShareEvidence func()
 	// FailureDomain is the failure domain of this node.
 	FailureDomain string
-	// Admit returns the refusal of a request that is complete now, or nil. It may be nil.
-	Admit func() *refusal.Error
+	// Admit returns the refusal of a request that is complete now, or nil. RequestsEnd
+	// returns when requests end because the node is stopping, or zero. Both may be nil.
+	Admit       func() *refusal.Error
+	RequestsEnd func() time.Time
 }
 
 // Core serves requests. It is safe for concurrent use.
@@ -90,6 +92,9 @@
 	if o.Admit == nil {
 		o.Admit = func() *refusal.Error { return nil }
 	}
+	if o.RequestsEnd == nil {
+		o.RequestsEnd = func() time.Time { return time.Time{} }
+	}
 	return &Core{Options: o, retries: retry.NewBudget(), crashChecks: make(chan *fleet.Host, maxWaitingCrashChecks)}
 }
 
@@ -122,13 +127,17 @@
 	identity poison.Request
 	isTrial  bool
 	w        http.ResponseWriter
+	// cause returns why the context of the request has ended, or nil.
+	cause func() error
 }
 
 // Serve answers one request. It returns when the answer is complete, and panics
-// with http.ErrAbortHandler if an answer that has begun cannot be completed.
+// with http.ErrAbortHandler if an answer that has begun cannot be completed. If the
+// cause of the end of the request's context is a *refusal.Error, this refuses a request
+// that has not run.
 func (c *Core) Serve(w http.ResponseWriter, r *http.Request, request *Request) {
 	view := c.View.Load()
-	s := &requestState{Core: c, request: request, w: w}
+	s := &requestState{Core: c, request: request, w: w, cause: func() error { return context.Cause(r.Context()) }}
 	defer func() {
 		if cause := recover(); cause != nil {
 			s.logPanic(cause)
@@ -281,9 +290,13 @@
 
 // newAttempt returns the attempt to send to the chosen host.
 func (s *requestState) newAttempt(host *fleet.Host, resumeAfter string) Attempt {
+	deadline := s.deadline
+	if end := s.RequestsEnd(); !end.IsZero() && end.Before(deadline) {
+		deadline = end
+	}
 	return Attempt{
 		Address: host.Address, HostID: host.ID, Account: s.account, Urgency: min(max(s.rank, 0), 9),
-		TimeLeft: time.Until(s.deadline), ResumeAfter: resumeAfter,
+		TimeLeft: time.Until(deadline), ResumeAfter: resumeAfter,
 		FreshConnection: !s.route.Repeatable(),
 	}
 }
@@ -318,11 +331,19 @@
 	s.Refuse(s.w, e)
 }
 
-// deadlineRefusal returns the refusal of a request whose deadline has passed.
+// deadlineRefusal returns the refusal of a request whose deadline has passed, or which
+// the end of the node has ended.
 func (s *requestState) deadlineRefusal() *refusal.Error {
 	if s.route.Kind == fleet.KindStream && len(s.triedHosts) > 0 {
 		s.mayHaveRun = true // the endpoint of an attempt without a reply may run it
 	}
+	var ended *refusal.Error
+	if errors.As(s.cause(), &ended) {
+		if s.mayHaveRun {
+			return refusal.NewMayHaveRun(ended.Kind, http.StatusGatewayTimeout, "the node stopped before the answer was complete; the request may have run")
+		}
+		return ended
+	}
 	if s.mayHaveRun {
 		return refusal.NewMayHaveRun(refusal.KindDeadline, http.StatusGatewayTimeout, "the time of the request is over; it may have run")
 	}
