Hold SIGHUP off from the first statement of a managed node

Seen: a SIGHUP that arrives while a node reads its settings ends the process; by default the signal terminates it, and the handler came after the settings. Evidence, on: TestSignalsBeforeSettingsAreRead, which holds the process in the read of its settings by a named pipe: got "signal: hangup", want an exit without an error. After the handler's end at a stop the default was back, too. Ruled out by tests that passed before: a second SIGTERM and SIGHUPs during a stop, a SIGHUP right before SIGTERM, a SIGTERM before the listeners are open. Run: go test -run 'TestSignals|SIGHUP' ./cmd/currantladder.

--- a/cmd/currantladder/gateway.go
+++ b/cmd/currantladder/gateway.go
@@ -35,6 +35,9 @@
 }
 
 func runGateway(ctx context.Context, path string) error {
+	// By default SIGHUP terminates a process. This holds it off before logReloads and
+	// during the end of the process; signals that do not fit into the channel are dropped.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	loaded, err := gateway.LoadSettings(path)
 	if err != nil {
 		return err
