--- a/internal/process/node/gate.go
+++ b/internal/process/node/gate.go
@@ -66,16 +66,19 @@
 
 // Ready implements callerapi.Gate.
 func (g *gate) Ready() (bool, string) {
-	g.mu.Lock()
-	draining := g.draining
-	g.mu.Unlock()
-	if draining {
+	if g.isDraining() {
 		return false, "the node is stopping"
 	}
 	reason := g.notReadyReason()
 	return reason == "", reason
 }
 
+func (g *gate) isDraining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
 // drain makes the readiness check fail. Requests are still admitted, because
 // load balancers go on sending until they see the failed check.
 func (g *gate) drain() {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/conntrack"
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/connection/health"
 	"currantladder.example/currantladder/internal/connection/peer"
@@ -70,6 +71,8 @@
 	metrics  *metrics.Metrics
 	burn     *burn.Recorder
 	gate     *gate
+	// conns follows the callers' connections.
+	conns *conntrack.Tracker
 
 	// homeRequests counts the requests that run here for other entry nodes.
 	homeRequests sync.WaitGroup
@@ -121,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, log: log, network: network, listeners: opened, router: &router{}}
+	n := &Node{settings: s, log: log, network: network, listeners: opened, router: &router{}, conns: conntrack.New()}
 	n.backgroundCtx, n.cancelBackground = context.WithCancel(context.Background())
 	if err := n.buildConnections(); err != nil {
 		return nil, err
