serve: answer the requests that are in flight at the drain timeout

Cause: the stop ended by closing connections; nothing ended the requests. Evidence: TestStopAnswersRequestsInFlightAtDrainTimeout, on: 4 of 4 completions got "EOF" after 1m2s, want a refusal that says that they may have run. Fix: the contexts of callers' requests descend from one that the node ends after the drain; relay and services answer as at a deadline. Its cause is its own, so that the outcome is not counted as a caller that left. Run: go test -race -run Stop ./internal/process/node, go test -race ./internal/process/callerapi; without -race all of ./internal/process/..., ./internal/request/..., ./internal/connection/..., ./cmd/....

--- a/internal/process/callerapi/server.go
+++ b/internal/process/callerapi/server.go
@@ -307,8 +307,9 @@
 }
 
 // callerLeft reports whether the context of a request ended because the caller
-// closed the connection, rather than at a deadline.
-func callerLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+// closed the connection, rather than at a deadline or at the end of the node, which has
+// a cause of its own.
+func callerLeft(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
 
 func outcomeOf(refused *refusal.Error) Outcome {
 	if refused.Ran == refusal.RanNo {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -71,8 +71,11 @@
 	metrics  *metrics.Metrics
 	burn     *burn.Recorder
 	gate     *gate
-	// conns follows the callers' connections.
-	conns *conntrack.Tracker
+	// conns follows the callers' connections. requests is the parent of the contexts of
+	// their requests, which endRequests ends.
+	conns       *conntrack.Tracker
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 
 	// homeRequests counts the requests that run here for other entry nodes.
 	homeRequests sync.WaitGroup
@@ -126,6 +129,7 @@
 	}
 	n := &Node{settings: s, log: log, network: network, listeners: opened, router: &router{}, conns: conntrack.New()}
 	n.backgroundCtx, n.cancelBackground = context.WithCancel(context.Background())
+	n.requests, n.endRequests = context.WithCancelCause(context.Background())
 	if err := n.buildConnections(); err != nil {
 		return nil, err
 	}
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -26,6 +28,9 @@
 	drainPollInterval = 50 * time.Millisecond
 )
 
+// errNodeStopped is the cause with which a stop ends requests at the drain timeout.
+var errNodeStopped = errors.New("the node has stopped")
+
 // newCallersServer returns the server of the callers' listener.
 func (n *Node) newCallersServer(handler http.Handler) *server {
 	s := newServer(n.conns.Listener(n.listeners.callers), n.settings.Callers, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -35,12 +40,14 @@
 		handler.ServeHTTP(w, r)
 	}))
 	s.http.ConnState = n.conns.ConnState
+	s.http.BaseContext = func(net.Listener) context.Context { return n.requests }
 	return s
 }
 
 // stop shuts the node down without interrupting requests that end within the
-// drain timeout. First load balancers and peers see that the node is leaving,
-// then requests in flight end, then loops and listeners stop.
+// drain timeout; others get a refusal, unless their answer has begun. First load
+// balancers and peers see that the node is leaving, then requests in flight end, then
+// loops and listeners stop.
 func (n *Node) stop(servers []*server) {
 	n.log.Log(eventlog.NodeStopping, nil)
 	n.gate.drain()
@@ -54,6 +61,8 @@
 	idle := n.gate.close()
 	n.drain(ctx, idle)
 	n.waitForHomeRequests(ctx)
+	n.endRequests(errNodeStopped)
+	n.awaitIdle(idle)
 	n.releaseSharesAndLeases()
 	n.closeCallers(servers[0])
 	n.cancelBackground()
@@ -87,6 +96,14 @@
 	}
 }
 
+// awaitIdle waits until the last request has ended, closeTimeout at most.
+func (n *Node) awaitIdle(idle <-chan struct{}) {
+	select {
+	case <-idle:
+	case <-time.After(closeTimeout):
+	}
+}
+
 // closeCallers closes the callers' listener and the connections that carry no request,
 // and waits until the others have ended, closeTimeout at most.
 func (n *Node) closeCallers(callers *server) {
--- a/internal/process/node/stop_test.go
+++ b/internal/process/node/stop_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
 	"time"
+
+	"currantladder.example/currantladder/internal/request/refusal"
 )
 
 // TestStopAnswersRequestsOnConnectionsOpenedBefore guards against a stopping node that reads
@@ -46,3 +49,21 @@
 		}
 	})
 }
+
+// TestStopAnswersRequestsInFlightAtDrainTimeout guards against a stop that ends connections
+// whose requests have no answer yet.
+func TestStopAnswersRequestsInFlightAtDrainTimeout(t *testing.T) {
+	inFleet(t, 2, 2, func(f *fleet) {
+		calls := f.newCallGroup()
+		for i := range 4 {
+			calls.start(completion{node: nodeName(0), rank: "batch", prompt: fmt.Sprint("whole ", i), tokens: 5000})
+		}
+		time.Sleep(time.Second)
+		f.stopNode(nodeName(0))
+		for _, a := range calls.wait() {
+			if a.refused == nil || a.refused.Ran == refusal.RanNo {
+				t.Errorf("%q: got refusal %v, error %v, status %d after %v; want a refusal of a request that may have run", a.call.prompt, a.refused, a.err, a.status, a.duration)
+			}
+		}
+	})
+}
