--- a/internal/process/gateway/stop.go
+++ b/internal/process/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -163,7 +164,7 @@
 	g.log.Log(eventlog.NodeStopping, eventlog.Fields{"in_flight": g.inFlight.Load()})
 	var released sync.WaitGroup
 	released.Go(g.releaseLeadership)
-	g.drain()
+	g.drain(servers[0].listener)
 	unfinished := g.inFlight.Load()
 	g.endRequests(refusal.New(refusal.KindNodeStopping, http.StatusServiceUnavailable, "the node stopped before an endpoint took the request; send it again").WithRetryAfter(stoppingRetryAfter))
 	closing, cancel := context.WithTimeout(context.Background(), g.stops.schedule.closeTimeout)
@@ -190,9 +191,10 @@
 	}
 }
 
-// drain returns when the phase of ending has come. From the cutoff it closes idle
-// connections, so that their callers go to other nodes.
-func (g *Gateway) drain() {
+// drain returns when the phase of ending has come. At the cutoff it closes the callers'
+// listener: a refused connection costs a caller less than a refused request. From then
+// on it closes idle connections, so that their callers go to other nodes, too.
+func (g *Gateway) drain(callers net.Listener) {
 	refusing := false
 	for {
 		inFlight := g.inFlight.Load()
@@ -202,6 +204,7 @@
 		case phaseRefusing:
 			if !refusing {
 				refusing = true
+				callers.Close()
 				g.log.Log(eventlog.NodeRefusing, eventlog.Fields{"in_flight": inFlight, "connections": g.conns.Open()})
 			}
 			g.conns.CloseIdle(false)
@@ -210,11 +213,11 @@
 	}
 }
 
-// closeCallers closes the callers' listener and the connections that carry no request,
-// and waits until the others have ended or ctx is done. It returns the number of those
-// that it closed then.
+// closeCallers closes the callers' connections that carry no request, and waits until
+// the others have ended or ctx is done. It returns the number of those that it closed
+// then.
 func (g *Gateway) closeCallers(ctx context.Context, callers server) (cut int) {
-	callers.listener.Close()
+	callers.listener.Close() // again, if the stop time left no phase of refusing
 	ticker := time.NewTicker(closePollInterval)
 	defer ticker.Stop()
 	for {
