--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -82,6 +82,10 @@
 	LoadWindow = 5 * time.Second
 )
 
+// MaxEpoch is the highest epoch that a host can report. It leaves room for more terms
+// than there are elections, and for all epochs of each.
+const MaxEpoch = 4_000_000_000 * epochsPerTerm
+
 // Leadership returns whether this node may send orders, and its term.
 type Leadership func() (term int64, leads bool)
 
