Elect a leader over a row that another writer has written

What callers would see: no groups are formed, or none is repaired again, until an operator deletes the row: with an unreadable row "leader" in the nodes' table the fleet had no group within 20 s.

Cause: a leader's row that cannot be decoded failed each step of the election ("delete the row"), for the leader itself as well, which goes on to renew and fails. A row with the largest term led to a negative next one, and so to epochs below all that hosts have seen; one without fields looked like a released lease and was taken while its holder still led.

Not covered: a writer that changes the row again within each lease keeps the nodes from an election for as long as it does.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -53,6 +53,14 @@
 // rowKey is the key of the leader's row.
 const rowKey = "leader"
 
+// MaxTerm limits the terms: it is more than there are elections, and leaves room for
+// the epochs of all terms. Another writer may store a row with a higher term, which
+// must not be counted up from.
+const MaxTerm = 3_000_000_000
+
+// unknownHolder is the holder of a row that cannot be used.
+const unknownHolder = "unknown"
+
 // ErrConflict reports that the version of a row was not the expected one.
 var ErrConflict = errors.New("the row has changed; read it again")
 
@@ -163,7 +171,9 @@
 		return // notice of an earlier row
 	}
 	now := c.clock()
-	c.highestTerm = max(c.highestTerm, notice.Term)
+	if notice.Term < MaxTerm {
+		c.highestTerm = max(c.highestTerm, notice.Term)
+	}
 	if c.position.Before(notice.Position) {
 		c.moveTo(notice.Position, now)
 		c.row = row{}
@@ -191,7 +201,8 @@
 	// a lease, or after its start, before it calls the table service. Nodes that
 	// are better suited lead unless all of them have failed.
 	Deference func() time.Duration
-	// HighestTerm returns the highest term whose orders the node has seen carried out.
+	// HighestTerm returns the highest term below MaxTerm whose orders the node has seen
+	// carried out.
 	// A row from an older copy of the store may have a lower one.
 	HighestTerm func() int64
 }
@@ -291,21 +302,37 @@
 	return c.clock() <= max(c.started, c.otherLeaseEnd, c.versionSeenAt)+deference
 }
 
+// decodeRow decodes the row. One that another writer has made unusable counts as that
+// of an unknown holder, with an error for the log: it is replaced after a lease.
+func decodeRow(got table.Row) (row, error) {
+	var stored row
+	if got.Version == 0 {
+		return stored, nil
+	}
+	err := json.Unmarshal(got.Value, &stored)
+	if err == nil && (stored.Term < 1 || stored.Term >= MaxTerm) {
+		err = fmt.Errorf("its term is %d, want 1 to %d", stored.Term, int64(MaxTerm-1))
+	}
+	if err != nil {
+		// The error may contain the row.
+		return row{Holder: unknownHolder}, fmt.Errorf("the leader's row cannot be used and is replaced once its lease must have ended: %.200s", err)
+	}
+	return stored, nil
+}
+
 // readRow reads the row and records when its version was first seen.
 func (c *Candidate) readRow(ctx context.Context) (row, error) {
 	got, err := c.rows.Get(ctx, rowKey)
 	if err != nil {
 		return row{}, fmt.Errorf("read the leader's row: %w", err)
 	}
-	var stored row
-	if got.Version > 0 {
-		if err := json.Unmarshal(got.Value, &stored); err != nil {
-			return row{}, fmt.Errorf("decode the leader's row: %w; delete the row", err)
-		}
-	}
+	stored, unusable := decodeRow(got)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := got.Position()
+	if unusable != nil && at != c.position {
+		c.log.Log(eventlog.LeaderUnknown, eventlog.Fields{"error": unusable.Error(), "led": c.row.Holder == c.holder})
+	}
 	if at.Era != c.position.Era && c.versionSeenAt > 0 {
 		// The copy may be older than the end of a lease of this node.
 		c.mustRetake = stored.Holder == c.holder && (c.row.Holder != c.holder || c.row.Term != stored.Term)
