Don't count terms up from an epoch that no leader gave out

What callers would see: groups that are never formed again after an election, as hosts refuse epochs lower than those they have seen.

Cause: the next leader's term is one above that of the highest epoch in the host list, whoever wrote it. An epoch of 2^63-1 led to the term 9,223,372,036,855, whose epochs overflow.

Fix: terms from MaxTerm on are left out, so that the highest one of a real group counts.

Evidence (before): TestEpochOfAnotherWriterRaisesNoTerm "epoch: got the highest term, want 7" and "epoch: got the highest term, want 7".

Run: go test ./internal/process/gateway.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -163,10 +163,16 @@
 }
 
 // highestTerm returns the highest term under which a host has joined its group.
-func (g *Gateway) highestTerm() int64 {
+func (g *Gateway) highestTerm() int64 { return highestTermOf(g.view.Load().Hosts) }
+
+// highestTermOf leaves out terms that no leader can have had. Another writer may store
+// such a registration.
+func highestTermOf(hosts []*fleet.Host) int64 {
 	highest := int64(0)
-	for _, h := range g.view.Load().Hosts {
-		highest = max(highest, formation.TermOf(h.Group.Epoch))
+	for _, h := range hosts {
+		if term := formation.TermOf(h.Group.Epoch); term < leader.MaxTerm {
+			highest = max(highest, term)
+		}
 	}
 	return highest
 }
