Use no row of a node that another writer has made unusable

What callers would see: late repairs and elections, since a node that looks up a name sends no digest meanwhile.

Cause: any row of the nodes' table with a non-empty address named a peer. Names were looked up by the loop that sends the digests, a port out of range failed each send, a row with a large share of a core was the preferred hub and kept the others from the leadership, and a row without a name stood for "no hub". A node whose own row was replaced or removed did not register again before the store came back from a copy.

Fix: rows are checked where they are decoded: names, IP:port, share. A row that is not used is logged once for each version (1314).

The time that a lookup holds digests up was not measured: names are not looked up here.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -65,6 +65,7 @@
 	FeedHubFailed      = Event{1311, logrus.WarnLevel, "node that reads a feed for others failed; the store is asked"}
 	HubChosen          = Event{1312, logrus.InfoLevel, "another node is the hub of this node's failure domain"}
 	StoreRestored      = Event{1313, logrus.WarnLevel, "the store has come back from an older copy; what was in force stays until it is written again"}
+	NodeRowUnusable    = Event{1314, logrus.WarnLevel, "row of a node is unusable and is ignored"}
 	HostRemovalDelayed = Event{1310, logrus.InfoLevel, "registration of a host lapsed around an outage of the store; the host is kept for now"}
 )
 
@@ -159,6 +160,7 @@
 	FeedHubFailed,
 	HubChosen,
 	StoreRestored,
+	NodeRowUnusable,
 	RequestPlaced,
 	RequestNotPlaced,
 	RequestRetried,
--- a/internal/process/gateway/otherwriter_test.go
+++ b/internal/process/gateway/otherwriter_test.go
@@ -1,9 +1,17 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
+	"fmt"
 	"math"
+	"strings"
 	"testing"
 
+	"github.com/sirupsen/logrus"
+
+	"currantladder.example/currantladder/internal/connection/table"
+	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/leader"
 	"currantladder.example/currantladder/internal/version/fleet"
 	"currantladder.example/currantladder/internal/version/formation"
@@ -22,3 +30,53 @@
 		}
 	}
 }
+
+// rosterStore is a store that contains only the nodes' rows.
+type rosterStore struct {
+	table.Store
+	rows []table.Row
+}
+
+func (s *rosterStore) List(context.Context, table.Range) ([]table.Row, error) { return s.rows, nil }
+
+// TestOddNodeRowsNameNoPeer guards against nodes that look up names, or choose hubs that do not exist, because another
+// writer has stored the row of a node.
+func TestOddNodeRowsNameNoPeer(t *testing.T) {
+	own := `{"address":"10.0.0.0:1","domain":"d0","share":0.8}`
+	store := &rosterStore{rows: []table.Row{{Key: "node/n000", Version: 1, Value: []byte(own)}, {Key: "node/good", Version: 2, Value: []byte(`{"address":"10.0.0.7:1","domain":"d0","share":0.5}`)}}}
+	odd := map[string]string{"node/": `{"address":"10.0.0.8:1","domain":"d0","share":0.9}`, "node/" + strings.Repeat("x", 201): `{"address":"10.0.0.8:1"}`}
+	for i, value := range []string{
+		"", "null", "[]", "{}", `{"address":7}`, `{"address":"host.example:80"}`, `{"address":"10.0.0.8"}`, `{"address":"10.0.0.8:0"}`, `{"address":"10.0.0.8:70000"}`,
+		`{"address":"10.0.0.8:-5"}`, `{"address":"0.0.0.0:80"}`, `{"address":"224.0.0.1:80"}`, `{"address":"10.0.0.8:1","share":1e308}`, `{"address":"10.0.0.8:1","share":1e400}`,
+		`{"address":"10.0.0.8:1","share":-1}`, `{"address":"10.0.0.8:1","domain":"` + strings.Repeat("x", 201) + `"}`,
+	} {
+		odd[fmt.Sprint("node/odd-", i)] = value
+	}
+	for key, value := range odd {
+		store.rows = append(store.rows, table.Row{Key: key, Version: 3, Value: []byte(value)})
+	}
+	node := newTestFleet(1).nodes["n000"]
+	node.store = store
+	var log bytes.Buffer
+	node.log = eventlog.New(&log, logrus.InfoLevel, "n000")
+	for range 3 {
+		if ownRow, err := node.readRoster(context.Background()); err != nil || !ownRow {
+			t.Fatalf("got own row %t and error %v, want the own row", ownRow, err)
+		}
+	}
+	for name := range node.byName {
+		if name != "good" {
+			t.Errorf("the row of %.40q names a peer, want none", name)
+		}
+	}
+	if node.byName["good"] == nil {
+		t.Error("the row of the other node names no peer")
+	}
+	if got := strings.Count(log.String(), `"event":1314`); got != len(odd) {
+		t.Errorf("got %d log lines for %d odd rows that were read three times, want one for each", got, len(odd))
+	}
+	store.rows = store.rows[1:]
+	if ownRow, err := node.readRoster(context.Background()); err != nil || ownRow {
+		t.Errorf("got own row %t and error %v, want it missing, so that the node registers again", ownRow, err)
+	}
+}
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -59,6 +60,10 @@
 	// firstDigestTimeout is how long a node that starts again waits for a digest of
 	// another one before it is ready. The digest tells it which requests to refuse.
 	firstDigestTimeout = 500 * time.Millisecond
+	// maxNodeNameBytes limits the name of a node and of its failure domain.
+	maxNodeNameBytes = 200
+	// maxProcessorShare limits the processor cores that a node may use.
+	maxProcessorShare = 4096
 	// maxFeedPeers limits the peers that are asked for a feed in one round.
 	maxFeedPeers = 2
 )
@@ -76,6 +81,27 @@
 	Share float64 `json:"share"`
 }
 
+// decodeNodeRow decodes the row of the node with the name. It returns an error for one
+// that another writer has made unusable.
+func decodeNodeRow(name string, value []byte) (nodeRow, error) {
+	var row nodeRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return nodeRow{}, fmt.Errorf("the row cannot be decoded: %.200s", err) // the error may contain the row
+	}
+	address, err := netip.ParseAddrPort(row.Address)
+	switch {
+	case name == "" || len(name) > maxNodeNameBytes || len(row.Domain) > maxNodeNameBytes:
+		return nodeRow{}, fmt.Errorf("the names have %d and %d bytes, want at most %d and the node's at least one", len(name), len(row.Domain), maxNodeNameBytes)
+	case err != nil:
+		return nodeRow{}, fmt.Errorf("the address is not IP:port: %.200s", err)
+	case address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		return nodeRow{}, fmt.Errorf("no node can be reached at the address %s", address)
+	case row.Share < 0 || row.Share > maxProcessorShare:
+		return nodeRow{}, fmt.Errorf("the share of a processor core is %g, want 0 to %d", row.Share, maxProcessorShare)
+	}
+	return row, nil
+}
+
 // peer is another node.
 type peer struct {
 	nodeRow
@@ -126,6 +152,9 @@
 	hubChosenAt time.Time
 	// rosterRead is true once the rows of all nodes were read.
 	rosterRead bool
+	// unusableRows contains the versions of the rows that could not be used when the
+	// rows were last read.
+	unusableRows map[string]table.Version
 	// trafficElsewhere is true once another node has received a request.
 	trafficElsewhere bool
 	// heardDigest is true once a digest of another node has arrived.
@@ -166,8 +195,15 @@
 			}
 		}
 		delay := rosterBackoff // the feed followers log the failure of the store
-		if (p.hasLiveHub() || p.readRoster(ctx) == nil) && registered {
-			delay = p.jitteredRosterInterval()
+		if p.hasLiveHub() {
+			if registered {
+				delay = p.jitteredRosterInterval()
+			}
+		} else if ownRow, err := p.readRoster(ctx); err == nil {
+			// Another writer may have replaced or removed the node's row.
+			if registered = registered && ownRow; registered {
+				delay = p.jitteredRosterInterval()
+			}
 		}
 		sleep(ctx, delay)
 	}
@@ -245,24 +281,34 @@
 	return p.store.Commit(callCtx, table.Txn{Nonce: uuid.NewString(), Writes: []table.Write{write}})
 }
 
-func (p *peers) readRoster(ctx context.Context) error {
+// readRoster reads the rows of all nodes, and reports whether there is a usable one of
+// this node.
+func (p *peers) readRoster(ctx context.Context) (ownRow bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
 	rows, err := p.store.List(callCtx, table.Range{Prefix: nodePrefix})
 	if err != nil {
-		return fmt.Errorf("read the nodes' rows: %w", err)
+		return false, fmt.Errorf("read the nodes' rows: %w", err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rosterRead = true
+	unusable := map[string]table.Version{}
 	for _, r := range rows {
-		var row nodeRow
-		if json.Unmarshal(r.Value, &row) != nil || row.Address == "" {
-			continue // not a row of this version
+		name := strings.TrimPrefix(r.Key, nodePrefix)
+		row, err := decodeNodeRow(name, r.Value)
+		if err != nil {
+			unusable[r.Key] = r.Version
+			if p.unusableRows[r.Key] != r.Version {
+				p.log.LogLimited(eventlog.NodeRowUnusable, eventlog.Fields{"row": r.Key, "version": int64(r.Version), "error": err.Error()})
+			}
+			continue
 		}
-		p.updatePeer(strings.TrimPrefix(r.Key, nodePrefix), row)
+		ownRow = ownRow || name == p.node
+		p.updatePeer(name, row)
 	}
-	return nil
+	p.unusableRows = unusable
+	return ownRow, nil
 }
 
 // updatePeer adds a peer or updates its row. It returns nil for this node. The
