Keep the group of a host whose registration another writer has replaced

What callers would see: streams that pause and move, and on routes that cannot be resumed are cut, although their host works.

Cause: an unusable registration removed the host from the view at once. If it was the head of a group, the leader ordered the members to leave ("the head is no longer registered"), which ends the work in flight; the host writes a good registration within a heartbeat.

Fix: a known host whose registration becomes unusable is unconfirmed for 2.5 s, two heartbeats: it gets no new request and joins no group, as an odd registration names no host to use, but its group stays. Then it is removed, however often the odd one is written.

The cut of streams that cannot be resumed follows from the orders and was not played.

--- a/internal/process/gateway/otherwriter_test.go
+++ b/internal/process/gateway/otherwriter_test.go
@@ -7,9 +7,11 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"currantladder.example/currantladder/internal/connection/feed"
 	"currantladder.example/currantladder/internal/connection/table"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/leader"
@@ -80,3 +82,39 @@
 		t.Errorf("got own row %t and error %v, want it missing, so that the node registers again", ownRow, err)
 	}
 }
+
+// TestHostWithUnusableRegistrationIsKeptForAHeartbeat guards against groups that end because another writer has replaced
+// the registration of a member, and against hosts that are used although nothing they wrote can be read.
+func TestHostWithUnusableRegistrationIsKeptForAHeartbeat(t *testing.T) {
+	odd := func(version int64) feed.Record { return feed.Record{Key: "a", Version: version, Value: []byte("{")} }
+	started := time.Unix(1e9, 0)
+	for name, test := range map[string]struct {
+		// records are applied one second after the other.
+		records []feed.Record
+		want    []string
+	}{
+		"odd":                       {[]feed.Record{hostRecord("a", 1), odd(2)}, []string{"ready", "unconfirmed", "unconfirmed", "unconfirmed", "none"}},
+		"odd again and again":       {[]feed.Record{hostRecord("a", 1), odd(2), odd(3), odd(4), odd(5)}, []string{"ready", "unconfirmed", "unconfirmed", "unconfirmed", "none"}},
+		"written again by the host": {[]feed.Record{hostRecord("a", 1), odd(2), hostRecord("a", 3)}, []string{"ready", "unconfirmed", "ready", "ready", "ready", "ready"}},
+		"removed":                   {[]feed.Record{hostRecord("a", 1), odd(2), {Key: "a", Version: 3, Deleted: true}}, []string{"ready", "unconfirmed", "none"}},
+		"leaves":                    {[]feed.Record{stateRecord("a", 1, 1, fleet.HostLeaving), odd(2)}, []string{"leaving", "leaving", "leaving", "leaving", "none"}},
+		"never known":               {[]feed.Record{odd(1), odd(2)}, []string{"none", "none"}},
+		"known later":               {[]feed.Record{odd(1), hostRecord("a", 2)}, []string{"none", "ready"}},
+	} {
+		b, view := newTestBuilder()
+		for second, want := range test.want {
+			now := started.Add(time.Duration(second) * time.Second)
+			if second < len(test.records) {
+				b.applyHosts(test.records[second:second+1], int64(second+1), time.Time{}, now)
+			}
+			b.removeLapsedHosts(now)
+			got := "none"
+			if host := view.Load().Host("a"); host != nil {
+				got = map[fleet.HostState]string{fleet.HostReady: "ready", fleet.HostLeaving: "leaving", fleet.HostUnconfirmed: "unconfirmed"}[host.State]
+			}
+			if got != want {
+				t.Errorf("%s: got %s after %d s, want %s", name, got, second, want)
+			}
+		}
+	}
+}
--- a/internal/process/gateway/view.go
+++ b/internal/process/gateway/view.go
@@ -18,6 +18,9 @@
 	// outageWindow is the time after a failed call to the store in which a lapse
 	// counts as caused by the outage.
 	outageWindow = 2500 * time.Millisecond
+	// unconfirmedGracePeriod is how long a host is kept, without new work, after its
+	// registration was replaced by an unusable one. It covers two heartbeats of a host.
+	unconfirmedGracePeriod = 2500 * time.Millisecond
 )
 
 // Decoder converts the platform's records to the types of package fleet.
@@ -37,8 +40,8 @@
 	mu            sync.Mutex
 	configuration *fleet.Configuration
 	hosts         map[string]*fleet.Host
-	// lapseDeadlines contains the hosts whose registration has lapsed, and the
-	// time at which each is removed.
+	// lapseDeadlines contains the hosts whose registration has lapsed or become
+	// unusable, and the time at which each is removed.
 	lapseDeadlines map[string]time.Time
 	// ended and deferred keep an older copy of the host list from undoing what this
 	// node has seen; restoredAt is when the store last came back from one.
@@ -120,8 +123,7 @@
 	host, err := b.decode.Host(r)
 	if err != nil {
 		b.log.LogLimited(eventlog.HostUnusable, eventlog.Fields{"host": r.Key, "version": r.Version, "error": err.Error()})
-		delete(b.hosts, r.Key)
-		delete(b.lapseDeadlines, r.Key)
+		b.withdraw(previous, now)
 		return
 	}
 	delete(b.lapseDeadlines, r.Key)
@@ -136,6 +138,23 @@
 	}
 }
 
+// withdraw gives a host whose registration has become unusable no new work, and sets
+// the time at which it is removed. The host may be nil. The caller must hold mu.
+func (b *viewBuilder) withdraw(host *fleet.Host, now time.Time) {
+	if host == nil {
+		return
+	}
+	if _, lapsed := b.lapseDeadlines[host.ID]; !lapsed {
+		b.lapseDeadlines[host.ID] = now.Add(unconfirmedGracePeriod)
+	}
+	if host.State != fleet.HostReady {
+		return
+	}
+	unconfirmed := *host
+	unconfirmed.State = fleet.HostUnconfirmed
+	b.hosts[host.ID] = &unconfirmed
+}
+
 // remove removes a host. The caller must hold mu.
 func (b *viewBuilder) remove(id string, version int64, now time.Time) {
 	host := b.hosts[id]
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -226,12 +226,18 @@
 // HasAccounts reports whether requests need a key.
 func (c *Configuration) HasAccounts() bool { return len(c.Accounts) > 0 }
 
-// HostState is whether a host takes work, as reported by the host.
+// HostState is whether a host takes work.
 type HostState int
 
 const (
+	// HostReady hosts take work, by their own report.
 	HostReady HostState = iota
+	// HostLeaving hosts have reported that they leave.
 	HostLeaving
+	// HostUnconfirmed hosts take no new work, because another writer has replaced their
+	// registration. Their work in flight and their groups go on for a short time, until
+	// they register again.
+	HostUnconfirmed
 )
 
 // Host is one endpoint host as last registered.
