Log an unusable registration once until it is usable again

What operators saw: one line (1307) for each heartbeat of a registration that stays unusable, up to 64 KB long, as the error of the decoder contains the value; these lines take the place of others under the rate limit.

Fix: logged when a registration becomes unusable, with at most 500 characters of the error; again after a usable one or a removal. The same limit holds for the error of a configuration (1306).

Run: go test ./internal/process/gateway ./internal/process/eventlog.

--- a/internal/process/gateway/otherwriter_test.go
+++ b/internal/process/gateway/otherwriter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"strings"
@@ -118,3 +119,38 @@
 		}
 	}
 }
+
+// TestUnusableRegistrationIsLoggedOnce guards against a log line at each heartbeat of a registration that stays unusable.
+func TestUnusableRegistrationIsLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	b, _ := newTestBuilder()
+	b.log = eventlog.New(&log, logrus.InfoLevel, "n")
+	b.decode.Host = func(r feed.Record) (*fleet.Host, error) { return nil, errors.New(string(r.Value)) }
+	version := int64(0)
+	apply := func(r feed.Record) {
+		version++
+		r.Key, r.Version = "a", version
+		b.applyHosts([]feed.Record{r}, version, time.Time{}, time.Unix(1e9, 0))
+	}
+	count := func() int { return strings.Count(log.String(), `"event":1307`) }
+	for i := range 100 {
+		apply(feed.Record{Value: []byte(fmt.Sprint("odd ", i))})
+	}
+	if got := count(); got != 1 {
+		t.Errorf("got %d lines for a registration that stays unusable, want 1", got)
+	}
+	apply(feed.Record{Deleted: true})
+	apply(feed.Record{Value: bytes.Repeat([]byte("x"), 64<<10)})
+	if got := count(); got != 2 {
+		t.Errorf("got %d lines after the registration was removed and is unusable again, want 2", got)
+	}
+	b.decode.Host = testDecoder().Host
+	apply(hostRecord("a", 0))
+	apply(feed.Record{Value: []byte("{")})
+	if got := count(); got != 3 {
+		t.Errorf("got %d lines after the registration was usable and is not any more, want 3", got)
+	}
+	if log.Len() > 8<<10 {
+		t.Errorf("got %d bytes of log lines, want the registration cut", log.Len())
+	}
+}
--- a/internal/process/gateway/restore.go
+++ b/internal/process/gateway/restore.go
@@ -48,6 +48,7 @@
 func (b *viewBuilder) applyRestoredHost(r feed.Record, now time.Time) {
 	current := b.hosts[r.Key]
 	if r.Deleted {
+		delete(b.unusable, r.Key)
 		if current != nil {
 			b.lapseDeadlines[r.Key] = now.Add(restoredLapseGracePeriod)
 			b.log.LogLimited(eventlog.HostRemovalDelayed, eventlog.Fields{"host": r.Key, "version": r.Version})
--- a/internal/process/gateway/view.go
+++ b/internal/process/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	unconfirmedGracePeriod = 2500 * time.Millisecond
 )
 
+// maxLoggedErrorLength limits the logged part of a decoding error, in characters.
+const maxLoggedErrorLength = 500
+
 // Decoder converts the platform's records to the types of package fleet.
 type Decoder struct {
 	Configuration func([]feed.Record) (*fleet.Configuration, error)
@@ -43,6 +47,8 @@
 	// lapseDeadlines contains the hosts whose registration has lapsed or become
 	// unusable, and the time at which each is removed.
 	lapseDeadlines map[string]time.Time
+	// unusable contains the IDs whose registration is unusable at present.
+	unusable map[string]bool
 	// ended and deferred keep an older copy of the host list from undoing what this
 	// node has seen; restoredAt is when the store last came back from one.
 	ended        *fleet.EndedLives
@@ -56,7 +62,7 @@
 func newViewBuilder(decode Decoder, view *fleet.ViewHolder, log *eventlog.Logger, onChange func()) *viewBuilder {
 	return &viewBuilder{
 		decode: decode, view: view, log: log, onChange: onChange,
-		hosts: map[string]*fleet.Host{}, lapseDeadlines: map[string]time.Time{},
+		hosts: map[string]*fleet.Host{}, lapseDeadlines: map[string]time.Time{}, unusable: map[string]bool{},
 		ended: fleet.NewEndedLives(), deferred: map[string]deferredRecord{},
 	}
 }
@@ -69,7 +75,7 @@
 	}
 	decoded, err := b.decode.Configuration(changed)
 	if err != nil {
-		b.log.Log(eventlog.ConfigUnusable, eventlog.Fields{"error": err.Error()})
+		b.log.Log(eventlog.ConfigUnusable, eventlog.Fields{"error": fmt.Sprintf("%.*s", maxLoggedErrorLength, err)})
 		return
 	}
 	b.mu.Lock()
@@ -109,6 +115,7 @@
 	previous := b.hosts[r.Key]
 	delete(b.deferred, r.Key)
 	if r.Deleted {
+		delete(b.unusable, r.Key)
 		if previous == nil {
 			return
 		}
@@ -122,10 +129,11 @@
 	}
 	host, err := b.decode.Host(r)
 	if err != nil {
-		b.log.LogLimited(eventlog.HostUnusable, eventlog.Fields{"host": r.Key, "version": r.Version, "error": err.Error()})
+		b.logUnusable(r, err)
 		b.withdraw(previous, now)
 		return
 	}
+	delete(b.unusable, r.Key)
 	delete(b.lapseDeadlines, r.Key)
 	host = b.staysLeaving(host, now)
 	b.ended.Registered(host, now)
@@ -138,6 +146,17 @@
 	}
 }
 
+// logUnusable logs that a registration is unusable, unless it was so before. The caller
+// must hold mu.
+func (b *viewBuilder) logUnusable(r feed.Record, err error) {
+	if b.unusable[r.Key] {
+		return
+	}
+	b.unusable[r.Key] = true
+	// The error may contain the registration.
+	b.log.LogLimited(eventlog.HostUnusable, eventlog.Fields{"host": r.Key, "version": r.Version, "error": fmt.Sprintf("%.*s", maxLoggedErrorLength, err)})
+}
+
 // withdraw gives a host whose registration has become unusable no new work, and sets
 // the time at which it is removed. The host may be nil. The caller must hold mu.
 func (b *viewBuilder) withdraw(host *fleet.Host, now time.Time) {
