Read the whole table if more has changed than one answer holds

What callers would see: a node that stops following the host list: requests to hosts that are gone, none to new ones.

Cause: an answer of more than 4 MB was cut and failed to decode. The node asked again from the same version, with the same result, until the store had dropped that history. One row of 64 KB that another writer changes 50 times while the node is cut off from the store is enough, as the feed returns each change.

Run: go test ./internal/connection/feed, -race for the tests of the store in ./platform.

--- a/internal/connection/feed/feed.go
+++ b/internal/connection/feed/feed.go
@@ -23,7 +23,7 @@
 )
 
 // ErrCompacted reports that the history since the requested version is no longer
-// available; read the whole table instead.
+// available, or too large for one answer; read the whole table instead.
 var ErrCompacted = errors.New("history of the table is no longer available")
 
 // Record is one row of a table at the version that last changed it.
