End no group whose members another writer has copied under other IDs

What callers would see: streams cut at an open group, since its members are told to join other groups.

Cause: the plan keeps one host for each place in a group, the last one by ID. A registration that is usable but copied from that of a member, under another ID, took the place; the member itself then counted as free, and the group as incomplete once the copy was probed.

Fix: of two hosts registered for one place a lost one does not count; until one is lost neither is free, and the one whose state most work may depend on is the member. The leader probes both: nothing answers at a copy, or the host answers that it is another one (421).

--- /dev/null
+++ b/internal/version/formation/otherwriter_test.go
@@ -0,0 +1,40 @@
+package formation
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"currantladder.example/currantladder/internal/version/fleet"
+)
+
+// TestPlaceClaimedTwiceEndsNoGroup guards against members that are told to join another group while they serve, because
+// another writer has copied the registration of a member under another ID.
+func TestPlaceClaimedTwiceEndsNoGroup(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	engine := &fleet.Engine{Models: []fleet.Model{{Name: "m", Size: 2, WorkShare: 1, LoadTime: time.Second}}}
+	member := func(id string, rank int, state fleet.MemberState) *fleet.Host {
+		return &fleet.Host{ID: id, FabricDomain: "d", Started: now, LoadedModel: "m", StagedModels: []string{"m"}, Group: fleet.Membership{Name: "m.1000001", Epoch: 1_000_001, Rank: rank, State: state}}
+	}
+	for _, copyID := range []string{"a", "z"} { // before and after the IDs of the members
+		for rank := range 2 {
+			for _, state := range []fleet.MemberState{fleet.MemberOpen, fleet.MemberReady, fleet.MemberJoining, fleet.MemberBroken, fleet.MemberClosing} {
+				in := Input{Now: now, Engine: engine, FirstEpoch: 1_000_002, Hosts: []*fleet.Host{
+					member(copyID, rank, state), member("m0", 0, fleet.MemberOpen), member("m1", 1, fleet.MemberReady), {ID: "spare", FabricDomain: "d", Started: now, StagedModels: []string{"m"}},
+				}}
+				slices.SortFunc(in.Hosts, func(a, b *fleet.Host) int { return map[bool]int{true: -1, false: 1}[a.ID < b.ID] })
+				// Nothing answers at the address of the copy once it has been probed.
+				for _, conditions := range []map[string]Condition{nil, {copyID: {Lost: true}}} {
+					in.Conditions = conditions
+					plan := MakePlan(in)
+					for _, o := range plan.Orders {
+						if o.HostID == "m0" || o.HostID == "m1" {
+							t.Errorf("%s: got the order %v to %s (%s), want none", fmt.Sprintf("copy %s of rank %d, %s, lost %t", copyID, rank, state, conditions != nil), o.Operation, o.HostID, o.Reason)
+						}
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -207,6 +207,9 @@
 			g = &group{name: name, epoch: epoch, model: model, members: make([]*fleet.Host, model.Size)}
 			p.groups[name] = g
 		}
+		if other := g.members[rank]; other != nil && p.hasBetterClaim(other, h) {
+			continue
+		}
 		g.members[rank] = h
 		if hasJoin {
 			g.joinInFlight = true
@@ -215,6 +218,21 @@
 	}
 }
 
+// claimOrder orders the states of members that are registered for the same place in a
+// group, the one that most work may depend on first.
+var claimOrder = []fleet.MemberState{fleet.MemberOpen, fleet.MemberClosing, fleet.MemberReady, fleet.MemberJoining, fleet.MemberBroken}
+
+// hasBetterClaim reports whether host a rather than b counts as the member at a place
+// for which both are registered, one of them by another writer. Neither is free until
+// one is lost: the controller probes them.
+func (p *planner) hasBetterClaim(a, b *fleet.Host) bool {
+	if lostA, lostB := p.isLost(a), p.isLost(b); lostA != lostB {
+		return lostB
+	}
+	p.inUse[a.ID], p.inUse[b.ID] = true, true
+	return slices.Index(claimOrder, a.Group.State) <= slices.Index(claimOrder, b.Group.State)
+}
+
 // isLost reports whether a member is missing or lost.
 func (p *planner) isLost(h *fleet.Host) bool { return h == nil || p.Conditions[h.ID].Lost }
 
--- a/internal/version/formation/probe.go
+++ b/internal/version/formation/probe.go
@@ -15,8 +15,31 @@
 	interval time.Duration
 }
 
+// claimants returns the hosts that are registered for a place in a group for which
+// another one is registered too. Only another writer can have done that.
+func claimants(view *fleet.View) []*fleet.Host {
+	type place struct {
+		service, group string
+		rank           int
+	}
+	members := make(map[place]*fleet.Host, len(view.Hosts))
+	var out []*fleet.Host
+	for _, h := range view.Hosts {
+		if h.Group.Name == "" {
+			continue
+		}
+		at := place{h.Service, h.Group.Name, h.Group.Rank}
+		if other := members[at]; other != nil {
+			out = append(out, other, h)
+			continue
+		}
+		members[at] = h
+	}
+	return out
+}
+
 // probeSuspects probes the members of stalled groups, hosts that count as lost
-// or slow, and members whose registration lapsed.
+// or slow, members whose registration lapsed, and hosts that claim the same place.
 func (c *Controller) probeSuspects(ctx context.Context, view *fleet.View, now time.Time) {
 	targets := map[string]probeTarget{}
 	for _, id := range c.StalledHeads() {
@@ -30,6 +53,9 @@
 			}
 		}
 	}
+	for _, h := range claimants(view) {
+		targets[h.ID] = probeTarget{h, reprobeInterval}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id := range c.conditions {
