--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -66,7 +66,8 @@
 	FeedHubFailed      = Event{1311, logrus.WarnLevel, "node that reads a feed for others failed; the store is asked"}
 	HubChosen          = Event{1312, logrus.InfoLevel, "another node is the hub of this node's failure domain"}
 	StoreRestored      = Event{1313, logrus.WarnLevel, "the store has come back from an older copy; what was in force stays until it is written again"}
-	HostSaysLeaving    = Event{1314, logrus.InfoLevel, "host says in an answer that it leaves; it gets no new requests"}
+	NodeRowUnusable    = Event{1314, logrus.WarnLevel, "row of a node is unusable and is ignored"}
+	HostSaysLeaving    = Event{1315, logrus.InfoLevel, "host says in an answer that it leaves; it gets no new requests"}
 	HostRemovalDelayed = Event{1310, logrus.InfoLevel, "registration of a host lapsed around an outage of the store; the host is kept for now"}
 )
 
@@ -165,6 +166,7 @@
 	FeedHubFailed,
 	HubChosen,
 	StoreRestored,
+	NodeRowUnusable,
 	HostSaysLeaving,
 	RequestPlaced,
 	RequestNotPlaced,
