Keep connections to hosts open while a host is silent for two seconds

Callers saw: a request with a long body to a host that reads nothing for 2 s, and then goes on, ended with 502 after 1.7 s; one that may not be repeated has no other attempt. Cause: TCP_USER_TIMEOUT of 1.2 s, meant for connections that died without a reset, also closes one whose host is alive, acknowledges and takes no more data, and would close one to a machine that acknowledges nothing for so long. Class: silence taken for the end. Ruled out: hosts that read the request and answer late (keep-alive probes are acknowledged), and there is no ResponseHeaderTimeout. Connections to hosts now have 3.5 s; those to the store and to peers keep 1.2 s. A machine that acknowledges nothing is not tested, as that takes rights that the tests do not have: the kernel's retransmissions (after about 0.2, 0.6, 1.4 and 3.0 s) are why it is not 2.5 s. Not measured: the cost where a link dies without a reset, at which a broken connection is now noticed 2.3 s later.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -93,7 +93,9 @@
 // NewTransports returns transports that close a connection when the other side no
 // longer acknowledges data or keep-alive probes.
 func NewTransports() Transports {
-	return Transports{Store: newTransport(storeIdleTimeout), Pooled: newTransport(endpointIdleTimeout), Unpooled: newTransport(0)}
+	return Transports{
+		Store: newTransport(storeIdleTimeout, storeUserTimeout), Pooled: newTransport(endpointIdleTimeout, hostUserTimeout), Unpooled: newTransport(0, hostUserTimeout),
+	}
 }
 
 // Gateway is one node of a managed deployment.
--- a/internal/process/gateway/network.go
+++ b/internal/process/gateway/network.go
@@ -15,9 +15,12 @@
 	// dialTimeout limits opening a connection to a host. Links have a latency of
 	// a few milliseconds, but a lost SYN is sent again only after a second.
 	dialTimeout = 250 * time.Millisecond
-	// userTimeout closes a connection whose data is not acknowledged:
-	// connections may go silent without a reset.
-	userTimeout = 1200 * time.Millisecond
+	// storeUserTimeout and hostUserTimeout close a connection to the store or a
+	// peer, or to a host, whose data is not acknowledged or not taken: connections may
+	// go silent without a reset. A sound host may be silent for 2 s and then go on. The
+	// kernel sends again and probes at intervals that double, up to 1.6 s by then.
+	storeUserTimeout = 1200 * time.Millisecond
+	hostUserTimeout  = 3500 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect silent
 	// connections on which only the other side sends.
 	keepAliveIdle     = time.Second
@@ -44,23 +47,25 @@
 
 var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// setUserTimeout returns a function that sets TCP_USER_TIMEOUT on a new socket.
+func setUserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return optionErr
 	}
-	return optionErr
 }
 
 // newTransport returns a transport that closes a connection when the other side
-// goes silent, or after idleTimeout without a request. An idleTimeout of 0 opens
-// a connection for each request.
-func newTransport(idleTimeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveConfig, Control: setUserTimeout}
+// acknowledges nothing for userTimeout, or after idleTimeout without a request. An
+// idleTimeout of 0 opens a connection for each request.
+func newTransport(idleTimeout, userTimeout time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveConfig, Control: setUserTimeout(userTimeout)}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -137,7 +137,7 @@
 func newPeers(s *Settings, o peersOptions) *peers {
 	p := &peers{
 		peersOptions: o, node: s.Node, self: nodeRow{Address: s.Peers, Domain: s.FailureDomain, Share: s.ProcessorShare},
-		http: &http.Client{Transport: newTransport(storeIdleTimeout)}, byName: map[string]*peer{}, started: time.Now(),
+		http: &http.Client{Transport: newTransport(storeIdleTimeout, storeUserTimeout)}, byName: map[string]*peer{}, started: time.Now(),
 		wake: make(chan struct{}, 1),
 	}
 	for _, seed := range s.Seeds {
