Experiment: hosts that fall silent and go on

No fault of the model left a host silent and sound: hosts_lost ends them, hosts_slow makes them slower.

Run: go test ./internal/experiment.

--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -60,9 +60,11 @@
 	name    string
 	// slowdown returns how many times slower than usual the slowest member is.
 	slowdown func() float64
-	waiting  []*task
-	running  []*task
-	inPass   bool
+	// silence returns for how long a member will be silent.
+	silence func() time.Duration
+	waiting []*task
+	running []*task
+	inPass  bool
 	// generating counts the tasks that generated tokens in the current pass.
 	generating int
 	// A stalled group makes no progress. A broken group refuses tasks.
@@ -212,6 +214,10 @@
 	if g.stalled || g.broken {
 		return
 	}
+	if left := g.silence(); left > 0 {
+		g.clock.after(left, g.endPass)
+		return
+	}
 	g.inPass, g.generating = false, 0
 	if g.onCrash != nil && slices.ContainsFunc(g.running, func(t *task) bool { return t.crashes && !t.done && t.pendingTokens > 0 }) {
 		g.onCrash()
--- a/internal/experiment/engine_test.go
+++ b/internal/experiment/engine_test.go
@@ -9,7 +9,7 @@
 // testGroup returns a group with round numbers: a step takes 10 ms plus 1 ms for
 // each generating task, a pass has 5 steps, and prefill takes 1 us per token.
 func testGroup(c *clock) *group {
-	return &group{
+	return &group{silence: func() time.Duration { return 0 },
 		clock: c, name: "g", slowdown: func() float64 { return 1 }, model: &ModelSheet{Name: "m", HostsPerGroup: 1, TimeFactor: 1},
 		engine: &EngineSheet{
 			Slots: 2, QueueLimit: 3, MemoryTokens: 1000, StepsPerPass: 5, ChunkTokens: 100, StepTime: 10 * time.Millisecond,
--- a/internal/experiment/hosts.go
+++ b/internal/experiment/hosts.go
@@ -34,6 +34,8 @@
 	// registered is false once the registration has lapsed.
 	registered bool
 	slowdown   float64
+	// silentUntil is until when the host answers nothing.
+	silentUntil time.Duration
 	// members are the IDs of the hosts of its group, the head first.
 	// highestEpoch is the highest epoch of a join since the host started.
 	members      []string
@@ -116,7 +118,7 @@
 		pool.after(pool.sheet.Run.LinkDelay, func() { answered(errOrderUnanswered) })
 		return
 	}
-	pool.after(pool.sheet.Run.LinkDelay, func() {
+	pool.after(pool.sheet.Run.LinkDelay+max(h.silentUntil-pool.now, 0), func() {
 		if !h.alive {
 			return
 		}
@@ -214,6 +216,13 @@
 		h.host.Group.State = fleet.MemberOpen
 		g := &group{clock: pool.clock, engine: &pool.sheet.Engine, model: pool.sheet.model(o.Model), members: h.members, name: o.Group}
 		g.onCrash = func() { pool.crash(h) }
+		g.silence = func() time.Duration {
+			longest := time.Duration(0)
+			for _, id := range g.members {
+				longest = max(longest, pool.byID[id].silentUntil-pool.now)
+			}
+			return longest
+		}
 		g.slowdown = func() float64 {
 			slowest := 1.0
 			for _, id := range g.members {
--- a/internal/experiment/leader.go
+++ b/internal/experiment/leader.go
@@ -116,7 +116,7 @@
 		l.probing[id] = true
 		l.after(probeTime, func() {
 			delete(l.probing, id)
-			if l.hosts.byID[id].alive {
+			if h := l.hosts.byID[id]; h.alive && h.silentUntil <= l.now {
 				delete(l.conditions, id)
 			} else if !l.conditions[id].Lost {
 				l.conditions[id] = formation.Condition{Lost: true, Since: l.time()}
--- a/internal/experiment/sheet.go
+++ b/internal/experiment/sheet.go
@@ -145,6 +145,8 @@
 	FailureHostsLost = "hosts_lost"
 	// FailureDomainLost stops all hosts of a fabric domain.
 	FailureDomainLost = "domain_lost"
+	// FailureHostsSilent makes Count hosts answer nothing for Duration and then go on.
+	FailureHostsSilent = "hosts_silent"
 	// FailureHostsSlow makes hosts slower by the factor Slowdown.
 	FailureHostsSlow = "hosts_slow"
 	// FailureOrdersLate leaves Share of the orders without an answer;
@@ -160,7 +162,7 @@
 	FailureNodesKilled = "nodes_killed"
 )
 
-var failureKinds = []string{FailureHostsLost, FailureDomainLost, FailureHostsSlow, FailureOrdersLate, FailureNodesKilled, FailureCrashingPart, FailureHostsLimited}
+var failureKinds = []string{FailureHostsLost, FailureDomainLost, FailureHostsSilent, FailureHostsSlow, FailureOrdersLate, FailureNodesKilled, FailureCrashingPart, FailureHostsLimited}
 
 // FailureSheet describes a failure to inject.
 type FailureSheet struct {
@@ -285,6 +287,7 @@
 	for _, f := range s.Failures {
 		reject(!slices.Contains(failureKinds, f.Kind), "[failure %s] kind: use one of %s", f.Name, strings.Join(failureKinds, ", "))
 		reject(f.Kind == FailureHostsSlow && f.Slowdown < 1, "[failure %s] factor: give 1 or more", f.Name)
+		reject(f.Kind == FailureHostsSilent && f.Duration <= 0, "[failure %s] for: give a duration above 0", f.Name)
 		reject(f.Kind == FailureCrashingPart && (f.Share <= 0 || f.Share > 1 || f.Count < 1 || f.Duration <= 0), "[failure %s] share: above 0 and at most 1; count: 1 or more; for: a duration above 0", f.Name)
 		reject(f.Kind == FailureHostsLimited && (f.PerSecond <= 0 || f.Duration <= 0), "[failure %s] per_second: above 0; for: a duration above 0", f.Name)
 	}
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -141,6 +141,10 @@
 				}
 			}
 		}
+	case FailureHostsSilent:
+		for _, h := range sim.hosts.pickAlive(f.Count) {
+			h.silentUntil = sim.now + f.Duration
+		}
 	case FailureHostsSlow:
 		for _, h := range sim.hosts.pickAlive(f.Count) {
 			h.slowdown = f.Slowdown
