Don't end busy groups whose members are only silent

Cause: two unanswered probes of 120 ms made a host count as lost, whether it could be connected to or not. The leader ended its group 0.50 to 0.68 s after the silence began: a leave order to the head, which cuts all requests there, or, where the head was silent, leave orders to its members, without which the head makes no progress after it has gone on. Ruled out by reading: crash checks, which count only a refused connection, and the lapse of registrations (three heartbeats of 1.2 s). Looked for elsewhere: a head that fell silent before it had carried out its open order opened after its members had left.

Change: a host that cannot be connected to, or at whose address another one answers (421), counts as lost at once, as before. One that accepts connections and does not answer is silent, and counts as lost 2 s after the first unanswered probe, when callers leave their streams. Until then its group goes on if any node has requests in flight there, or if its silent head was ordered to open. An idle group, and one that forms, ends at once as before, and a silent host joins no group. Events 1410 (silent) and 1406 (lost) name the error of the last probe, which says whether there was a connection.

TestSilentHeadThatMayOpenKeepsItsMembers: without its rule three leave orders, want none. TestGroupsOpenWholeAfterSilence: 1 group opened without members before, now none.

--- a/internal/experiment/leader.go
+++ b/internal/experiment/leader.go
@@ -22,7 +22,10 @@
 	hosts   *hostPool
 	view    func() *fleet.View
 	// suspectedHeads returns the heads of groups that any node suspects.
-	suspectedHeads  func() []string
+	suspectedHeads func() []string
+	// isBusy reports whether nodes have requests in flight at a host, as far as the
+	// leader's node knows.
+	isBusy          func(hostID string) bool
 	lastOrders      map[string]formation.SentOrder
 	lastStageOrders map[string]formation.SentOrder
 	conditions      map[string]formation.Condition
@@ -69,9 +72,12 @@
 			activeLoads++
 		}
 	}
-	engine := l.service.Engine
+	engine, hosts, busy := l.service.Engine, view.ServiceHosts(serviceName), map[string]bool{}
+	for _, h := range hosts {
+		busy[h.ID] = h.IsOpenHead() && l.isBusy(h.ID)
+	}
 	return formation.Input{
-		Now: l.time(), Engine: engine, Hosts: view.ServiceHosts(serviceName), Conditions: maps.Clone(l.conditions),
+		Now: l.time(), Engine: engine, Hosts: hosts, Conditions: maps.Clone(l.conditions), Busy: busy,
 		LastOrders: maps.Clone(l.lastOrders), LastStageOrders: maps.Clone(l.lastStageOrders), UnlimitedLoads: l.now < l.hosts.loadStart,
 		LoadBudget: formation.LoadBudget(engine, activeLoads, len(l.recentLoads)), FirstEpoch: l.nextEpoch,
 	}
@@ -95,8 +101,8 @@
 	})
 }
 
-// probeSuspects probes the members of stalled groups, and again the hosts that
-// count as lost.
+// probeSuspects probes the members of stalled groups, and again the hosts that are
+// silent or lost.
 func (l *leader) probeSuspects() {
 	view := l.view()
 	targets := slices.Sorted(maps.Keys(l.conditions))
@@ -114,13 +120,24 @@
 			continue
 		}
 		l.probing[id] = true
+		started := l.time()
 		l.after(probeTime, func() {
 			delete(l.probing, id)
-			if h := l.hosts.byID[id]; h.alive && h.silentUntil <= l.now {
-				delete(l.conditions, id)
-			} else if !l.conditions[id].Lost {
-				l.conditions[id] = formation.Condition{Lost: true, Since: l.time()}
-			}
+			l.recordProbe(id, started)
 		})
 	}
 }
+
+// recordProbe updates the condition of a host after a probe that began at started.
+func (l *leader) recordProbe(id string, started time.Time) {
+	known := l.conditions[id]
+	switch h := l.hosts.byID[id]; {
+	case h.alive && h.silentUntil <= l.now:
+		delete(l.conditions, id)
+	case known.Lost:
+	case !h.alive || known.Silent && l.time().Sub(known.Since) >= formation.SilenceGracePeriod:
+		l.conditions[id] = formation.Condition{Lost: true, Since: l.time()}
+	case !known.Silent:
+		l.conditions[id] = formation.Condition{Silent: true, Since: started}
+	}
+}
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"currantladder.example/currantladder/internal/request/forward"
@@ -91,7 +92,7 @@
 		}
 		sim.nodes = append(sim.nodes, n)
 	}
-	sim.leader = &leader{clock: sim.clock, sheet: sheet, service: sim.service, hosts: sim.hosts, view: func() *fleet.View { return sim.nodes[0].view }, suspectedHeads: sim.suspectedHeads}
+	sim.leader = &leader{clock: sim.clock, sheet: sheet, service: sim.service, hosts: sim.hosts, view: func() *fleet.View { return sim.nodes[0].view }, suspectedHeads: sim.suspectedHeads, isBusy: sim.isBusy}
 	sim.leader.stopped = func() bool { return !policy.reformsGroups && sim.now >= warmUpTime }
 	sim.leader.start()
 	sim.hosts.publish()
@@ -127,6 +128,13 @@
 	return heads
 }
 
+// isBusy reports whether nodes have requests in flight at the host, as the first live
+// node knows it.
+func (sim *simulation) isBusy(hostID string) bool {
+	i := slices.IndexFunc(sim.nodes, func(n *node) bool { return n.alive })
+	return i >= 0 && sim.nodes[i].board.Load(hostID, sim.time()) > 0
+}
+
 func (sim *simulation) injectFailure(f FailureSheet) {
 	switch f.Kind {
 	case FailureHostsLost:
--- a/internal/experiment/simulation_test.go
+++ b/internal/experiment/simulation_test.go
@@ -202,3 +202,9 @@
 		}
 	}
 }
+
+// TestGroupsOpenWholeAfterSilence guards against silent heads that carry out their open
+// order after their members have left.
+func TestGroupsOpenWholeAfterSilence(t *testing.T) {
+	runSeeds(t, "hosts-silent", "product", 12)
+}
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -98,10 +98,11 @@
 	LeaderUnknown   = Event{1403, logrus.WarnLevel, "leadership could not be read or renewed"}
 	OrderSent       = Event{1404, logrus.InfoLevel, "order was sent to a host"}
 	OrderUnanswered = Event{1405, logrus.WarnLevel, "order to a host failed or has no answer; the host's state decides what follows"}
-	MemberLost      = Event{1406, logrus.WarnLevel, "host does not answer probes and counts as lost"}
+	MemberLost      = Event{1406, logrus.WarnLevel, "host cannot be connected to or answers no probes, and counts as lost"}
 	MemberAnswers   = Event{1407, logrus.InfoLevel, "host answers probes"}
 	MemberSlow      = Event{1408, logrus.WarnLevel, "host works slower than usual and is replaced where there is a spare"}
 	GroupsPlanned   = Event{1409, logrus.InfoLevel, "groups in service changed"}
+	MemberSilent    = Event{1410, logrus.WarnLevel, "host accepts connections but does not answer probes; its group ends at once only if it is idle"}
 )
 
 // Events of logging itself, 1450 to 1499.
@@ -187,6 +188,7 @@
 	MemberAnswers,
 	MemberSlow,
 	GroupsPlanned,
+	MemberSilent,
 	LinesDropped,
 	SettingsReloaded,
 	SharesReclaimed,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -147,7 +147,8 @@
 	g.candidate = leader.New(p.Store, s.Node, bootClock, log)
 	g.controller = formation.NewController(formation.Options{
 		View: g.view, Orderer: p.Orderer, Leads: g.candidate.Leads, Traffic: g.fleetHadTraffic, FirstStart: s.FirstStart,
-		StalledHeads: func() []string { return g.board.Suspects(time.Now()) }, Log: log, Metrics: g.metrics.Scope(),
+		StalledHeads: func() []string { return g.board.Suspects(time.Now()) }, IsBusy: func(id string) bool { return g.board.Load(id, time.Now()) > 0 },
+		Log: log, Metrics: g.metrics.Scope(),
 	})
 	return g
 }
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -282,6 +282,14 @@
 	b.limiter.Forget(func(id string) bool { return view.Host(id) != nil })
 }
 
+// Load returns the number of requests in flight at a host over all nodes, as far as
+// reported.
+func (b *Board) Load(id string, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.load(id, now)
+}
+
 // load is the number of requests in flight at a host over all nodes: this node's
 // count and the unexpired reports. The caller holds mu.
 func (b *Board) load(id string, now time.Time) int {
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -28,15 +28,19 @@
 	orderCallTimeout = 400 * time.Millisecond
 	probeTimeout     = 120 * time.Millisecond
 	// probeAttempts is the number of consecutive probes without an answer after
-	// which a host counts as lost.
+	// which a host counts as silent.
 	probeAttempts = 2
+	// SilenceGracePeriod is how long after the first unanswered probe a silent host
+	// counts as lost. A sound host may be silent for nearly that long, and then
+	// callers leave their streams anyway.
+	SilenceGracePeriod = 2 * time.Second
 	// maxProbeDelay is how long after its timeout a probe may end. A probe that ends
 	// later says nothing about the host, because this process was not scheduled in
 	// time. maxProbeTries limits the probes, such ones included.
 	maxProbeDelay = 50 * time.Millisecond
 	maxProbeTries = 8
 	// manyLosses is the number of hosts, in more than one fabric domain, that fail
-	// their probes within lossWindow from which a further one counts as lost only
+	// their probes within lossWindow from which a further one counts as silent only
 	// after confirmAttempts more probes with a timeout of confirmTimeout: so many
 	// failures are more likely to be caused by this node than by the hosts.
 	manyLosses      = 10
@@ -53,6 +57,8 @@
 	// the members.
 	reprobeInterval        = 600 * time.Millisecond
 	suspectReprobeInterval = time.Second
+	// silentReprobeInterval is the same for a host that is silent but not lost.
+	silentReprobeInterval = 300 * time.Millisecond
 	// slowTimeFactor is the time factor, a multiple of the usual time, from which
 	// a host counts as slow and joins no new group. A group with such a host
 	// exceeds the pauses that callers accept.
@@ -92,6 +98,8 @@
 	Leads   Leadership
 	// StalledHeads returns the host IDs of the heads of stalled groups.
 	StalledHeads func() []string
+	// IsBusy reports whether any node has requests in flight at a host.
+	IsBusy func(hostID string) bool
 	// Traffic reports whether any request has arrived.
 	Traffic func() bool
 	// FirstStart is true if the fleet starts for the first time, so that no former
@@ -267,14 +275,33 @@
 		}
 	}
 	budget := LoadBudget(service.Engine, active, len(c.loadStarts))
+	hosts := view.ServiceHosts(service.Name)
 	return Input{
-		Now: now, Engine: service.Engine, Hosts: view.ServiceHosts(service.Name), Unregistered: c.unregisteredMembers(service.Name, view),
-		Conditions: maps.Clone(c.conditions), LastOrders: maps.Clone(c.sentOrders), LastStageOrders: maps.Clone(c.sentStageOrders),
+		Now: now, Engine: service.Engine, Hosts: hosts, Unregistered: c.unregisteredMembers(service.Name, view),
+		Conditions: maps.Clone(c.conditions), Busy: c.busyHeads(hosts), LastOrders: maps.Clone(c.sentOrders), LastStageOrders: maps.Clone(c.sentStageOrders),
 		UnlimitedLoads: c.FirstStart && !c.Traffic() && now.Sub(c.started) < unlimitedLoadsTimeout,
 		LoadBudget:     budget, FirstEpoch: c.epoch + 1, Unopened: c.unopenedGroups(now),
 	}
 }
 
+// busyHeads returns the host IDs of the heads with requests in flight, if any host is
+// silent. The caller holds mu.
+func (c *Controller) busyHeads(hosts []*fleet.Host) map[string]bool {
+	busy := map[string]bool{}
+	for _, condition := range c.conditions {
+		if !condition.Silent {
+			continue
+		}
+		for _, h := range hosts {
+			if h.Group.Name != "" && h.Group.Rank == 0 && c.IsBusy(h.ID) {
+				busy[h.ID] = true
+			}
+		}
+		break
+	}
+	return busy
+}
+
 // unopenedGroups returns the names of the groups in unopened, without those that
 // were formed too long ago to be recorded any further. The caller holds mu.
 func (c *Controller) unopenedGroups(now time.Time) map[string]bool {
--- a/internal/version/formation/controller_test.go
+++ b/internal/version/formation/controller_test.go
@@ -59,7 +59,7 @@
 	orderer := &countingOrderer{}
 	c := NewController(Options{
 		View: holder, Orderer: orderer, Leads: func() (int64, bool) { return 1, true }, StalledHeads: func() []string { return nil },
-		Traffic: func() bool { return false }, FirstStart: true, Log: eventlog.Discard(), Metrics: tally.NoopScope,
+		Traffic: func() bool { return false }, FirstStart: true, IsBusy: func(string) bool { return false }, Log: eventlog.Discard(), Metrics: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -132,7 +132,7 @@
 	holder.Store(fleet.NewView(configuration, list, 1, time.Now(), true))
 	c := NewController(Options{
 		View: holder, Orderer: orderer, Leads: func() (int64, bool) { return 1, true },
-		StalledHeads: func() []string { return heads }, Traffic: func() bool { return true }, Log: eventlog.Discard(), Metrics: tally.NoopScope,
+		StalledHeads: func() []string { return heads }, Traffic: func() bool { return true }, IsBusy: func(string) bool { return false }, Log: eventlog.Discard(), Metrics: tally.NoopScope,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx)
--- a/internal/version/formation/ending_test.go
+++ b/internal/version/formation/ending_test.go
@@ -132,3 +132,19 @@
 	in.LastOrders[group[0].ID] = SentOrder{Order: groupOrder(OpLeave, group[0]), Sent: now.Add(-2 * orderEffectTimeout), Instance: group[0].Instance()}
 	checkOnlyLeave(t, MakePlan(in), group[0])
 }
+
+// TestSilentHeadThatMayOpenKeepsItsMembers guards against a head that opens without its
+// members: it carried out the open order only when it went on after they had left.
+func TestSilentHeadThatMayOpenKeepsItsMembers(t *testing.T) {
+	group, hosts := staleHeadGroup()
+	in := input(hosts...)
+	in.LastOrders[group[0].ID] = SentOrder{Order: groupOrder(OpOpen, group[0]), Sent: now.Add(-orderCallTimeout), Instance: group[0].Instance()}
+	in.Conditions[group[0].ID] = Condition{Silent: true, Since: now.Add(-time.Second)}
+	if plan := MakePlan(in); len(orders(plan, OpLeave)) != 0 {
+		t.Errorf("got orders %v while the head is silent, want no leave", plan.Orders)
+	}
+	in.Conditions[group[0].ID] = Condition{Lost: true, Since: now}
+	if leaves := orders(MakePlan(in), OpLeave); len(leaves) != 3 {
+		t.Errorf("got leave orders to %v once the head is lost, want one to each of the three members", leaves)
+	}
+}
--- a/internal/version/formation/form.go
+++ b/internal/version/formation/form.go
@@ -16,7 +16,7 @@
 // spares.
 func (p *planner) collectFreeHosts() {
 	for _, h := range p.Hosts {
-		if p.inUse[h.ID] || h.State != fleet.HostReady || p.Conditions[h.ID].Lost || p.Conditions[h.ID].Slow {
+		if p.inUse[h.ID] || h.State != fleet.HostReady || p.isUnreachable(h) || p.Conditions[h.ID].Slow {
 			continue
 		}
 		if last, ok := p.orderInFlight(h); ok && (last.Refused || last.Order.Operation == OpLeave && !last.Answered) {
--- a/internal/version/formation/order.go
+++ b/internal/version/formation/order.go
@@ -66,6 +66,10 @@
 // not carried out.
 var ErrOrderRefused = errors.New("order refused")
 
+// ErrUnreachable reports a host that cannot be connected to, or at whose address another
+// one answers. The kernel of a host whose process is suspended accepts connections.
+var ErrUnreachable = errors.New("host is unreachable")
+
 // Orderer sends orders and probes to hosts. Implementations are safe for
 // concurrent use.
 type Orderer interface {
@@ -74,7 +78,7 @@
 	// any other error the order may still be carried out, even seconds later.
 	Order(ctx context.Context, address string, o Order) error
 	// Probe returns how many times slower than usual the host works: 1 for a
-	// healthy host.
+	// healthy host. Without a connection to the host it returns a wrapped ErrUnreachable.
 	Probe(ctx context.Context, address, hostID string) (float64, error)
 }
 
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -24,9 +24,13 @@
 
 // Condition is the state of a host according to probes.
 type Condition struct {
-	// Lost is true if the host answers no probe.
+	// Lost is true if the host cannot be connected to, or has answered no probe for
+	// SilenceGracePeriod.
 	Lost bool
-	// Since is when the host was found lost, or last found slow.
+	// Silent is true if the host accepts connections but answers no probe. It may go on
+	// after a second or two.
+	Silent bool
+	// Since is when the host became silent or was found lost, or was last found slow.
 	Since time.Time
 	// Slow is true if the host works several times slower than usual.
 	Slow bool
@@ -57,6 +61,8 @@
 	Unregistered []*fleet.Host
 	// Conditions are by host ID. A host without an entry is healthy.
 	Conditions map[string]Condition
+	// Busy contains the host IDs of heads with requests in flight.
+	Busy map[string]bool
 	// LastOrders are the last orders other than stage, by host ID.
 	LastOrders map[string]SentOrder
 	// LastStageOrders are the last stage orders, by host ID. They run alongside
@@ -215,8 +221,23 @@
 	}
 }
 
-// isLost reports whether a member is missing or lost.
-func (p *planner) isLost(h *fleet.Host) bool { return h == nil || p.Conditions[h.ID].Lost }
+// isUnreachable reports whether a member is missing, lost or silent.
+func (p *planner) isUnreachable(h *fleet.Host) bool {
+	return h == nil || p.Conditions[h.ID].Lost || p.Conditions[h.ID].Silent
+}
+
+// isLost reports whether the group has to end because a member is missing, lost or
+// silent. The requests of a busy group go on if a silent member does, and a silent head
+// that was ordered to open may open then.
+func (p *planner) isLost(g *group, h *fleet.Host) bool {
+	head := g.head()
+	if h == nil || head == nil || p.Conditions[h.ID].Lost {
+		return true
+	}
+	last, ordered := p.lastOrderAbout(g, head)
+	opens := h == head && h.Group.State != fleet.MemberOpen && ordered && last.Order.Operation == OpOpen && !last.Refused
+	return p.Conditions[h.ID].Silent && !p.Busy[head.ID] && !opens
+}
 
 // planGroup decides what one group needs.
 func (p *planner) planGroup(g *group) {
@@ -238,7 +259,7 @@
 // group.
 func (p *planner) canStillComplete(g *group) bool {
 	for _, h := range g.members {
-		if h != nil && p.Conditions[h.ID].Lost {
+		if h != nil && p.isUnreachable(h) {
 			return false
 		}
 	}
@@ -249,7 +270,7 @@
 // group.
 func (p *planner) isIncomplete(g *group) bool {
 	for _, h := range g.members {
-		if p.isLost(h) || h.Group.State == fleet.MemberBroken || h.Group.Name != g.name {
+		if p.isLost(g, h) || h.Group.State == fleet.MemberBroken || h.Group.Name != g.name {
 			return true
 		}
 	}
@@ -325,7 +346,7 @@
 		p.orderMembersToLeave(g, "the head is no longer registered")
 		return
 	}
-	if p.Conditions[head.ID].Lost {
+	if p.isUnreachable(head) {
 		p.orderMembersToLeave(g, "the head cannot be reached")
 		return
 	}
@@ -362,7 +383,7 @@
 // another group before it has left.
 func (p *planner) orderMembersToLeave(g *group, reason string) {
 	for _, h := range g.members {
-		if p.isLost(h) || h.Group.Name != g.name || !p.isRegistered(h) {
+		if p.isUnreachable(h) || h.Group.Name != g.name || !p.isRegistered(h) {
 			continue
 		}
 		p.inUse[h.ID] = true
--- a/internal/version/formation/probe.go
+++ b/internal/version/formation/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -15,8 +16,8 @@
 	interval time.Duration
 }
 
-// probeSuspects probes the members of stalled groups, hosts that count as lost
-// or slow, and members whose registration lapsed.
+// probeSuspects probes the members of stalled groups, hosts that are silent, lost or
+// slow, and members whose registration lapsed.
 func (c *Controller) probeSuspects(ctx context.Context, view *fleet.View, now time.Time) {
 	targets := map[string]probeTarget{}
 	for _, id := range c.StalledHeads() {
@@ -32,13 +33,16 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id := range c.conditions {
+	for id, condition := range c.conditions {
 		h := view.Host(id)
 		if h == nil {
 			delete(c.conditions, id)
 			continue
 		}
 		targets[id] = probeTarget{h, reprobeInterval}
+		if condition.Silent {
+			targets[id] = probeTarget{h, silentReprobeInterval}
+		}
 	}
 	for id, h := range c.members {
 		if view.Host(id) == nil {
@@ -54,9 +58,8 @@
 	}
 }
 
-// probe probes a host until it answers or counts as lost, unless a probe of the
-// host is under way. It blocks until there is a slot, and then for about half a
-// second, or longer while many hosts fail.
+// probe probes a host until it answers or counts as silent or lost, unless a probe of the host is under way. It blocks until there is a slot, and then
+// for a quarter of a second, or longer while many hosts fail.
 func (c *Controller) probe(ctx context.Context, host *fleet.Host) {
 	c.mu.Lock()
 	underWay := c.probing[host.ID]
@@ -76,33 +79,36 @@
 	case c.probeSlots <- struct{}{}:
 		defer func() { <-c.probeSlots }()
 	}
-	if c.probeAnswers(ctx, host, probeAttempts, probeTimeout) || ctx.Err() != nil {
-		return
+	started := time.Now()
+	err := c.probeRepeatedly(ctx, host, probeAttempts, probeTimeout)
+	if err != nil && ctx.Err() == nil && c.isOneOfMany(host, time.Now()) {
+		err = c.probeRepeatedly(ctx, host, confirmAttempts, confirmTimeout)
 	}
-	if c.isOneOfMany(host, time.Now()) && c.probeAnswers(ctx, host, confirmAttempts, confirmTimeout) || ctx.Err() != nil {
-		return
+	if err != nil && ctx.Err() == nil {
+		c.recordUnanswered(host, started, err)
 	}
-	c.recordLoss(host)
 }
 
-// probeAnswers probes a host and records its reply. It returns false after the
-// given number of probes without an answer.
-func (c *Controller) probeAnswers(ctx context.Context, host *fleet.Host, attempts int, timeout time.Duration) bool {
+// probeRepeatedly probes a host and records its reply. It returns the last error after
+// the given number of probes without an answer.
+func (c *Controller) probeRepeatedly(ctx context.Context, host *fleet.Host, attempts int, timeout time.Duration) error {
 	unanswered := 0
-	for tries := 0; unanswered < attempts && ctx.Err() == nil; tries++ {
+	for tries := 0; ; tries++ {
 		started := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		timeFactor, err := c.Orderer.Probe(callCtx, host.Address, host.ID)
 		cancel()
 		if err == nil {
 			c.recordProbeReply(host, timeFactor)
-			return true
+			return nil
 		}
 		if time.Since(started) <= timeout+maxProbeDelay || tries >= maxProbeTries {
 			unanswered++
 		}
+		if unanswered >= attempts || ctx.Err() != nil {
+			return err
+		}
 	}
-	return false
 }
 
 // probeFailure is a host that answered no probe.
@@ -117,8 +123,8 @@
 func (c *Controller) isOneOfMany(host *fleet.Host, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conditions[host.ID].Lost {
-		return false // a host that is known to be lost
+	if known := c.conditions[host.ID]; known.Lost || known.Silent {
+		return false
 	}
 	c.failures = slices.DeleteFunc(c.failures, func(f probeFailure) bool {
 		return now.Sub(f.at) > lossWindow || f.hostID == host.ID
@@ -128,18 +134,36 @@
 	return len(c.failures) >= manyLosses && severalDomains
 }
 
-// recordLoss updates the condition of a host that answered no probe.
-func (c *Controller) recordLoss(host *fleet.Host) {
+// recordUnanswered updates the condition of a host that answered no probe since
+// started, and logs a change. The last probe ended with err.
+func (c *Controller) recordUnanswered(host *fleet.Host, started time.Time, err error) {
+	now := time.Now()
+	registered := c.View.Load().Host(host.ID) != nil
 	c.mu.Lock()
 	previous := c.conditions[host.ID]
-	if !previous.Lost {
-		c.conditions[host.ID] = Condition{Lost: true, Since: time.Now()}
+	next := previous
+	switch {
+	case previous.Lost:
+	case errors.Is(err, ErrUnreachable) || !registered || previous.Silent && now.Sub(previous.Since) >= SilenceGracePeriod:
+		next = Condition{Lost: true, Since: now}
+	case !previous.Silent:
+		next = Condition{Silent: true, Since: started}
 	}
+	c.conditions[host.ID] = next
 	c.mu.Unlock()
-	if !previous.Lost {
-		c.Log.Log(eventlog.MemberLost, eventlog.Fields{"host": host.ID, "group": host.Group.Name, "epoch": host.Group.Epoch, "probes": probeAttempts})
-		c.Wake()
+	if next == previous {
+		return
+	}
+	event, fields := eventlog.MemberSilent, eventlog.Fields{"host": host.ID, "group": host.Group.Name, "epoch": host.Group.Epoch, "error": err.Error()}
+	if next.Lost {
+		event = eventlog.MemberLost
+		if previous.Silent {
+			started = previous.Since
+		}
+		fields["silent_ms"] = now.Sub(started).Milliseconds()
 	}
+	c.Log.Log(event, fields)
+	c.Wake()
 }
 
 // recordProbeReply updates the condition of a host that answered a probe and
