Keep a stream that its first host has accepted if the second one rejects it

What callers see: a stream whose first host has answered 200 and pauses is answered with 4xx of a second host. Cause: a complete answer below 500 of either attempt ended the request, although the other one had begun. Fix: it ends the request only where no other attempt has the head of its answer. Where the first host is silent before its head, the second host's rejection is delivered as before.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -194,6 +194,9 @@
 	}
 	var failure *statusError
 	if errors.As(update.err, &failure) && !s.headerSent && failure.answer.status < http.StatusInternalServerError {
+		if s.current != nil && s.current.header != nil {
+			return s.deliverHeld(now) // the other host has accepted the request
+		}
 		s.deliver(&failure.answer)
 		return true
 	}
