Try a third host for a stream whose first two hosts are silent

What callers see: on routes with three attempts or more, a stream whose first and second host are dead without a reset ends at its deadline (cut, or 504) although a third host is sound. Routes of two attempts are not affected. Cause: since no attempt is begun while a second one runs, however long that is silent. Fix: a stream has up to two attempts beside the first one. Another begins once the newest is silent for as long as the first one had to be, within attempts and budget. The first one to send a new event goes on and the others are ended, as before with two. The current attempt's events wait as long as a healthy group needs, from the begin of the newest attempt.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -16,9 +16,11 @@
 // streamState is the state of one stream.
 type streamState struct {
 	*requestState
-	// current is the attempt whose events the caller gets. second is nil or a later
-	// attempt that was begun because current is silent and that has sent no new event.
-	current, second *streamAttempt
+	// current is the attempt whose events the caller gets. others are later attempts, the
+	// oldest first, that were begun because those before are silent and that have sent no
+	// new event. There are at most maxOtherAttempts.
+	current *streamAttempt
+	others  []*streamAttempt
 	// model is nil for a plain service.
 	model *fleet.Model
 	// headerSent is true once status line and headers were sent to the caller.
@@ -54,8 +56,10 @@
 		select {
 		case update := <-stream.currentUpdates():
 			done = stream.handleUpdate(ctx, stream.current, update)
-		case update := <-stream.secondUpdates():
-			done = stream.handleUpdate(ctx, stream.second, update)
+		case update := <-stream.otherUpdates(0):
+			done = stream.handleUpdate(ctx, stream.others[0], update)
+		case update := <-stream.otherUpdates(1):
+			done = stream.handleUpdate(ctx, stream.others[1], update)
 		case <-ticker.C:
 			done = stream.checkAttempts(ctx, time.Now())
 		case <-ctx.Done():
@@ -89,28 +93,28 @@
 	return s.handleFailure(ctx, attempt, update, now)
 }
 
-// handleEvent delivers an event, unless it has to wait for the second attempt or the
+// handleEvent delivers an event, unless it has to wait for a later attempt or the
 // caller has it from an earlier attempt. It reports whether the request is finished.
 func (s *streamState) handleEvent(attempt *streamAttempt, e *event, now time.Time) bool {
 	isNew := e.id == "" || isAfter(s.lastID, e.id)
-	if attempt == s.current && s.second != nil {
+	if attempt == s.current && len(s.others) > 0 {
 		attempt.held = append(attempt.held, e)
 		return false
 	}
 	if !isNew {
 		return false
 	}
-	if attempt == s.second {
-		s.moveToSecond(now)
+	if attempt != s.current {
+		s.moveTo(attempt, now)
 	}
 	return s.deliverEvent(e, now)
 }
 
 // handleCompletion ends the request with the complete stream of an attempt.
 func (s *streamState) handleCompletion(attempt *streamAttempt, now time.Time) bool {
-	if attempt == s.second {
-		s.moveToSecond(now)
-	} else if s.second != nil && s.stay("the first attempt is complete", now) {
+	if attempt != s.current {
+		s.moveTo(attempt, now)
+	} else if len(s.others) > 0 && s.stay("the first attempt is complete", now) {
 		return true // the caller left
 	}
 	s.recordBegan(now)
@@ -182,11 +186,11 @@
 	})
 }
 
-// handleFailure handles an attempt that ended early. The other attempt goes on if
-// there is one. Otherwise it begins another one if that is allowed, or ends the
+// handleFailure handles an attempt that ended early. The other attempts go on if
+// there are any. Otherwise it begins another one if that is allowed, or ends the
 // request. It reports whether the request is finished.
 func (s *streamState) handleFailure(ctx context.Context, failed *streamAttempt, update attemptUpdate, now time.Time) bool {
-	wasSecond := failed == s.second
+	wasCurrent := failed == s.current
 	s.endFailed(ctx, failed, update)
 	if ctx.Err() != nil {
 		s.handleContextEnd(ctx)
@@ -200,7 +204,7 @@
 		s.deliver(&failure.answer)
 		return true
 	}
-	if s.current != nil && (!wasSecond || len(s.current.held) > 0) {
+	if s.current != nil && (wasCurrent || len(s.current.held) > 0 || len(s.others) >= maxOtherAttempts) {
 		return s.deliverHeld(now)
 	}
 	if s.mayBeginAnother(update, now) {
@@ -257,7 +261,7 @@
 		s.current = attempt
 		return
 	}
-	s.second = attempt
+	s.others = append(s.others, attempt)
 }
 
 func (s *streamState) logRetried(failed, next *streamAttempt, update attemptUpdate) {
--- a/internal/request/forward/stream_attempt.go
+++ b/internal/request/forward/stream_attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -51,7 +52,7 @@
 	// working after it.
 	beganAt   time.Time
 	beganWell bool
-	// held are events that wait until it is known whether the second attempt begins.
+	// held are events that wait until it is known whether a later attempt begins.
 	held []*event
 }
 
@@ -75,23 +76,22 @@
 	attempt.cancel()
 	now := time.Now()
 	s.Board.Ended(attempt.host.ID, outcome, now.Sub(attempt.started), now)
-	switch attempt {
-	case s.current:
-		s.current, s.second = s.second, nil
-	case s.second:
-		s.second = nil
+	if attempt != s.current {
+		s.others = slices.DeleteFunc(s.others, func(other *streamAttempt) bool { return other == attempt })
+		return
+	}
+	s.current = nil
+	if len(s.others) > 0 {
+		s.current, s.others = s.others[0], s.others[1:]
 	}
 }
 
-// attempts returns the running attempts, at most two.
+// attempts returns the running attempts, the newest last.
 func (s *streamState) attempts() []*streamAttempt {
-	var running []*streamAttempt
-	for _, attempt := range []*streamAttempt{s.current, s.second} {
-		if attempt != nil {
-			running = append(running, attempt)
-		}
+	if s.current == nil {
+		return nil
 	}
-	return running
+	return append([]*streamAttempt{s.current}, s.others...)
 }
 
 // endAll ends all attempts.
--- a/internal/request/forward/stream_second.go
+++ b/internal/request/forward/stream_second.go
@@ -14,6 +14,8 @@
 	// MoveBackoff is the minimum time between two tries to move a stream to
 	// another group.
 	MoveBackoff = 100 * time.Millisecond
+	// maxOtherAttempts limits the attempts of a stream beside the first one.
+	maxOtherAttempts = 2
 )
 
 // currentUpdates returns the updates of the current attempt, or nil while its held
@@ -25,12 +27,12 @@
 	return s.current.updates
 }
 
-// secondUpdates returns the updates of the second attempt, or nil if there is none.
-func (s *streamState) secondUpdates() <-chan attemptUpdate {
-	if s.second == nil {
+// otherUpdates returns the updates of a later attempt, or nil if there is none.
+func (s *streamState) otherUpdates(i int) <-chan attemptUpdate {
+	if i >= len(s.others) {
 		return nil
 	}
-	return s.second.updates
+	return s.others[i].updates
 }
 
 // checkAttempts records an attempt that goes on well, ends a request that is now known
@@ -41,18 +43,18 @@
 		return true
 	}
 	thresholds := s.stallThresholds()
-	stalled := false
+	newest, newestStalled := s.current, false
 	for _, attempt := range s.attempts() {
-		stalled = s.checkStall(attempt, thresholds, now) || stalled
+		newest, newestStalled = attempt, s.checkStall(attempt, thresholds, now)
 	}
-	if s.second == nil {
-		if stalled {
-			s.beginSecond(ctx, now)
+	if len(s.current.held) > 0 {
+		if now.Sub(newest.started) >= thresholds.Stalled {
+			return s.stay("no later attempt has begun", now)
 		}
 		return false
 	}
-	if len(s.current.held) > 0 && now.Sub(s.second.started) >= thresholds.Stalled {
-		return s.stay("the second attempt has not begun", now)
+	if newestStalled && len(s.others) < maxOtherAttempts {
+		s.beginAnother(ctx, newest, now)
 	}
 	return false
 }
@@ -93,11 +95,11 @@
 	})
 }
 
-// beginSecond sends a stream whose attempt is silent to a second group as well, after
-// the last event that the caller has, if a group has room and a retry is allowed. The
-// silent attempt goes on until the second one has sent an event, because its host may be
-// sound.
-func (s *streamState) beginSecond(ctx context.Context, now time.Time) {
+// beginAnother sends a stream whose newest attempt is silent to another group as well,
+// after the last event that the caller has, if a group has room and a retry is allowed.
+// The silent attempts go on until another one has sent an event, because their hosts may
+// be sound.
+func (s *streamState) beginAnother(ctx context.Context, silent *streamAttempt, now time.Time) {
 	if now.Before(s.nextMoveAt) || !s.route.Repeatable() || len(s.triedHosts) >= s.route.MaxAttempts {
 		return
 	}
@@ -105,50 +107,58 @@
 	if !s.mayRetry(now) {
 		return
 	}
-	second, refused := s.begin(ctx)
+	next, refused := s.begin(ctx)
 	if refused != nil {
 		s.retries.Refund(s.service.Name, now)
 		return
 	}
-	s.second = second
-	if s.current.events == 0 {
-		s.giveUp(s.current.host, true) // a crash may leave the connection silent
+	s.add(next)
+	if silent.events == 0 {
+		s.giveUp(silent.host, true) // a crash may leave the connection silent
 	}
 	s.Log.Log(eventlog.RequestHedged, eventlog.Fields{
-		"request": s.request.ID, "host": s.current.host.ID, "to": second.host.ID, "silent_ms": now.Sub(s.current.lastProgress).Milliseconds(),
+		"request": s.request.ID, "host": silent.host.ID, "to": next.host.ID, "silent_ms": now.Sub(silent.lastProgress).Milliseconds(),
 		"after_event": s.lastID, "attempt": len(s.triedHosts),
 	})
 }
 
-// moveToSecond ends the silent attempt because the second one goes on. Events held for
-// the silent attempt are dropped: the second run has them.
-func (s *streamState) moveToSecond(now time.Time) {
+// moveTo ends the other attempts because the given later one goes on. Events held for the
+// current attempt are dropped: the later run has them.
+func (s *streamState) moveTo(next *streamAttempt, now time.Time) {
 	silent := s.current
-	if silent.events == 0 {
-		s.giveUp(silent.host, true)
-	}
 	s.Log.Log(eventlog.StreamMoved, eventlog.Fields{
-		"request": s.request.ID, "from": silent.host.ID, "to": s.second.host.ID, "silent_ms": now.Sub(silent.lastProgress).Milliseconds(),
+		"request": s.request.ID, "from": silent.host.ID, "to": next.host.ID, "silent_ms": now.Sub(silent.lastProgress).Milliseconds(),
 		"after_event": s.lastID, "attempt": len(s.triedHosts), "held": len(silent.held),
 	})
-	s.end(silent, place.OutcomeAbandoned)
+	for _, attempt := range s.attempts() {
+		if attempt != next {
+			s.abandon(attempt)
+		}
+	}
 }
 
-// stay ends the second attempt because the first one goes on, and delivers the events
+// abandon ends an attempt because another one goes on.
+func (s *streamState) abandon(attempt *streamAttempt) {
+	if attempt.events == 0 {
+		s.giveUp(attempt.host, true)
+	}
+	s.end(attempt, place.OutcomeAbandoned)
+}
+
+// stay ends the later attempts because the current one goes on, and delivers the events
 // held so far. It reports whether the request is finished because the caller left.
 func (s *streamState) stay(reason string, now time.Time) bool {
-	s.Log.Log(eventlog.StreamStayed, eventlog.Fields{
-		"request": s.request.ID, "host": s.current.host.ID, "second": s.second.host.ID, "reason": reason,
-		"after_event": s.lastID, "held": len(s.current.held),
-	})
-	if s.second.events == 0 {
-		s.giveUp(s.second.host, true)
+	for _, attempt := range s.attempts()[1:] {
+		s.Log.Log(eventlog.StreamStayed, eventlog.Fields{
+			"request": s.request.ID, "host": s.current.host.ID, "second": attempt.host.ID, "reason": reason,
+			"after_event": s.lastID, "held": len(s.current.held),
+		})
+		s.abandon(attempt)
 	}
-	s.end(s.second, place.OutcomeAbandoned)
 	return s.deliverHeld(now)
 }
 
-// deliverHeld delivers the events of the current attempt that were held for a second one
+// deliverHeld delivers the events of the current attempt that were held for a later one
 // that has ended. It reports whether the request is finished because the caller left.
 func (s *streamState) deliverHeld(now time.Time) bool {
 	held := s.current.held
--- a/internal/request/forward/stream_silence_test.go
+++ b/internal/request/forward/stream_silence_test.go
@@ -207,3 +207,24 @@
 		}
 	})
 }
+
+// TestStreamLeavesTwoDeadHosts guards against streams that wait for their deadline
+// because the second host is silent, too, although a third one is sound.
+func TestStreamLeavesTwoDeadHosts(t *testing.T) {
+	for name, first := range map[string]hostBehavior{
+		"first dies at event 4":   streamEvents(3, testEventInterval, stall),
+		"first never answers":     neverAnswer,
+		"first pauses for 1200ms": streamWithPause(4, 1200*time.Millisecond),
+	} {
+		for secondName, second := range map[string]hostBehavior{"never answers": neverAnswer, "is silent at its head": streamEvents(0, 0, stall)} {
+			t.Run(name+"/second "+secondName, func(t *testing.T) {
+				setup := newTurnSetup(fleet.KindStream, 3, 3, first, second, streamEvents(8, testEventInterval, closeStream))
+				serveOnce(t, setup, func(t *testing.T, got callerResult) {
+					if got.status != http.StatusOK || got.aborted || got.body != eventsText(1, 8) || got.took > 2*time.Second {
+						t.Errorf("got status %d, aborted %t after %v, want 200 and the whole stream within 2s; body:\n%s", got.status, got.aborted, got.took, got.body)
+					}
+				})
+			})
+		}
+	}
+}
