Use no registration that names an earlier start than the last one

What callers would see: a request in flight at a host is held for one that crashed it, and requests with the same parts are refused. Cause: a copy of a former registration, or one without "born", is usable by itself and was taken for another life of the host: forward.Core.crashed compares starts, and orders of the leader count as sent to another life. Found by reading; these effects were not played. Fix: a registration whose start is before the one last registered is unusable like an unreadable one: the host is unconfirmed until it writes again, for 2.5 s at most. After that the earlier start counts, so a host whose clock was set back is used again. Evidence (before): 2 new cases of TestHostWithUnusableRegistrationIsKeptForAHeartbeat, "earlier start for long: got ready after 3 s, want unconfirmed".

--- a/internal/process/gateway/otherwriter_test.go
+++ b/internal/process/gateway/otherwriter_test.go
@@ -100,6 +100,8 @@
 		"removed":                   {[]feed.Record{hostRecord("a", 1), odd(2), {Key: "a", Version: 3, Deleted: true}}, []string{"ready", "unconfirmed", "none"}},
 		"leaves":                    {[]feed.Record{stateRecord("a", 1, 1, fleet.HostLeaving), odd(2)}, []string{"leaving", "leaving", "leaving", "leaving", "none"}},
 		"never known":               {[]feed.Record{odd(1), odd(2)}, []string{"none", "none"}},
+		"earlier start":             {[]feed.Record{stateRecord("a", 1, 5, fleet.HostReady), stateRecord("a", 2, 0, fleet.HostReady), stateRecord("a", 3, 5, fleet.HostReady)}, []string{"ready", "unconfirmed", "ready"}},
+		"earlier start for long":    {[]feed.Record{stateRecord("a", 1, 5, fleet.HostReady), stateRecord("a", 2, 4, fleet.HostReady), {}, {}, {}, stateRecord("a", 5, 4, fleet.HostReady)}, []string{"ready", "unconfirmed", "unconfirmed", "unconfirmed", "none", "ready"}},
 		"known later":               {[]feed.Record{odd(1), hostRecord("a", 2)}, []string{"none", "ready"}},
 	} {
 		b, view := newTestBuilder()
--- a/internal/process/gateway/view.go
+++ b/internal/process/gateway/view.go
@@ -130,6 +130,9 @@
 		return
 	}
 	host, err := b.decode.Host(r)
+	if err == nil && previous != nil && host.Started.Before(previous.Started) {
+		err = fmt.Errorf("registration %q is ignored until it is written again: it names an earlier start of the host than the last one", r.Key)
+	}
 	if err != nil {
 		b.logUnusable(r, err)
 		b.withdraw(previous, now)
