Take the epoch of a group from its name

What callers would see: a group that is never opened, or never ended, as its hosts refuse each order: late or no repair of a model. Cause: the epoch of the orders was that of the first host by ID that names the group. A usable registration of another writer, copied from that of a member with another epoch, came first and kept doing so after it counted as lost. Fix: names of groups contain their epoch, so it is read from there. Evidence (before): TestCopyWithOtherEpochDoesNotNameTheEpochOfItsGroup, 4 of 8 cases: "copy a of rank 0 with epoch 1: got no order to open the group at its epoch".

--- a/internal/version/formation/order.go
+++ b/internal/version/formation/order.go
@@ -97,6 +97,12 @@
 	return nil
 }
 
+// groupEpoch returns the epoch of a group named by groupName, or false for other names.
+func groupEpoch(group string) (int64, bool) {
+	epoch, err := strconv.ParseInt(group[strings.LastIndexByte(group, '.')+1:], 10, 64)
+	return epoch, err == nil && epoch >= 0 && epoch <= MaxEpoch
+}
+
 // hasWeights reports whether the host can start the model without the weight
 // store.
 func hasWeights(h *fleet.Host, model string) bool {
--- a/internal/version/formation/otherwriter_test.go
+++ b/internal/version/formation/otherwriter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,3 +39,30 @@
 		}
 	}
 }
+
+// TestCopyWithOtherEpochDoesNotNameTheEpochOfItsGroup guards against orders that hosts refuse, because another writer has
+// copied the registration of a member with another epoch.
+func TestCopyWithOtherEpochDoesNotNameTheEpochOfItsGroup(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	engine := &fleet.Engine{Models: []fleet.Model{{Name: "m", Size: 2, WorkShare: 1, LoadTime: time.Second}}}
+	member := func(id string, epoch int64, rank int, state fleet.MemberState) *fleet.Host {
+		return &fleet.Host{ID: id, FabricDomain: "d", Started: now, LoadedModel: "m", StagedModels: []string{"m"}, Group: fleet.Membership{Name: "m.1000001", Epoch: epoch, Rank: rank, State: state}}
+	}
+	for _, copyID := range []string{"a", "z"} { // before and after the IDs of the members
+		for rank := range 2 {
+			for _, epoch := range []int64{1, 3_000_000_000_000_000} {
+				in := Input{Now: now, Engine: engine, FirstEpoch: 1_000_002, Conditions: map[string]Condition{copyID: {Lost: true}}, Hosts: []*fleet.Host{
+					member(copyID, epoch, rank, fleet.MemberReady), member("m0", 1_000_001, 0, fleet.MemberReady), member("m1", 1_000_001, 1, fleet.MemberReady),
+				}}
+				slices.SortFunc(in.Hosts, func(a, b *fleet.Host) int { return strings.Compare(a.ID, b.ID) })
+				opened := false
+				for _, o := range MakePlan(in).Orders {
+					opened = opened || o.Operation == OpOpen && o.HostID == "m0" && o.Epoch == 1_000_001
+				}
+				if !opened {
+					t.Errorf("copy %s of rank %d with epoch %d: got no order to open the group at its epoch", copyID, rank, epoch)
+				}
+			}
+		}
+	}
+}
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -210,6 +210,9 @@
 		}
 		g := p.groups[name]
 		if g == nil {
+			if named, ok := groupEpoch(name); ok {
+				epoch = named // another writer may have stored a registration with another one
+			}
 			g = &group{name: name, epoch: epoch, model: model, members: make([]*fleet.Host, model.Size)}
 			p.groups[name] = g
 		}
