Find hosts that claim one place in a group while planning

What it cost: each round of probes looked through all hosts for two that are registered for one place, though the plan finds them anyway. Change: the plan names them (Plan.Contested), and the controller probes these.

--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -137,6 +137,8 @@
 	failures []probeFailure
 	// probing contains the hosts that are being probed or wait for it.
 	probing map[string]bool
+	// contested contains Plan.Contested by service.
+	contested map[string][]string
 	// members are the members of open groups, except the heads, as last
 	// registered, by host ID.
 	members    map[string]*fleet.Host
@@ -156,7 +158,7 @@
 	return &Controller{
 		Options: o, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight), probeSlots: make(chan struct{}, maxProbesInFlight), sentOrders: map[string]SentOrder{}, sentStageOrders: map[string]SentOrder{},
 		conditions: map[string]Condition{}, lastProbed: map[string]time.Time{}, members: map[string]*fleet.Host{}, started: time.Now(),
-		unopened: map[string]time.Time{}, probing: map[string]bool{},
+		unopened: map[string]time.Time{}, probing: map[string]bool{}, contested: map[string][]string{},
 	}
 }
 
@@ -255,6 +257,7 @@
 	c.reportPlan(service, plan, view)
 	c.mu.Lock()
 	c.epoch = max(c.epoch, plan.NextEpoch)
+	c.contested[service.Name] = plan.Contested
 	c.mu.Unlock()
 	for _, o := range plan.Orders {
 		c.issueOrder(ctx, o, view.Host(o.HostID), in.UnlimitedLoads, now)
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -125,6 +125,9 @@
 	Forming map[string]int
 	// Spares counts the free hosts by the model whose weights they have.
 	Spares map[string]int
+	// Contested are the IDs of the hosts that are registered for a place in a group for
+	// which another one is registered too. They have to be probed.
+	Contested []string
 }
 
 // planner is the state of one call of MakePlan.
@@ -235,6 +238,7 @@
 // for which both are registered, one of them by another writer. Neither is free until
 // one is lost: the controller probes them.
 func (p *planner) hasBetterClaim(a, b *fleet.Host) bool {
+	p.plan.Contested = append(p.plan.Contested, a.ID, b.ID)
 	if outA, outB := p.isUnreachable(a), p.isUnreachable(b); outA != outB {
 		return outB
 	}
--- a/internal/version/formation/probe.go
+++ b/internal/version/formation/probe.go
@@ -16,31 +16,9 @@
 	interval time.Duration
 }
 
-// claimants returns the hosts that are registered for a place in a group for which
-// another one is registered too. Only another writer can have done that.
-func claimants(view *fleet.View) []*fleet.Host {
-	type place struct {
-		service, group string
-		rank           int
-	}
-	members := make(map[place]*fleet.Host, len(view.Hosts))
-	var out []*fleet.Host
-	for _, h := range view.Hosts {
-		if h.Group.Name == "" {
-			continue
-		}
-		at := place{h.Service, h.Group.Name, h.Group.Rank}
-		if other := members[at]; other != nil {
-			out = append(out, other, h)
-			continue
-		}
-		members[at] = h
-	}
-	return out
-}
-
 // probeSuspects probes the members of stalled groups, hosts that are silent, lost or
-// slow, members whose registration lapsed, and hosts that claim the same place.
+// slow, members whose registration lapsed, and hosts that are registered for one place
+// in a group.
 func (c *Controller) probeSuspects(ctx context.Context, view *fleet.View, now time.Time) {
 	targets := map[string]probeTarget{}
 	for _, id := range c.StalledHeads() {
@@ -54,11 +32,15 @@
 			}
 		}
 	}
-	for _, h := range claimants(view) {
-		targets[h.ID] = probeTarget{h, reprobeInterval}
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, ids := range c.contested {
+		for _, id := range ids {
+			if h := view.Host(id); h != nil {
+				targets[id] = probeTarget{h, reprobeInterval}
+			}
+		}
+	}
 	for id, condition := range c.conditions {
 		h := view.Host(id)
 		if h == nil {
@@ -84,8 +66,9 @@
 	}
 }
 
-// probe probes a host until it answers or counts as silent or lost, unless a probe of the host is under way. It blocks until there is a slot, and then
-// for a quarter of a second, or longer while many hosts fail.
+// probe probes a host until it answers or counts as silent or lost, unless a probe of
+// the host is under way. It blocks until there is a slot, and then for a quarter of a
+// second, or longer while many hosts fail.
 func (c *Controller) probe(ctx context.Context, host *fleet.Host) {
 	c.mu.Lock()
 	underWay := c.probing[host.ID]
