Soak: silent hosts, odd registrations, storms and planned stops, judged by whole requests

Faults: hosts, groups and services that fall silent for 0.3 to 2 s and go on, whole or their answers only; another writer's registrations; storms of configurations; series of stops and reloads. Callers have their own connections, kept ones and new ones, which send no request again. Each request that a node has read must get a whole answer or a refusal unless the node or a host that ran it was killed, stopped or cut off; a host that pauses is no excuse.

--- a/cmd/currantladder/soak.go
+++ b/cmd/currantladder/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -18,32 +19,37 @@
 	sub.Description = "Run nodes as processes on loopback under random faults and check the guarantees of the system."
 	var seed, count, nodes, seconds, dir = int64(1), 1, 3, 20, ""
 	quiet := false
+	var faults []string
 	sub.Int64(&seed, "", "seed", "First seed.")
 	sub.Int(&count, "", "count", "Number of seeds, one after the other.")
 	sub.Int(&nodes, "", "nodes", "Number of nodes.")
 	sub.Int(&seconds, "", "seconds", "Seconds during which new faults are started, for each seed.")
 	sub.String(&dir, "", "dir", "Folder that keeps settings and logs of failed seeds; by default the system's temporary folder.")
+	sub.StringSlice(&faults, "", "fault", "Name of a fault to inject, several times for more; by default all: "+strings.Join(soak.FaultNames(), ", ")+".")
 	sub.Bool(&quiet, "", "quiet", "Print results only.")
 	return command{sub: sub, run: func(ctx context.Context) error {
-		return runSoak(ctx, seed, count, nodes, time.Duration(seconds)*time.Second, dir, quiet)
+		options := soak.Options{Seed: seed, InjectionDuration: time.Duration(seconds) * time.Second, Nodes: nodes, Faults: faults}
+		if !quiet {
+			options.Progress = os.Stderr
+		}
+		return runSoak(ctx, options, count, dir)
 	}}
 }
 
-func runSoak(ctx context.Context, seed int64, count, nodes int, injectionDuration time.Duration, dir string, quiet bool) error {
+// runSoak runs count seeds, beginning with the one in options. Logs of failed seeds are in dir.
+func runSoak(ctx context.Context, options soak.Options, count int, dir string) error {
 	programPath, err := os.Executable()
 	if err != nil {
 		return fmt.Errorf("find the path of the running program: %w", err)
 	}
+	options.ProgramPath = programPath
 	failed := 0
-	for i := range int64(count) {
-		folder, err := os.MkdirTemp(dir, fmt.Sprintf("currantladder-soak-%d-", seed+i))
+	for i := 0; i < count; i, options.Seed = i+1, options.Seed+1 {
+		folder, err := os.MkdirTemp(dir, fmt.Sprintf("currantladder-soak-%d-", options.Seed))
 		if err != nil {
 			return fmt.Errorf("create a folder for settings and logs: %w", err)
 		}
-		options := soak.Options{ProgramPath: programPath, Seed: seed + i, InjectionDuration: injectionDuration, Nodes: nodes, Dir: folder}
-		if !quiet {
-			options.Progress = os.Stderr
-		}
+		options.Dir = folder
 		report, err := soak.Run(ctx, options)
 		if err != nil {
 			return err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,24 +33,21 @@
 }
 
 // faults lists all kinds of fault. Each is chosen with equal probability.
-var faults = []fault{
+var faults = slices.Concat(unplannedFaults, silenceFaults, plannedFaults)
+
+var unplannedFaults = []fault{
 	{"kill node", func(s *Soak, r *rand.Rand) {
 		n := s.randomNode(r)
+		defer s.disturbances.begin(n.name)()
 		n.terminate(syscall.SIGKILL, stopTimeout)
 		sleepFaultDuration(r)
 		s.recordHarnessError(n.clearFirstStart())
 		s.recordHarnessError(n.start())
 	}},
-	{"stop node", func(s *Soak, r *rand.Rand) {
-		n := s.randomNode(r)
-		if !n.terminate(syscall.SIGTERM, stopTimeout) {
-			s.ledger.RecordViolation("%s did not exit within %v of SIGTERM", n.name, stopTimeout)
-		}
-		s.recordHarnessError(n.clearFirstStart())
-		s.recordHarnessError(n.start())
-	}},
+	{"stop node", func(s *Soak, r *rand.Rand) { s.stopAndStart(s.randomNode(r)) }},
 	{"pause node", func(s *Soak, r *rand.Rand) {
 		n := s.randomNode(r)
+		defer s.disturbances.begin(n.name)()
 		n.signal(syscall.SIGSTOP)
 		sleepFaultDuration(r)
 		n.signal(syscall.SIGCONT)
@@ -58,6 +55,7 @@
 	{"reload node", func(s *Soak, r *rand.Rand) { s.randomNode(r).signal(syscall.SIGHUP) }},
 	{"kill all nodes", func(s *Soak, r *rand.Rand) {
 		for _, n := range s.nodes {
+			defer s.disturbances.begin(n.name)()
 			n.terminate(syscall.SIGKILL, stopTimeout)
 		}
 		sleepFaultDuration(r)
@@ -87,26 +85,39 @@
 		s.store.SetFaults(standin.StoreFaults{})
 	}},
 	{"store drops history", func(s *Soak, _ *rand.Rand) { s.store.Compact() }},
-	{"kill host", func(s *Soak, r *rand.Rand) { s.replaceHost(r, func(h *standin.Host) { h.Kill(hostRegistrationTTL) }) }},
+	{"kill host", func(s *Soak, r *rand.Rand) {
+		s.replaceHost(r, func(h *standin.Host) {
+			s.disturbances.begin(h.ID)
+			h.Kill(hostRegistrationTTL)
+		})
+	}},
 	{"host leaves", func(s *Soak, r *rand.Rand) {
 		s.replaceHost(r, func(h *standin.Host) {
 			h.Drain()
-			time.AfterFunc(maxFaultDuration, func() { h.Kill(0) })
+			time.AfterFunc(maxFaultDuration, func() {
+				s.disturbances.begin(h.ID)
+				h.Kill(0)
+			})
 		})
 	}},
 	{"silence host", func(s *Soak, r *rand.Rand) {
-		s.injectLinkFault(r, s.randomHost(r).relay, linkState{dropToTarget: true, dropFromTarget: true})
+		s.injectHostFault(r, linkState{dropToTarget: true, dropFromTarget: true})
 	}},
 	{"delay host", func(s *Soak, r *rand.Rand) {
-		s.injectLinkFault(r, s.randomHost(r).relay, linkState{delay: time.Duration(r.Intn(200)) * time.Millisecond})
+		s.injectHostFault(r, linkState{delay: time.Duration(r.Intn(200)) * time.Millisecond})
+	}},
+	{"refuse host connections", func(s *Soak, r *rand.Rand) { s.injectHostFault(r, linkState{refuse: true}) }},
+	{"reset host connections", func(s *Soak, r *rand.Rand) {
+		host := s.randomHost(r)
+		defer s.disturbances.begin(host.host.ID)()
+		host.relay.resetConns()
 	}},
-	{"refuse host connections", func(s *Soak, r *rand.Rand) { s.injectLinkFault(r, s.randomHost(r).relay, linkState{refuse: true}) }},
-	{"reset host connections", func(s *Soak, r *rand.Rand) { s.randomHost(r).relay.resetConns() }},
 	{"store comes back from a copy", func(s *Soak, r *rand.Rand) { s.restoreStore(r) }},
 	{"crashing plain request", func(s *Soak, r *rand.Rand) { s.sendCrashingTarget(r) }},
 	{"crashing prompt part", func(s *Soak, r *rand.Rand) { s.sendCrashingPart(r) }},
 	{"host names a limit", func(s *Soak, r *rand.Rand) { s.limitHost(r) }},
-	{"change configuration", func(s *Soak, _ *rand.Rand) { s.changeConfiguration() }},
+	{"change configuration", func(s *Soak, _ *rand.Rand) { s.changeConfiguration(defaultVariation) }},
+	{oddRegistrations, func(s *Soak, r *rand.Rand) { s.registerOddEntries(r, false) }},
 }
 
 // sleepFaultDuration sleeps for the duration of one fault.
@@ -121,6 +132,14 @@
 	link.setState(linkState{})
 }
 
+// injectHostFault puts the link of a random host into a faulty state for the duration of one
+// fault.
+func (s *Soak) injectHostFault(r *rand.Rand, state linkState) {
+	host := s.randomHost(r)
+	defer s.disturbances.begin(host.host.ID)()
+	s.injectLinkFault(r, host.relay, state)
+}
+
 func (s *Soak) randomNode(r *rand.Rand) *node { return s.nodes[r.Intn(len(s.nodes))] }
 
 func (s *Soak) randomHost(r *rand.Rand) *soakHost {
@@ -185,6 +204,8 @@
 	s.store.SetFaults(standin.StoreFaults{})
 	time.Sleep(minFaultDuration)
 	s.fleet.RegisterAgain(hostRegistrationTTL)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.writeConfiguration()
 }
 
@@ -226,6 +247,7 @@
 // replaceCrashed closes the relay of a host that a request is about to crash, and adds
 // another host in its place later. It does not block.
 func (s *Soak) replaceCrashed(crashed *standin.Host) {
+	s.disturbances.begin(crashed.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i := slices.IndexFunc(s.hosts, func(h *soakHost) bool { return h.host == crashed })
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -25,6 +25,10 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	paused  bool
+	// ending is true from a terminating signal to the next start.
+	ending bool
+	// onOwnEnd is called when the process ends without a terminating signal.
+	onOwnEnd func(state *os.ProcessState)
 }
 
 // Node ports are below the range from which the kernel assigns ports to other
@@ -96,11 +100,17 @@
 		return fmt.Errorf("start %s: %w", n.name, err)
 	}
 	exited := make(chan struct{})
-	n.command, n.exited, n.paused = command, exited, false
+	n.command, n.exited, n.paused, n.ending = command, exited, false, false
 	go func() {
 		// The exit status is ignored: a killed process is no error here, and
 		// its output is in the log.
 		_ = command.Wait()
+		n.mu.Lock()
+		ownEnd := !n.ending
+		n.mu.Unlock()
+		if ownEnd {
+			n.onOwnEnd(command.ProcessState)
+		}
 		close(exited)
 	}()
 	return nil
@@ -123,6 +133,7 @@
 func (n *node) terminate(s syscall.Signal, timeout time.Duration) bool {
 	n.mu.Lock()
 	command, exited, paused := n.command, n.exited, n.paused
+	n.ending = true
 	n.mu.Unlock()
 	if command == nil {
 		return true
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,6 +12,9 @@
 	"math/rand"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,6 +35,8 @@
 	Nodes int
 	// Dir is the folder for settings and logs.
 	Dir string
+	// Faults are the names of the faults to choose from; nil for all.
+	Faults []string
 	// Progress receives a line for each fault; nil for none.
 	Progress io.Writer
 }
@@ -40,7 +45,8 @@
 	domainCount         = 2
 	modelHostsPerDomain = 6
 	plainHostCount      = 3
-	callersPerNode      = 4
+	spareHostCount      = 2
+	callersPerNode      = 8
 	// meanFaultInterval is the mean time between the starts of two faults. A
 	// fault lasts up to maxFaultDuration, so faults overlap.
 	meanFaultInterval = 900 * time.Millisecond
@@ -81,6 +87,10 @@
 	fleet   *standin.Fleet
 	nodes   []*node
 
+	started      time.Time
+	disturbances disturbances
+	rotation     *rotation
+
 	// replacements counts the starts of hosts in place of crashed ones.
 	replacements sync.WaitGroup
 
@@ -93,6 +103,10 @@
 	modelHostsAdded int
 	// revision is the last revision of the configuration in the store.
 	revision int64
+	// variation is what the last revision says.
+	variation variation
+	// timeouts are the route timeouts of all revisions.
+	timeouts []writtenTimeout
 
 	requestsServed, requestsSent atomic.Int64
 }
@@ -106,11 +120,14 @@
 	Violations []string
 }
 
-// String returns the report on one line.
+// maxViolationsInReport is the number of violations that String spells out.
+const maxViolationsInReport = 5
+
+// String returns the report on one line, with the first violations.
 func (r Report) String() string {
 	verdict := "ok"
-	if len(r.Violations) > 0 {
-		verdict = "BROKEN: " + strings.Join(r.Violations, "; ")
+	if n := len(r.Violations); n > 0 {
+		verdict = fmt.Sprintf("BROKEN %d times: %s", n, strings.Join(r.Violations[:min(n, maxViolationsInReport)], "; "))
 	}
 	return fmt.Sprintf("seed %d: %d faults, %d of %d requests served, %s", r.Seed, r.Faults, r.RequestsServed, r.RequestsSent, verdict)
 }
@@ -119,12 +136,16 @@
 // report; an error means that the harness failed or was interrupted, not that
 // the system failed.
 func Run(ctx context.Context, o Options) (Report, error) {
-	s := &Soak{options: o, store: standin.NewStore(), ledger: standin.NewLedger(), revision: 1}
+	chosen, err := chooseFaults(o.Faults)
+	if err != nil {
+		return Report{}, err
+	}
+	s := &Soak{options: o, store: standin.NewStore(), ledger: standin.NewLedger(), started: time.Now()}
 	server := httptest.NewServer(s.store)
 	defer server.Close()
 	s.fleet = standin.NewFleet(s.store, s.ledger, hostTiming, groupSizes)
 	s.fleet.Crashing.OnCrash = s.replaceCrashed
-	s.store.Put("op", "config", standin.Configuration(1, groupSizes))
+	s.changeConfiguration(defaultVariation)
 	if o.Nodes < 1 || o.Nodes > maxNodes {
 		return Report{}, fmt.Errorf("invalid number of nodes %d: choose 1 to %d", o.Nodes, maxNodes)
 	}
@@ -138,12 +159,17 @@
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var callers sync.WaitGroup
+	s.rotation = newRotation(loadCtx, s.nodes)
 	for i := range s.nodes {
 		for c := range callersPerNode {
 			callers.Go(func() { s.runCaller(loadCtx, i, c) })
 		}
 	}
-	injected := s.injectFaults(ctx)
+	injected := s.injectFaults(ctx, chosen)
+	odd := slices.ContainsFunc(chosen, func(f fault) bool { return f.name == oddRegistrations })
+	if odd {
+		s.registerOddEntries(rand.New(rand.NewSource(o.Seed)), true)
+	}
 	if served := s.waitUntilServing(ctx, recoveryTimeout); ctx.Err() != nil {
 		stopLoad()
 		callers.Wait()
@@ -154,6 +180,7 @@
 	sent, served := s.requestsSent.Load(), s.requestsServed.Load()
 	time.Sleep(servedWindow)
 	sent, served = s.requestsSent.Load()-sent, s.requestsServed.Load()-served
+	s.verifyFollowing(ctx)
 	stopLoad()
 	callers.Wait()
 	if share := float64(served) / float64(max(sent, 1)); share < minServedShare {
@@ -163,6 +190,10 @@
 }
 
 func (s *Soak) report(faults int) Report {
+	if violations := s.ledger.Violations(); len(violations) > 0 {
+		content := []byte(strings.Join(violations, "\n") + "\n")
+		s.recordHarnessError(os.WriteFile(filepath.Join(s.options.Dir, "violations.txt"), content, 0o600))
+	}
 	return Report{Seed: s.options.Seed, Faults: faults, RequestsSent: s.requestsSent.Load(), RequestsServed: s.requestsServed.Load(), Violations: s.ledger.Violations()}
 }
 
@@ -187,11 +218,19 @@
 		}
 		s.hosts = append(s.hosts, host)
 	}
+	for i := range spareHostCount {
+		host, err := s.addHost(fmt.Sprintf("q%d", i), spareService, fmt.Sprintf("z%d", i), "")
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, host)
+	}
 	for i := range s.options.Nodes {
 		n, err := newNode(s.options.ProgramPath, s.options.Dir, s.options.Seed, i, storeAddress)
 		if err != nil {
 			return err
 		}
+		n.onOwnEnd = func(state *os.ProcessState) { s.ledger.RecordViolation("%s ended by itself: %v", n.name, state) }
 		s.nodes = append(s.nodes, n)
 		if err := n.start(); err != nil {
 			return err
@@ -215,68 +254,100 @@
 
 // injectFaults starts faults for InjectionDuration, waits until all have ended
 // and returns their number.
-func (s *Soak) injectFaults(ctx context.Context) int {
+func (s *Soak) injectFaults(ctx context.Context, chosen []fault) int {
 	r := rand.New(rand.NewSource(s.options.Seed))
 	var active sync.WaitGroup
 	// nodeFaults serializes the faults that signal or restart nodes, so that no
 	// two of them act on the same node at the same time.
 	var nodeFaults sync.Mutex
-	injected := 0
-	for end := time.Now().Add(s.options.InjectionDuration); time.Now().Before(end) && ctx.Err() == nil; injected++ {
-		f := faults[r.Intn(len(faults))]
+	var injected atomic.Int64
+	for end := time.Now().Add(s.options.InjectionDuration); time.Now().Before(end) && ctx.Err() == nil; {
+		f := chosen[r.Intn(len(chosen))]
 		faultRand := rand.New(rand.NewSource(r.Int63()))
 		if s.options.Progress != nil {
-			fmt.Fprintf(s.options.Progress, "seed %d: %s\n", s.options.Seed, f.name)
+			fmt.Fprintf(s.options.Progress, "seed %d: %v: %s\n", s.options.Seed, time.Since(s.started).Round(time.Millisecond), f.name)
 		}
 		active.Go(func() {
 			if strings.Contains(f.name, "node") && !strings.Contains(f.name, "store") {
 				nodeFaults.Lock()
 				defer nodeFaults.Unlock()
+				if time.Now().After(end) {
+					return
+				}
 			}
+			injected.Add(1)
 			f.inject(s, faultRand)
 		})
 		time.Sleep(time.Duration(r.Int63n(int64(2 * meanFaultInterval))))
 	}
 	active.Wait()
-	return injected
+	return int(injected.Load())
 }
 
-// changeConfiguration writes a newer revision. The API key of the callers stays
-// valid.
-func (s *Soak) changeConfiguration() {
-	s.mu.Lock()
-	s.revision++
-	s.mu.Unlock()
-	s.writeConfiguration()
+// chooseFaults returns the faults with the given names, or all for no names.
+func chooseFaults(names []string) ([]fault, error) {
+	if len(names) == 0 {
+		return faults, nil
+	}
+	var chosen []fault
+	for _, name := range names {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("unknown fault %q: choose from %q", name, FaultNames())
+		}
+		chosen = append(chosen, faults[i])
+	}
+	return chosen, nil
 }
 
-// writeConfiguration writes the newest revision.
-func (s *Soak) writeConfiguration() {
-	s.mu.Lock()
-	revision := s.revision
-	s.mu.Unlock()
-	s.store.Put("op", "config", standin.Configuration(revision, groupSizes))
+// FaultNames returns the names of all kinds of fault.
+func FaultNames() []string {
+	var names []string
+	for _, f := range faults {
+		names = append(names, f.name)
+	}
+	return names
 }
 
-// runCaller sends requests of all kinds to one node until ctx ends. It reuses
-// connections until the node closes them.
+// openDelays are the times between the opening of a connection and its request, by the number
+// of the request.
+var openDelays = []time.Duration{0, 0, 100 * time.Millisecond, 700 * time.Millisecond}
+
+// runCaller sends requests of all kinds to one node until ctx ends. The first half of the
+// callers reuses connections until the node closes them, the others open one for each request.
+// On odd seeds, connections are opened only to nodes in rotation.
 func (s *Soak) runCaller(ctx context.Context, node, callerIndex int) {
-	caller := &standin.Caller{HTTP: &http.Client{Transport: &http.Transport{}}, Ledger: s.ledger, Host: "a.example", Key: "key", Model: "big"}
+	channel := &standin.Channel{Keep: callerIndex < callersPerNode/2}
+	defer channel.Close()
+	caller := &standin.Caller{HTTP: &http.Client{Transport: channel}, Ledger: s.ledger, Host: "a.example", Key: "key", Model: "big"}
 	if callerIndex%2 == 1 {
 		caller.Model = "small"
 	}
 	address := s.nodes[node].callerAddress
+	models := func(h *standin.Host) bool { return h.Domain != "" }
+	plain := func(h *standin.Host) bool { return h.Domain == "" }
 	for i := 0; ctx.Err() == nil; i++ {
+		if s.options.Seed%2 == 1 && !channel.Open() && !s.rotation.gets(node) {
+			time.Sleep(callerBackoff)
+			continue
+		}
 		id := fmt.Sprintf("s%d-n%d-c%d-%d", s.options.Seed, node, callerIndex, i)
 		var outcome standin.Outcome
+		request := sentRequest{node: s.nodes[node], id: id, mayRunAt: plain}
+		if !channel.Keep {
+			channel.OpenDelay = openDelays[i%len(openDelays)]
+		}
+		request.sentAt = time.Now().Add(channel.OpenDelay)
 		switch i % 5 {
 		case 0:
 			outcome = caller.Call(ctx, http.MethodPost, address, "/unsafe/1", id, requestTimeout)
 		case 1:
 			outcome = caller.Call(ctx, http.MethodGet, address, "/safe/1", id, requestTimeout)
 		default:
+			request.mayRunAt = models
 			outcome = caller.Stream(ctx, address, "/stream/1", id, 10+i%30, requestTimeout)
 		}
+		s.judge(request, outcome)
 		s.requestsSent.Add(1)
 		if outcome.Complete {
 			s.requestsServed.Add(1)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,7 +14,21 @@
 	cause string
 }{}
 
-// TestSoak runs nodes as processes with the fault schedule of one fixed seed and
+// newerFaults lists the runs of TestSoak that choose from some faults only, so that these occur
+// often.
+var newerFaults = []struct {
+	name   string
+	seed   int64
+	faults []string
+}{
+	{"silent hosts", 241, []string{"host falls silent", "host falls silent again and again", "group falls silent", "service falls silent"}},
+	{"odd registrations", 251, []string{"odd registrations"}},
+	{"planned work beside silent hosts and odd registrations", 292, []string{
+		"configuration storm", "stop nodes in turn", "stop nodes at once", "reload nodes", "service falls silent", "odd registrations",
+	}},
+}
+
+// TestSoak runs nodes as processes with the fault schedules of fixed seeds and
 // of every seed that ever failed. Runs with more seeds are started manually, see
 // docs/MEASURES.md.
 func TestSoak(t *testing.T) {
@@ -25,8 +39,8 @@
 	if out, err := exec.Command("go", "build", "-o", programPath, "../../cmd/currantladder").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	run := func(t *testing.T, seed int64) {
-		report, err := Run(context.Background(), Options{ProgramPath: programPath, Seed: seed, InjectionDuration: 8 * time.Second, Nodes: 3, Dir: t.TempDir()})
+	run := func(t *testing.T, seed int64, faults ...string) {
+		report, err := Run(context.Background(), Options{ProgramPath: programPath, Seed: seed, Faults: faults, InjectionDuration: 8 * time.Second, Nodes: 3, Dir: t.TempDir()})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -39,6 +53,9 @@
 		}
 	}
 	t.Run("fixed", func(t *testing.T) { run(t, 1) })
+	for _, n := range newerFaults {
+		t.Run(n.name, func(t *testing.T) { run(t, n.seed, n.faults...) })
+	}
 	for _, r := range regressions {
 		t.Run(r.cause, func(t *testing.T) { run(t, r.seed) })
 	}
