--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,7 +33,7 @@
 }
 
 // faults lists all kinds of fault. Each is chosen with equal probability.
-var faults = slices.Concat(unplannedFaults, silenceFaults, plannedFaults)
+var faults = slices.Concat(unplannedFaults, silenceFaults, oddFaults, plannedFaults)
 
 var unplannedFaults = []fault{
 	{"kill node", func(s *Soak, r *rand.Rand) {
@@ -53,17 +53,7 @@
 		n.signal(syscall.SIGCONT)
 	}},
 	{"reload node", func(s *Soak, r *rand.Rand) { s.randomNode(r).signal(syscall.SIGHUP) }},
-	{"kill all nodes", func(s *Soak, r *rand.Rand) {
-		for _, n := range s.nodes {
-			defer s.disturbances.begin(n.name)()
-			n.terminate(syscall.SIGKILL, stopTimeout)
-		}
-		sleepFaultDuration(r)
-		for _, n := range s.nodes {
-			s.recordHarnessError(n.clearFirstStart())
-			s.recordHarnessError(n.start())
-		}
-	}},
+	{"kill all nodes", func(s *Soak, r *rand.Rand) { s.restartAll(r) }},
 	{"cut node from store", func(s *Soak, r *rand.Rand) {
 		s.injectLinkFault(r, s.randomNode(r).storeRelay, linkState{dropToTarget: true, dropFromTarget: true})
 	}},
@@ -117,7 +107,19 @@
 	{"crashing prompt part", func(s *Soak, r *rand.Rand) { s.sendCrashingPart(r) }},
 	{"host names a limit", func(s *Soak, r *rand.Rand) { s.limitHost(r) }},
 	{"change configuration", func(s *Soak, _ *rand.Rand) { s.changeConfiguration(defaultVariation) }},
-	{oddRegistrations, func(s *Soak, r *rand.Rand) { s.registerOddEntries(r, false) }},
+}
+
+// restartAll kills all nodes and starts them again.
+func (s *Soak) restartAll(r *rand.Rand) {
+	for _, n := range s.nodes {
+		defer s.disturbances.begin(n.name)()
+		n.terminate(syscall.SIGKILL, stopTimeout)
+	}
+	sleepFaultDuration(r)
+	for _, n := range s.nodes {
+		s.recordHarnessError(n.clearFirstStart())
+		s.recordHarnessError(n.start())
+	}
 }
 
 // sleepFaultDuration sleeps for the duration of one fault.
--- a/internal/soak/faults_odd.go
+++ b/internal/soak/faults_odd.go
@@ -19,9 +19,18 @@
 // oddKeyFormats are the keys of odd registrations.
 var oddKeyFormats = []string{"odd%d", "\x01\"odd\n%d", "m%d-odd"}
 
-// registerOddEntries writes odd registrations beside the real ones, changes them several times
-// and removes them unless keep is true.
-func (s *Soak) registerOddEntries(r *rand.Rand, keep bool) {
+var oddFaults = []fault{
+	{oddRegistrations, func(s *Soak, r *rand.Rand) { s.registerOddEntries(r)() }},
+	{"nodes start beside odd registrations", func(s *Soak, r *rand.Rand) {
+		defer s.registerOddEntries(r)()
+		s.restartAll(r)
+		sleepFaultDuration(r)
+	}},
+}
+
+// registerOddEntries writes odd registrations beside the real ones and changes them several
+// times. The returned function removes them.
+func (s *Soak) registerOddEntries(r *rand.Rand) (remove func()) {
 	var keys []string
 	for range oddChanges {
 		entries := s.oddEntries(r)
@@ -33,8 +42,8 @@
 		}
 		time.Sleep(time.Duration(r.Int63n(int64(2 * oddChangeInterval))))
 	}
-	for _, key := range keys {
-		if !keep {
+	return func() {
+		for _, key := range keys {
 			s.store.Drop("servers", key)
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -168,7 +168,7 @@
 	injected := s.injectFaults(ctx, chosen)
 	odd := slices.ContainsFunc(chosen, func(f fault) bool { return f.name == oddRegistrations })
 	if odd {
-		s.registerOddEntries(rand.New(rand.NewSource(o.Seed)), true)
+		s.registerOddEntries(rand.New(rand.NewSource(o.Seed)))
 	}
 	if served := s.waitUntilServing(ctx, recoveryTimeout); ctx.Err() != nil {
 		stopLoad()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,7 +22,7 @@
 	faults []string
 }{
 	{"silent hosts", 241, []string{"host falls silent", "host falls silent again and again", "group falls silent", "service falls silent"}},
-	{"odd registrations", 251, []string{"odd registrations"}},
+	{"odd registrations", 251, []string{"odd registrations", "nodes start beside odd registrations"}},
 	{"planned work beside silent hosts and odd registrations", 292, []string{
 		"configuration storm", "stop nodes in turn", "stop nodes at once", "reload nodes", "service falls silent", "odd registrations",
 	}},
