--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -26,7 +26,8 @@
 	exited  chan struct{}
 	paused  bool
 	// ending is true from a terminating signal to the next start.
-	ending bool
+	ending    bool
+	startedAt time.Time
 	// onOwnEnd is called when the process ends without a terminating signal.
 	onOwnEnd func(state *os.ProcessState)
 }
@@ -100,7 +101,7 @@
 		return fmt.Errorf("start %s: %w", n.name, err)
 	}
 	exited := make(chan struct{})
-	n.command, n.exited, n.paused, n.ending = command, exited, false, false
+	n.command, n.exited, n.paused, n.ending, n.startedAt = command, exited, false, false, time.Now()
 	go func() {
 		// The exit status is ignored: a killed process is no error here, and
 		// its output is in the log.
@@ -116,11 +117,15 @@
 	return nil
 }
 
+// reloadAfterStart is how long after its start a process gets no SIGHUP, which ends a process
+// that has not reached its first statement.
+const reloadAfterStart = 500 * time.Millisecond
+
 // signal sends a signal to the process if it has been started.
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.command == nil {
+	if n.command == nil || (s == syscall.SIGHUP && time.Since(n.startedAt) < reloadAfterStart) {
 		return
 	}
 	n.paused = s == syscall.SIGSTOP
