Soak: a cut link holds bytes back instead of leaving a gap in a connection

The relay dropped these bytes and forwarded the next ones on the same connection, which TCP never does. Bytes now arrive after the cut.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -55,10 +55,10 @@
 	{"reload node", func(s *Soak, r *rand.Rand) { s.randomNode(r).signal(syscall.SIGHUP) }},
 	{"kill all nodes", func(s *Soak, r *rand.Rand) { s.restartAll(r) }},
 	{"cut node from store", func(s *Soak, r *rand.Rand) {
-		s.injectLinkFault(r, s.randomNode(r).storeRelay, linkState{dropToTarget: true, dropFromTarget: true})
+		s.injectLinkFault(r, s.randomNode(r).storeRelay, linkState{holdToTarget: true, holdFromTarget: true})
 	}},
 	{"cut one way from store", func(s *Soak, r *rand.Rand) {
-		s.injectLinkFault(r, s.randomNode(r).storeRelay, linkState{dropFromTarget: true})
+		s.injectLinkFault(r, s.randomNode(r).storeRelay, linkState{holdFromTarget: true})
 	}},
 	{"delay store", func(s *Soak, r *rand.Rand) {
 		s.injectLinkFault(r, s.randomNode(r).storeRelay, linkState{delay: time.Duration(r.Intn(300)) * time.Millisecond})
@@ -91,7 +91,7 @@
 		})
 	}},
 	{"silence host", func(s *Soak, r *rand.Rand) {
-		s.injectHostFault(r, linkState{dropToTarget: true, dropFromTarget: true})
+		s.injectHostFault(r, linkState{holdToTarget: true, holdFromTarget: true})
 	}},
 	{"delay host", func(s *Soak, r *rand.Rand) {
 		s.injectHostFault(r, linkState{delay: time.Duration(r.Intn(200)) * time.Millisecond})
--- a/internal/soak/relay.go
+++ b/internal/soak/relay.go
@@ -10,9 +10,9 @@
 type linkState struct {
 	// delay is added to each chunk of bytes, in both directions.
 	delay time.Duration
-	// dropToTarget and dropFromTarget drop the bytes of one direction and keep
-	// the connections open.
-	dropToTarget, dropFromTarget bool
+	// holdToTarget and holdFromTarget hold the bytes of one direction back until
+	// the fault ends, as TCP does, and keep the connections open.
+	holdToTarget, holdFromTarget bool
 	// refuse closes new connections at once.
 	refuse bool
 }
@@ -20,6 +20,9 @@
 // relayBufferBytes is the largest size of one chunk.
 const relayBufferBytes = 32 << 10
 
+// holdPollInterval is the time between two looks whether bytes are still held back.
+const holdPollInterval = 10 * time.Millisecond
+
 // relay forwards TCP connections to a target and injects network faults.
 type relay struct {
 	listener net.Listener
@@ -93,14 +96,14 @@
 		r.mu.Lock()
 		r.conns[from], r.conns[to] = true, true
 		r.mu.Unlock()
-		go r.forward(from, to, func(s linkState) bool { return s.dropToTarget })
-		go r.forward(to, from, func(s linkState) bool { return s.dropFromTarget })
+		go r.forward(from, to, func(s linkState) bool { return s.holdToTarget })
+		go r.forward(to, from, func(s linkState) bool { return s.holdFromTarget })
 	}
 }
 
-// forward copies one direction until either side closes. While drop reports
-// true, bytes are discarded and the connection stays open.
-func (r *relay) forward(from, to net.Conn, drop func(linkState) bool) {
+// forward copies one direction until either side closes. While hold reports
+// true, bytes wait and the connection stays open.
+func (r *relay) forward(from, to net.Conn, hold func(linkState) bool) {
 	defer r.closeConns(from, to)
 	buffer := make([]byte, relayBufferBytes)
 	for {
@@ -108,8 +111,8 @@
 		if n > 0 {
 			state := r.currentState()
 			time.Sleep(state.delay)
-			if drop(state) {
-				continue
+			for hold(r.currentState()) {
+				time.Sleep(holdPollInterval)
 			}
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				return
