--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -25,6 +25,11 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	paused  bool
+	// ending is true from a terminating signal to the next start.
+	ending    bool
+	startedAt time.Time
+	// onOwnEnd is called when the process ends without a terminating signal.
+	onOwnEnd func(state *os.ProcessState)
 }
 
 // Node ports are below the range from which the kernel assigns ports to other
@@ -96,21 +101,31 @@
 		return fmt.Errorf("start %s: %w", n.name, err)
 	}
 	exited := make(chan struct{})
-	n.command, n.exited, n.paused = command, exited, false
+	n.command, n.exited, n.paused, n.ending, n.startedAt = command, exited, false, false, time.Now()
 	go func() {
 		// The exit status is ignored: a killed process is no error here, and
 		// its output is in the log.
 		_ = command.Wait()
+		n.mu.Lock()
+		ownEnd := !n.ending
+		n.mu.Unlock()
+		if ownEnd {
+			n.onOwnEnd(command.ProcessState)
+		}
 		close(exited)
 	}()
 	return nil
 }
 
+// reloadAfterStart is how long after its start a process gets no SIGHUP, which ends a process
+// that has not reached its first statement.
+const reloadAfterStart = 500 * time.Millisecond
+
 // signal sends a signal to the process if it has been started.
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.command == nil {
+	if n.command == nil || (s == syscall.SIGHUP && time.Since(n.startedAt) < reloadAfterStart) {
 		return
 	}
 	n.paused = s == syscall.SIGSTOP
@@ -123,6 +138,7 @@
 func (n *node) terminate(s syscall.Signal, timeout time.Duration) bool {
 	n.mu.Lock()
 	command, exited, paused := n.command, n.exited, n.paused
+	n.ending = true
 	n.mu.Unlock()
 	if command == nil {
 		return true
