Write the leader's row over the one that was read, not over a newer one

Cause: writeRow expected the candidate's latest position. A notice of another node's new lease, come between read and write, moved it on, so the write replaced that lease: two leaders, both of the same term. Renewals had the same gap. Ruled out: the fake store (its version check holds). Change: a write expects the position of the read or row it was made from. Before: TestLeaseTakenSinceTheReadIsLeftAlone fails, the second node leads with term 2 over the first one's lease. After: it passes, and none of 900 runs of TestUnusableRowIsReplaced reports two leaders.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -243,7 +243,7 @@
 	case c.otherLeaseRuns() || c.defers(e.Deference()):
 		return watchDelay, nil
 	}
-	stored, err := c.readRow(stepCtx)
+	stored, readAt, err := c.readRow(stepCtx)
 	if err != nil {
 		return 0, err
 	}
@@ -251,7 +251,7 @@
 	if !c.isFree(stored) || !e.MayLead() {
 		return watchDelay, nil
 	}
-	if err := c.writeRow(stepCtx, row{Holder: c.holder, Term: max(stored.Term, c.seenTerm(), e.HighestTerm()) + 1}); err != nil {
+	if err := c.writeRow(stepCtx, row{Holder: c.holder, Term: max(stored.Term, c.seenTerm(), e.HighestTerm()) + 1}, readAt); err != nil {
 		return watchDelay, err
 	}
 	if term, leads := c.Leads(); leads {
@@ -320,11 +320,12 @@
 	return stored, nil
 }
 
-// readRow reads the row and records when its version was first seen.
-func (c *Candidate) readRow(ctx context.Context) (row, error) {
+// readRow reads the row, and records when its version was first seen. It returns the
+// position that was read: that of the candidate moves on with each notice.
+func (c *Candidate) readRow(ctx context.Context) (row, position.Position, error) {
 	got, err := c.rows.Get(ctx, rowKey)
 	if err != nil {
-		return row{}, fmt.Errorf("read the leader's row: %w", err)
+		return row{}, position.Position{}, fmt.Errorf("read the leader's row: %w", err)
 	}
 	stored, unusable := decodeRow(got)
 	c.mu.Lock()
@@ -342,7 +343,7 @@
 	}
 	c.row = stored
 	c.highestTerm = max(c.highestTerm, stored.Term)
-	return stored, nil
+	return stored, at, nil
 }
 
 // isFree reports whether the lease may be taken: it was released, or it must have
@@ -364,17 +365,18 @@
 // renew extends this node's lease, even one that ran out while nobody took it.
 func (c *Candidate) renew(ctx context.Context) error {
 	c.mu.Lock()
-	next := c.row
+	next, expect := c.row, c.position
 	c.mu.Unlock()
+	if next.Holder != c.holder {
+		return nil // a notice of another node's lease has come since
+	}
 	next.Renewals++
-	return c.writeRow(ctx, next)
+	return c.writeRow(ctx, next, expect)
 }
 
-// writeRow writes the row. The lease runs from before the write was sent.
-func (c *Candidate) writeRow(ctx context.Context, next row) error {
-	c.mu.Lock()
-	expect := c.position
-	c.mu.Unlock()
+// writeRow writes the row if it is still the one at expect, from which next was made.
+// The lease runs from before the write was sent.
+func (c *Candidate) writeRow(ctx context.Context, next row, expect position.Position) error {
 	sent := c.clock()
 	written, err := c.putRow(ctx, next, expect)
 	if errors.Is(err, ErrConflict) {
@@ -413,7 +415,7 @@
 		c.row = row{}
 		c.mu.Unlock()
 	}
-	stored, err := c.readRow(ctx)
+	stored, _, err := c.readRow(ctx)
 	if err != nil {
 		return err
 	}
