Count the term of a notice of an earlier row

Another writer had replaced the row just after a node had written it, and notices of that lease were dropped with their term, because their row was an earlier one; the next leader was given term 1 again. Change: the term counts before the row's age is looked at. Test: the case 'before the start' began the election first, so its moment varied. It now writes the row before the start, and a third case writes it in the moment at which a node begins to lead; no bound is changed.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -167,13 +167,15 @@
 func (c *Candidate) ObserveLease(notice LeaseNotice) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// The term of an earlier row counts too: the present row may not show it, if
+	// another writer has replaced the one of that lease.
+	if notice.Term < MaxTerm {
+		c.highestTerm = max(c.highestTerm, notice.Term)
+	}
 	if notice.Before(c.position) {
 		return // notice of an earlier row
 	}
 	now := c.clock()
-	if notice.Term < MaxTerm {
-		c.highestTerm = max(c.highestTerm, notice.Term)
-	}
 	if c.position.Before(notice.Position) {
 		c.moveTo(notice.Position, now)
 		c.row = row{}
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -28,6 +28,8 @@
 	calls       int
 }
 
+func newFakeRows() *fakeRows { return &fakeRows{unreachable: map[string]bool{}} }
+
 // client is one node's connection to the rows.
 type client struct {
 	*fakeRows
@@ -103,7 +105,12 @@
 // newElectionWith returns an election in which the nodes with a deference wait for
 // the others.
 func newElectionWith(deference map[string]time.Duration, names ...string) *election {
-	e := &election{deference: deference, rows: &fakeRows{unreachable: map[string]bool{}}, candidates: map[string]*Candidate{}, cancel: map[string]context.CancelFunc{}, silenced: map[string]bool{}}
+	return newElectionOver(newFakeRows(), deference, names...)
+}
+
+// newElectionOver returns an election over rows that may hold one already.
+func newElectionOver(rows *fakeRows, deference map[string]time.Duration, names ...string) *election {
+	e := &election{deference: deference, rows: rows, candidates: map[string]*Candidate{}, cancel: map[string]context.CancelFunc{}, silenced: map[string]bool{}}
 	started := time.Now()
 	for _, name := range names {
 		e.candidates[name] = New(client{e.rows, name}, name, func() time.Duration { return time.Since(started) + time.Second }, eventlog.Discard())
--- a/internal/process/leader/overtaken_test.go
+++ b/internal/process/leader/overtaken_test.go
@@ -11,7 +11,7 @@
 // TestLeaseTakenSinceTheReadIsLeftAlone guards against two leaders of the same term: a
 // node overwrote the lease of another one whose notice came after it had read the row.
 func TestLeaseTakenSinceTheReadIsLeftAlone(t *testing.T) {
-	rows := &fakeRows{unreachable: map[string]bool{}}
+	rows := newFakeRows()
 	clock := func() time.Duration { return 10 * time.Second }
 	first := New(client{rows, "a"}, "a", clock, eventlog.Discard())
 	second := New(client{rows, "b"}, "b", clock, eventlog.Discard())
--- a/internal/process/leader/unusable_test.go
+++ b/internal/process/leader/unusable_test.go
@@ -27,18 +27,26 @@
 		"empty": "", "not JSON": "\xff\x00", "list": "[]", "null": "null", "text for number": `{"holder":"other","term":"5"}`, "number too large": `{"holder":"other","term":1e400}`,
 		"no fields": "{}", "term 0": term(0), "largest term": term(math.MaxInt64), "term at the limit": term(MaxTerm), "largest usable term": term(MaxTerm - 2), "negative term": term(-7), "lowest term": term(math.MinInt64), "other holder": term(40),
 	} {
-		for _, when := range []string{"before the start", "while a node leads"} {
+		for _, when := range []string{"before the start", "as a node begins to lead", "while a node leads"} {
 			t.Run(name+" "+when, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					e := newElection("a", "b", "c")
+					rows := newFakeRows()
+					if when == "before the start" {
+						rows.overwrite(value)
+					}
+					e := newElectionOver(rows, nil, "a", "b", "c")
 					defer e.stop()
 					former := int64(0)
-					if when == "before the start" {
-						e.rows.overwrite(value)
-					} else {
+					switch when {
+					case "as a node begins to lead":
+						var first string
+						first, former, _ = e.waitForLeader(t, 0, 10*time.Second)
+						rows.overwrite(value)
+						rows.setUnreachable(first, true)
+					case "while a node leads":
 						_, former, _ = e.waitForLeader(t, 0, 10*time.Second)
 						time.Sleep(time.Second)
-						e.rows.overwrite(value)
+						rows.overwrite(value)
 						time.Sleep(renewInterval + 100*time.Millisecond)
 					}
 					leader, got, _ := e.waitForLeader(t, former, 10*time.Second)
