Let a stream that has begun wait for room at another group

Ruled out: waiting with requests that have not begun: their callers send them again at the price of a refusal. Change: with events already delivered, the stream asks for room every 100 ms until 1.5 s after its last event, then ends as before (1372, 1353 or 1358). The retry is charged when an attempt begins.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -93,6 +93,7 @@
 	HostCrashedAfterGiveUp = Event{1369, logrus.WarnLevel, "host crashed shortly after attempts at it were given up; their requests are suspected"}
 	RequestHedged          = Event{1370, logrus.WarnLevel, "host is silent; its request was sent to another host too"}
 	StreamStayed           = Event{1371, logrus.InfoLevel, "silent host went on; the stream stays at its group"}
+	StreamAwaitsRoom       = Event{1372, logrus.WarnLevel, "attempt of a stream that has begun failed and no group has room; the stream waits"}
 	HostWaits              = Event{1380, logrus.InfoLevel, "host refused a request and wants no others for a time"}
 	RequestPanicked        = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
@@ -190,6 +191,7 @@
 	HostCrashedAfterGiveUp,
 	RequestHedged,
 	StreamStayed,
+	StreamAwaitsRoom,
 	HostWaits,
 	LeaderElected,
 	LeaderLost,
--- a/internal/request/forward/poison.go
+++ b/internal/request/forward/poison.go
@@ -141,7 +141,7 @@
 // checkPoisoned records an attempt that goes on well, and ends a request that has not
 // begun and is now known to crash hosts. It reports whether the request is finished.
 func (s *streamState) checkPoisoned(now time.Time) bool {
-	if s.current.events > 0 {
+	if s.current != nil && s.current.events > 0 {
 		if now.Sub(s.current.beganAt) >= BeganWellDelay {
 			s.recordBegan(now)
 		}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -34,6 +34,8 @@
 	firstEventLatency time.Duration
 	controller        *http.ResponseController
 	nextMoveAt        time.Time
+	// awaited is set while no attempt runs because no group has room.
+	awaited *awaitedRoom
 }
 
 // serveStream serves a request that is answered by events.
@@ -207,12 +209,16 @@
 	if s.current != nil && (wasCurrent || len(s.current.held) > 0 || len(s.others) >= maxOtherAttempts) {
 		return s.deliverHeld(now)
 	}
-	if s.mayBeginAnother(update, now) {
-		if next, refused := s.begin(ctx); refused == nil {
+	if allowed, charged := s.mayBeginAnother(update, now); allowed {
+		next, refused := s.begin(ctx)
+		if refused == nil {
 			s.logRetried(failed, next, update)
 			s.add(next)
 			return false
 		}
+		if s.current == nil && s.awaitRoom(failed, update, charged, now) {
+			return false
+		}
 	}
 	if s.current != nil {
 		return false
@@ -247,12 +253,19 @@
 }
 
 // mayBeginAnother reports whether the request may be sent again after a failed attempt,
-// and charges the retry to the budget if so. An attempt that has sent nothing goes to
-// another host whatever the budget allows.
-func (s *streamState) mayBeginAnother(failed attemptUpdate, now time.Time) bool {
+// and whether that was charged to the retry budget. An attempt that has sent nothing goes
+// to another host whatever the budget allows.
+func (s *streamState) mayBeginAnother(failed attemptUpdate, now time.Time) (allowed, charged bool) {
 	unsent := !failed.mayHaveRun && !errors.Is(failed.err, errNotRun)
 	repeatable := s.route.Repeatable() || !s.mayHaveRun
-	return repeatable && (unsent && len(s.triedHosts) < maxUnreachedHosts || s.mayRetry(now))
+	switch {
+	case !repeatable:
+		return false, false
+	case unsent && len(s.triedHosts) < maxUnreachedHosts:
+		return true, false
+	}
+	allowed = s.mayRetry(now)
+	return allowed, allowed
 }
 
 // add adds an attempt that has begun.
--- /dev/null
+++ b/internal/request/forward/stream_room.go
@@ -0,0 +1,67 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"currantladder.example/currantladder/internal/process/eventlog"
+)
+
+// maxRoomWait limits the time since its last event for which a stream waits for room at
+// another group. Callers leave a stream that is silent for longer.
+const maxRoomWait = 1500 * time.Millisecond
+
+// awaitedRoom is the wait of a stream whose last attempt has failed.
+type awaitedRoom struct {
+	failed *streamAttempt
+	update attemptUpdate
+	// charge is true if the next attempt is charged to the retry budget.
+	charge bool
+	until  time.Time
+}
+
+// awaitRoom lets a stream that has begun wait for room, because its caller cannot send
+// it again to another node as easily as one that has not. It reports whether the stream
+// waits.
+func (s *streamState) awaitRoom(failed *streamAttempt, update attemptUpdate, charge bool, now time.Time) bool {
+	until := s.lastEventAt.Add(maxRoomWait)
+	if !s.headerSent || !s.route.Repeatable() || !now.Before(until) {
+		return false
+	}
+	if charge {
+		s.retries.Refund(s.service.Name, now)
+	}
+	s.awaited = &awaitedRoom{failed: failed, update: update, charge: charge, until: until}
+	s.nextMoveAt = now.Add(MoveBackoff)
+	s.Log.Log(eventlog.StreamAwaitsRoom, eventlog.Fields{
+		"request": s.request.ID, "host": failed.host.ID, "after_event": s.lastID, "wait_ms": until.Sub(now).Milliseconds(), "error": update.err.Error(),
+	})
+	return true
+}
+
+// checkRoom continues the stream at a group that has room by now, or ends it when the
+// wait is over. It reports whether the request is finished.
+func (s *streamState) checkRoom(ctx context.Context, now time.Time) bool {
+	awaited := s.awaited
+	if now.Before(s.nextMoveAt) {
+		return false
+	}
+	s.nextMoveAt = now.Add(MoveBackoff)
+	if !awaited.charge || s.mayRetry(now) {
+		next, refused := s.begin(ctx)
+		if refused == nil {
+			s.awaited = nil
+			s.logRetried(awaited.failed, next, awaited.update)
+			s.add(next)
+			return false
+		}
+		if awaited.charge {
+			s.retries.Refund(s.service.Name, now)
+		}
+	}
+	if now.Before(awaited.until) {
+		return false
+	}
+	s.abort("endpoint failed and no other has room: " + awaited.update.err.Error())
+	return true
+}
--- a/internal/request/forward/stream_silence.go
+++ b/internal/request/forward/stream_silence.go
@@ -18,10 +18,10 @@
 	maxOtherAttempts = 2
 )
 
-// currentUpdates returns the updates of the current attempt, or nil while its held
-// events fill the buffer.
+// currentUpdates returns the updates of the current attempt, or nil if there is none or
+// while its held events fill the buffer.
 func (s *streamState) currentUpdates() <-chan attemptUpdate {
-	if len(s.current.held) >= updateBufferSize {
+	if s.current == nil || len(s.current.held) >= updateBufferSize {
 		return nil
 	}
 	return s.current.updates
@@ -42,6 +42,9 @@
 	if s.checkPoisoned(now) {
 		return true
 	}
+	if s.awaited != nil {
+		return s.checkRoom(ctx, now)
+	}
 	thresholds := s.stallThresholds()
 	newest, newestStalled := s.current, false
 	for _, attempt := range s.attempts() {
