Give no lease by an answer that comes after the notice of a later row

Cause: the answer to a Put or Get that came after the notice of a later row moved the candidate back to its own row with the lease running. It led on, beside the leader whose notice it had, until its next renewal. Ruled out: takeover of a lease that ran out; there the late answer's lease is over too. It takes another writer that releases the lease, or a new era. Change: moving back ends the own lease; the next renewal gives it again, or conflicts. Before: both cases of TestLateAnswerAfterNoticeOfLaterRowIsNoLease fail, two nodes lead, the first one with term 1. After: they pass.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -186,8 +186,13 @@
 	c.otherLeaseEnd = max(c.otherLeaseEnd, now+notice.Remaining)
 }
 
-// moveTo records a new position of the row. The caller must hold mu.
+// moveTo records a new position of the row. Behind a later row, known from a notice, a
+// late answer gives no lease: the next renewal shows whose the row is. The caller must
+// hold mu.
 func (c *Candidate) moveTo(to position.Position, now time.Duration) {
+	if to.Before(c.position) {
+		c.ownLeaseEnd = 0
+	}
 	if to.Era != c.position.Era && c.versionSeenAt > 0 {
 		c.eraSeenAt = now
 	}
@@ -389,9 +394,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ownLeaseEnd = sent + leaseTTL
 	c.moveTo(written, sent)
 	c.row, c.mustRetake, c.highestTerm = next, false, max(c.highestTerm, next.Term)
-	c.ownLeaseEnd = sent + leaseTTL
 	return nil
 }
 
