Let a release follow the write under way and end the election for good

Cause: Release looked whether the node owned the row, and took the row and its position later, beside the steps. A node that did not own it at that moment was not released at all: a takeover under way gave a stopping node the lease. A renewal under way made the release conflict, so the lease ran to its end. A notice between the two looks would have put a free row over another's lease. Ruled out: MayLead, which refuses while stopping; it is asked before the write and not by renewals. Change: Release ends the node's part first, waits for the step under way, and takes row and position together.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -107,6 +107,10 @@
 	clock  Clock
 	log    *eventlog.Logger
 
+	// calling holds a token while a step or a release calls the table service, so that
+	// a release follows the write of a step under way.
+	calling chan struct{}
+
 	mu sync.Mutex
 	// started is when Run began.
 	started time.Duration
@@ -133,7 +137,7 @@
 // New returns a candidate that takes no part in the election until Run. The node
 // name is part of the holder in the row.
 func New(rows Rows, node string, clock Clock, log *eventlog.Logger) *Candidate {
-	return &Candidate{rows: rows, holder: node + "/" + uuid.NewString(), clock: clock, log: log}
+	return &Candidate{rows: rows, holder: node + "/" + uuid.NewString(), clock: clock, log: log, calling: make(chan struct{}, 1)}
 }
 
 // Leads returns whether this node leads, and its term. It does not block.
@@ -235,6 +239,8 @@
 // step renews this node's lease, or reads the row and takes the lease if it is
 // free. It returns the delay until the next step.
 func (c *Candidate) step(ctx context.Context, e Eligibility) (time.Duration, error) {
+	c.calling <- struct{}{}
+	defer func() { <-c.calling }()
 	stepCtx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
 	watchDelay := watchInterval + rand.N(watchJitter)
@@ -435,13 +441,22 @@
 // Release ends this node's lease for a planned stop, so that another node need
 // not wait for its end. The node takes no further part in the election.
 func (c *Candidate) Release(ctx context.Context) error {
-	if !c.ownsRow() {
-		return nil
-	}
 	c.mu.Lock()
 	c.released = true
+	c.mu.Unlock()
+	select {
+	case c.calling <- struct{}{}:
+		defer func() { <-c.calling }()
+	case <-ctx.Done():
+		return fmt.Errorf("release the leader's lease: %w; it expires on its own", ctx.Err())
+	}
+	c.mu.Lock()
+	owns := c.row.Holder == c.holder && !c.mustRetake
 	next, expect := row{Term: c.row.Term}, c.position
 	c.mu.Unlock()
+	if !owns {
+		return nil
+	}
 	if _, err := c.putRow(ctx, next, expect); err != nil {
 		return fmt.Errorf("release the leader's lease: %w; it expires on its own", err)
 	}
