Take no lease by a write over an absent row of another era

Cause: version 0 stands for an absent row in each era, so a write over one succeeded although the store had come back from a copy since the read. The copy may have forgotten a lease given in between: two leaders, same term. Ruled out: rows with a version; there Put reports the new era already. Change: a write carried out in another era than the read is a conflict. Before: TestAbsentRowOfAnotherEraIsNoLease fails, both nodes lead with term 1. After: it passes; the second node leads once the forgotten lease has ended.

--- /dev/null
+++ b/internal/process/leader/era_test.go
@@ -0,0 +1,65 @@
+package leader
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"currantladder.example/currantladder/internal/process/eventlog"
+)
+
+// eraTest is a leader whose lease runs and another node, on a store that can be restored.
+type eraTest struct {
+	rows          *fakeRows
+	now           time.Duration
+	leader, other *Candidate
+}
+
+func newEraTest() *eraTest {
+	e := &eraTest{rows: newFakeRows(), now: 10 * time.Second}
+	e.leader = New(client{e.rows, "a"}, "a", e.clock, eventlog.Discard())
+	e.other = New(client{e.rows, "b"}, "b", e.clock, eventlog.Discard())
+	return e
+}
+
+func (e *eraTest) clock() time.Duration { return e.now }
+
+func (e *eraTest) step(t *testing.T, c *Candidate, eligibility Eligibility) {
+	t.Helper()
+	if _, err := c.step(context.Background(), eligibility); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// checkOneLeads verifies that the other node waits for the end of the lease that the store
+// has forgotten, and takes it then.
+func (e *eraTest) checkOneLeads(t *testing.T) {
+	t.Helper()
+	if _, leads := e.leader.Leads(); !leads {
+		t.Fatal("the first node does not lead, want its lease to run")
+	}
+	if term, leads := e.other.Leads(); leads {
+		t.Errorf("the other node leads with term %d beside the first one", term)
+	}
+	for range 2 {
+		e.now += leaseTTL + 2*takeoverMargin
+		e.step(t, e.other, eligible())
+	}
+	if _, leads := e.other.Leads(); !leads {
+		t.Error("the other node does not lead after the lease's end, want it to")
+	}
+}
+
+// TestAbsentRowOfAnotherEraIsNoLease guards against two leaders: a node that had read that
+// there is no row wrote one after another node's lease, which the store had forgotten.
+func TestAbsentRowOfAnotherEraIsNoLease(t *testing.T) {
+	e := newEraTest()
+	eligibility := eligible()
+	eligibility.MayLead = func() bool { // between the read and the write
+		e.step(t, e.leader, eligible())
+		e.rows.restore(row{}, 0)
+		return true
+	}
+	e.step(t, e.other, eligibility)
+	e.checkOneLeads(t)
+}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -392,6 +392,9 @@
 func (c *Candidate) writeRow(ctx context.Context, next row, expect position.Position) error {
 	sent := c.clock()
 	written, err := c.putRow(ctx, next, expect)
+	if err == nil && written.Era != expect.Era {
+		err = ErrEraChanged // an absent row has version 0 in each era
+	}
 	if errors.Is(err, ErrConflict) {
 		return c.resolveConflict(ctx, errors.Is(err, ErrEraChanged))
 	}
