Let a node that has just started wait in another era too

Cause: only a node that had seen the row before noted when it learned of the store's era. One that had just started took the lease that an older copy shows as free, while the leader of the time before the restore still led. Ruled out: the terms that hosts know, which keep the terms apart at best. Change: the first sight of an era above 0 counts. In such a store the first election of a new fleet takes leaseTTL and takeoverMargin (2.25 s) longer. Before: both cases of TestNewNodeWaitsInAnotherEra fail, two nodes lead (terms 1 and 1, 1 and 2). After: they pass; platform's restore tests pass.

--- a/internal/process/leader/era_test.go
+++ b/internal/process/leader/era_test.go
@@ -63,3 +63,17 @@
 	e.step(t, e.other, eligibility)
 	e.checkOneLeads(t)
 }
+
+// TestNewNodeWaitsInAnotherEra guards against two leaders: a node that has just started
+// took the lease that an older copy shows as free.
+func TestNewNodeWaitsInAnotherEra(t *testing.T) {
+	for name, copied := range map[string]row{"no row": {}, "released row": {Term: 1}} {
+		t.Run(name, func(t *testing.T) {
+			e := newEraTest()
+			e.step(t, e.leader, eligible())
+			e.rows.restore(copied, 1)
+			e.step(t, e.other, eligible())
+			e.checkOneLeads(t)
+		})
+	}
+}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -197,7 +197,7 @@
 	if to.Before(c.position) {
 		c.ownLeaseEnd = 0
 	}
-	if to.Era != c.position.Era && c.versionSeenAt > 0 {
+	if to.Era != c.position.Era { // also for a node that has just started
 		c.eraSeenAt = now
 	}
 	c.position, c.versionSeenAt, c.otherLeaseEnd = to, now, 0
