Retake the lease after a lost write over another era's row

Cause: a leader of a former era whose write replaced another leader's row (same version, new era) is told so by the answer. If that was lost, it read its own row with its own term back and led on, with a term below the other's. Ruled out: a restored row of this node without lost write; it keeps its lease (TestLeaderGoesOnAfterRestoreOfItsOwnRow). Change: a row with more renewals than this node knows of, read in a new era, gives no lease until it is taken again. Before: TestLostWriteOnAnotherEraIsNoLease fails, the node leads with term 1 after overwriting term 5. After: it passes.

--- a/internal/process/leader/era_test.go
+++ b/internal/process/leader/era_test.go
@@ -77,3 +77,22 @@
 		})
 	}
 }
+
+// TestLostWriteOnAnotherEraIsNoLease guards against a leader of a former era that goes on
+// with its lower term, because the answer to its write over another leader's row was lost.
+func TestLostWriteOnAnotherEraIsNoLease(t *testing.T) {
+	e := newEraTest()
+	e.step(t, e.leader, eligible())
+	e.now += leaseTTL + takeoverMargin // it is cut off from the store meanwhile
+	e.rows.restore(row{Holder: "other/1", Term: 5}, 1)
+	e.rows.lostReplies = 1
+	if _, err := e.leader.step(context.Background(), eligible()); err == nil {
+		t.Fatal("got no error from a renewal whose answer was lost")
+	}
+	for range 3 {
+		e.step(t, e.leader, eligible())
+		if term, leads := e.leader.Leads(); leads {
+			t.Fatalf("the node leads with term %d after a write over the row of another leader", term)
+		}
+	}
+}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -348,8 +348,9 @@
 		c.log.Log(eventlog.LeaderUnknown, eventlog.Fields{"error": unusable.Error(), "led": c.row.Holder == c.holder})
 	}
 	if at.Era != c.position.Era && c.versionSeenAt > 0 {
-		// The copy may be older than the end of a lease of this node.
-		c.mustRetake = stored.Holder == c.holder && (c.row.Holder != c.holder || c.row.Term != stored.Term)
+		// The copy may be older than the end of a lease of this node. If it shows a write
+		// whose answer was lost, that may have replaced the row of another leader.
+		c.mustRetake = stored.Holder == c.holder && (c.row.Holder != c.holder || c.row.Term != stored.Term || c.row.Renewals < stored.Renewals)
 	}
 	if at != c.position || c.versionSeenAt == 0 {
 		c.moveTo(at, c.clock())
