End a begun stream at once if no host is left for it

Cause: the wait for room did not look at why there was no place. A stream whose hosts were all tried, or whose model has one group, was cut 1.5 s later than before the wait, with no host that could get room. Ruled out: full, suspected and quarantined hosts; they may serve in time, so the stream waits for them as before. Change: it waits only while the host list has a host for it that was not tried.

--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -251,14 +251,19 @@
 	s.deadline = s.request.Received.Add(limit)
 }
 
-// chooseEndpoint chooses the endpoint of the next attempt, or returns the refusal
-// if there is none.
-func (s *requestState) chooseEndpoint() (place.Choice, *refusal.Error) {
-	view := s.View.Load()
+// query describes the next attempt.
+func (s *requestState) query() place.Query {
 	query := place.Query{Service: s.service, Rank: s.rank, Exclude: s.triedHosts, FailureDomain: s.FailureDomain}
 	if s.service.Engine != nil {
 		query.Model = s.request.Model
 	}
+	return query
+}
+
+// chooseEndpoint chooses the endpoint of the next attempt, or returns the refusal
+// if there is none.
+func (s *requestState) chooseEndpoint() (place.Choice, *refusal.Error) {
+	view, query := s.View.Load(), s.query()
 	choice, none := s.Board.Choose(view, query, time.Now())
 	if none == nil {
 		s.triedHosts = append(s.triedHosts, choice.Host.ID)
--- a/internal/request/forward/stream_room.go
+++ b/internal/request/forward/stream_room.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/request/place"
 )
 
 // maxRoomWait limits the time since its last event for which a stream waits for room at
@@ -22,10 +23,10 @@
 
 // awaitRoom lets a stream that has begun wait for room, because its caller cannot send
 // it again to another node as easily as one that has not. It reports whether the stream
-// waits.
+// waits; it does not if no host is left that could go on with it.
 func (s *streamState) awaitRoom(failed *streamAttempt, update attemptUpdate, charge bool, now time.Time) bool {
 	until := s.lastEventAt.Add(maxRoomWait)
-	if !s.headerSent || !s.route.Repeatable() || !now.Before(until) {
+	if !s.headerSent || !s.route.Repeatable() || !now.Before(until) || !place.MayServe(s.View.Load(), s.query()) {
 		return false
 	}
 	if charge {
@@ -59,7 +60,7 @@
 			s.retries.Refund(s.service.Name, now)
 		}
 	}
-	if now.Before(awaited.until) {
+	if now.Before(awaited.until) && place.MayServe(s.View.Load(), s.query()) {
 		return false
 	}
 	s.abort("endpoint failed and no other has room: " + awaited.update.err.Error())
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -273,21 +273,26 @@
 	return min(max((utilization-sheddingStartUtilization)/(sheddingEndUtilization-sheddingStartUtilization), 0), 1)
 }
 
+// MayServe reports whether a host could run the request, be it full, suspected or
+// quarantined at present.
+func MayServe(view *fleet.View, q Query) bool {
+	return slices.ContainsFunc(view.ServiceHosts(q.Service.Name), q.matches)
+}
+
+// matches reports whether the host is open for the request, whatever is known of its load
+// and its failures.
+func (q Query) matches(host *fleet.Host) bool {
+	if host.State != fleet.HostReady || slices.Contains(q.Exclude, host.ID) {
+		return false
+	}
+	return q.Service.Engine == nil || host.IsOpenHead() && host.LoadedModel == q.Model
+}
+
 // isEligible reports whether the host may take the request now.
 func (b *Board) isEligible(host *fleet.Host, q Query, now time.Time) bool {
-	if host.State != fleet.HostReady {
+	if !q.matches(host) {
 		return false
 	}
-	for _, id := range q.Exclude {
-		if id == host.ID {
-			return false
-		}
-	}
-	if q.Service.Engine != nil {
-		if !host.IsOpenHead() || host.LoadedModel != q.Model {
-			return false
-		}
-	}
 	r := b.hosts[host.ID]
 	if r == nil {
 		return true
