--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -84,6 +84,9 @@
 	Holder   string `json:"holder"`
 	Term     int64  `json:"term"`
 	Renewals int64  `json:"renewals"`
+	// Era is that of the row that this one was made from. A write carried out late may
+	// replace a row of a later era that has the same version.
+	Era int64 `json:"era,omitempty"`
 }
 
 // LeaseNotice is a notice to other nodes of a leader's running lease.
@@ -107,6 +110,10 @@
 	clock  Clock
 	log    *eventlog.Logger
 
+	// calling holds a token while a step or a release calls the table service, so that
+	// a release follows the write of a step under way.
+	calling chan struct{}
+
 	mu sync.Mutex
 	// started is when Run began.
 	started time.Duration
@@ -133,7 +140,7 @@
 // New returns a candidate that takes no part in the election until Run. The node
 // name is part of the holder in the row.
 func New(rows Rows, node string, clock Clock, log *eventlog.Logger) *Candidate {
-	return &Candidate{rows: rows, holder: node + "/" + uuid.NewString(), clock: clock, log: log}
+	return &Candidate{rows: rows, holder: node + "/" + uuid.NewString(), clock: clock, log: log, calling: make(chan struct{}, 1)}
 }
 
 // Leads returns whether this node leads, and its term. It does not block.
@@ -186,9 +193,14 @@
 	c.otherLeaseEnd = max(c.otherLeaseEnd, now+notice.Remaining)
 }
 
-// moveTo records a new position of the row. The caller must hold mu.
+// moveTo records a new position of the row. Behind a later row, known from a notice, a
+// late answer gives no lease: the next renewal shows whose the row is. The caller must
+// hold mu.
 func (c *Candidate) moveTo(to position.Position, now time.Duration) {
-	if to.Era != c.position.Era && c.versionSeenAt > 0 {
+	if to.Before(c.position) {
+		c.ownLeaseEnd = 0
+	}
+	if to.Era != c.position.Era { // also for a node that has just started
 		c.eraSeenAt = now
 	}
 	c.position, c.versionSeenAt, c.otherLeaseEnd = to, now, 0
@@ -230,6 +242,8 @@
 // step renews this node's lease, or reads the row and takes the lease if it is
 // free. It returns the delay until the next step.
 func (c *Candidate) step(ctx context.Context, e Eligibility) (time.Duration, error) {
+	c.calling <- struct{}{}
+	defer func() { <-c.calling }()
 	stepCtx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
 	watchDelay := watchInterval + rand.N(watchJitter)
@@ -336,9 +350,11 @@
 	if unusable != nil && at != c.position {
 		c.log.Log(eventlog.LeaderUnknown, eventlog.Fields{"error": unusable.Error(), "led": c.row.Holder == c.holder})
 	}
-	if at.Era != c.position.Era && c.versionSeenAt > 0 {
-		// The copy may be older than the end of a lease of this node.
-		c.mustRetake = stored.Holder == c.holder && (c.row.Holder != c.holder || c.row.Term != stored.Term)
+	if stored.Holder == c.holder && (c.row.Holder != c.holder || c.row.Term != stored.Term || c.row.Renewals < stored.Renewals) {
+		// A write whose answer was lost. In the era of the row that it was made from, it
+		// replaced that one. In another one it may have replaced the row of another
+		// leader, and a copy may be older than the end of this lease.
+		c.mustRetake = stored.Era != at.Era
 	}
 	if at != c.position || c.versionSeenAt == 0 {
 		c.moveTo(at, c.clock())
@@ -379,8 +395,12 @@
 // writeRow writes the row if it is still the one at expect, from which next was made.
 // The lease runs from before the write was sent.
 func (c *Candidate) writeRow(ctx context.Context, next row, expect position.Position) error {
+	next.Era = expect.Era
 	sent := c.clock()
 	written, err := c.putRow(ctx, next, expect)
+	if err == nil && written.Era != expect.Era {
+		err = ErrEraChanged // an absent row has version 0 in each era
+	}
 	if errors.Is(err, ErrConflict) {
 		return c.resolveConflict(ctx, errors.Is(err, ErrEraChanged))
 	}
@@ -389,9 +409,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ownLeaseEnd = sent + leaseTTL
 	c.moveTo(written, sent)
 	c.row, c.mustRetake, c.highestTerm = next, false, max(c.highestTerm, next.Term)
-	c.ownLeaseEnd = sent + leaseTTL
 	return nil
 }
 
@@ -430,13 +450,22 @@
 // Release ends this node's lease for a planned stop, so that another node need
 // not wait for its end. The node takes no further part in the election.
 func (c *Candidate) Release(ctx context.Context) error {
-	if !c.ownsRow() {
-		return nil
-	}
 	c.mu.Lock()
 	c.released = true
+	c.mu.Unlock()
+	select {
+	case c.calling <- struct{}{}:
+		defer func() { <-c.calling }()
+	case <-ctx.Done():
+		return fmt.Errorf("release the leader's lease: %w; it expires on its own", ctx.Err())
+	}
+	c.mu.Lock()
+	owns := c.row.Holder == c.holder && !c.mustRetake
 	next, expect := row{Term: c.row.Term}, c.position
 	c.mu.Unlock()
+	if !owns {
+		return nil
+	}
 	if _, err := c.putRow(ctx, next, expect); err != nil {
 		return fmt.Errorf("release the leader's lease: %w; it expires on its own", err)
 	}
