--- a/internal/request/forward/types.go
+++ b/internal/request/forward/types.go
@@ -70,7 +70,8 @@
 	// Verified is true if the answer carries the endpoint's proof and the ID of
 	// this request.
 	Verified bool
-	// WrongRequest is true if the answer belongs to another request.
+	// WrongRequest is true if the answer belongs to another request, or may because
+	// nothing shows the opposite.
 	WrongRequest bool
 	// FaultyHost is the member because of which a group refused, or "".
 	FaultyHost string
