Heed Retry-After of service endpoints in serve

Cause: nothing read the header; only failed connections kept an endpoint from its turn, and these only for 3 s.

Ruled out: the state in the roster or in the configuration view. Both are replaced when the list or a revision comes; a wait belongs to the process that asked. The list may now name that process (`bootID`, optional; the stand-in command sends it). Waiting out a fixed quarantine: it is used again if all endpoints are in it.

Change: the time is decoded once in internal/connection/endpoint (platform uses the same code), also from an answer that breaks after its head, and bounded to a minute. Waits are kept by life of the host in internal/request/route; the share after a wait is the one of managed nodes. If all endpoints wait, calls are refused at once, not run, with a Retry-After that is not before the first end. Log event 1380.

Before: the waiting endpoint got 38 of 75 calls that should have gone past it (TestWaitingServiceEndpointGetsNoCalls), calls while all wait reached an endpoint and got no Retry-After (TestCallsAreRefusedWhileAllServiceEndpointsWait). After: none; 8, 16 and 20 of its 20 turns in the three seconds after the wait, with a margin of one. 4 of 4 runs of these and of TestInvariantDidNotRun pass with the race detector. TestRestartedServiceEndpointGetsCalls passes on both: it guards the new state.

Not done: a non-idempotent call that was turned away is not sent elsewhere, as 503 does not say that it did not run; its 503 is recorded.

--- a/cmd/currantladder/standin.go
+++ b/cmd/currantladder/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"net"
@@ -105,6 +106,7 @@
 		}
 		s := service.New(service.Options{Host: host.host.Name})
 		defer s.Close()
+		host.host.BootID = rand.Text()
 		return host.serve(ctx, listener, s.Handler(), func() bool { return true })
 	}}
 }
--- a/internal/connection/endpoint/client.go
+++ b/internal/connection/endpoint/client.go
@@ -189,10 +189,12 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Facts  Facts
 }
 
 // Call sends a request to a service endpoint over a new connection and reads the
-// whole answer. Errors are *CallError.
+// whole answer. Errors are *CallError. With an error, the answer has only the facts,
+// if its head came.
 func (c *Client) Call(ctx context.Context, address string, r ServiceRequest) (ServiceAnswer, error) {
 	var maybeSent atomic.Bool
 	request, err := newSingleUseRequest(withConnTrace(ctx, &maybeSent), r.Method, "http://"+address+r.Path, r.Body)
@@ -205,12 +207,13 @@
 		return ServiceAnswer{}, &CallError{Address: address, MaybeSent: maybeSent.Load(), Err: err}
 	}
 	defer response.Body.Close()
+	facts := factsOf(response)
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
 	if err != nil {
-		return ServiceAnswer{}, &CallError{Address: address, MaybeSent: true, Err: fmt.Errorf("answer was cut: %w", err)}
+		return ServiceAnswer{Facts: facts}, &CallError{Address: address, MaybeSent: true, Err: fmt.Errorf("answer was cut: %w", err)}
 	}
 	if len(body) > MaxAnswerBytes {
-		return ServiceAnswer{}, &CallError{Address: address, MaybeSent: true, Err: fmt.Errorf("answer is larger than %d bytes", MaxAnswerBytes)}
+		return ServiceAnswer{Facts: facts}, &CallError{Address: address, MaybeSent: true, Err: fmt.Errorf("answer is larger than %d bytes", MaxAnswerBytes)}
 	}
-	return ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body, Facts: facts}, nil
 }
--- a/internal/connection/hostlist/hostlist.go
+++ b/internal/connection/hostlist/hostlist.go
@@ -42,6 +42,9 @@
 	FailureDomain string `json:"failureDomain"`
 	FabricDomain  string `json:"fabricDomain,omitempty"`
 	State         State  `json:"state"`
+	// BootID changes with every start of the host's process. It is empty if the
+	// platform does not tell; a restart at the same address is not noticed then.
+	BootID string `json:"bootID,omitempty"`
 }
 
 // List is the platform's answer. It may lag behind the actual state.
--- a/internal/process/callerapi/harness_test.go
+++ b/internal/process/callerapi/harness_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/process/callerapi"
 	"currantladder.example/currantladder/internal/request/claim"
@@ -142,12 +143,14 @@
 
 type singleEndpoint struct{ address string }
 
-func (s singleEndpoint) Pick(string, map[string]bool) (host, address string, ok bool) {
-	return "service-0", s.address, true
+func (s singleEndpoint) Pick(string, map[string]bool) (host hostlist.Host, retryAfter time.Duration, ok bool) {
+	return hostlist.Host{Name: "service-0", Address: s.address}, 0, true
 }
 
 func (singleEndpoint) Failed(string) {}
 
+func (singleEndpoint) Said(hostlist.Host, endpoint.Facts, string) {}
+
 type suspects struct{ tracker *suspect.Tracker }
 
 func (s suspects) Check(fingerprint uint64, now time.Time) (refuse, isolate bool) {
--- a/internal/process/callerapi/server.go
+++ b/internal/process/callerapi/server.go
@@ -19,6 +19,7 @@
 	"github.com/google/uuid"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/request/claim"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/request/relay"
@@ -95,10 +96,14 @@
 
 // ServiceEndpoints chooses endpoints of plain services.
 type ServiceEndpoints interface {
-	// Pick returns a live endpoint that is not in avoid.
-	Pick(service string, avoid map[string]bool) (host, address string, ok bool)
+	// Pick returns a live endpoint that takes calls now and is not in avoid. If there is
+	// none because endpoints want no calls for a time, retryAfter is the time until the
+	// first of them takes calls again.
+	Pick(service string, avoid map[string]bool) (host hostlist.Host, retryAfter time.Duration, ok bool)
 	// Failed records that a call to the host failed.
 	Failed(host string)
+	// Said records what the host said of itself in its answer to a request.
+	Said(host hostlist.Host, facts endpoint.Facts, requestID string)
 }
 
 // Gate accepts requests while the node may take them.
--- a/internal/process/callerapi/services.go
+++ b/internal/process/callerapi/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -104,8 +105,9 @@
 			s.observeComplete(current)
 			return nil
 		}
-		if host == "" {
-			return noServiceEndpoint(call.name, maybeSent)
+		var none *noEndpointError
+		if errors.As(err, &none) {
+			return none.refusal(maybeSent)
 		}
 		maybeSent = maybeSent || endpoint.MayHaveBeenSent(err)
 		avoid[host] = true
@@ -151,37 +153,62 @@
 			s.observeComplete(current)
 			return nil
 		}
-		if host != "" && endpoint.MayHaveBeenSent(err) {
-			return serviceFailed(call.name, err, true)
-		}
-		avoid[host] = true
-		if host != "" && attempt < maxUnsentAttempts {
-			continue
+		var none *noEndpointError
+		if !errors.As(err, &none) {
+			if endpoint.MayHaveBeenSent(err) {
+				return serviceFailed(call.name, err, true)
+			}
+			avoid[host] = true
+			if attempt < maxUnsentAttempts {
+				continue
+			}
+			none = &noEndpointError{service: call.name}
 		}
 		_ = s.deps.Claims.Abandon(settleCtx, handle)
-		return noServiceEndpoint(call.name, false)
+		return none.refusal(false)
 	}
 }
 
-// callEndpoint calls one endpoint that is not in avoid. host is empty if there is
-// none.
+// callEndpoint calls one endpoint that is not in avoid. The error is a
+// *noEndpointError, without a host, if there is none, and else an *endpoint.CallError.
 func (s *Server) callEndpoint(ctx context.Context, call *serviceCall, avoid map[string]bool) (answer endpoint.ServiceAnswer, host string, err error) {
-	host, address, ok := s.deps.Services.Pick(call.name, avoid)
+	picked, retryAfter, ok := s.deps.Services.Pick(call.name, avoid)
 	if !ok {
-		return answer, "", fmt.Errorf("service %s has no live endpoint", call.name)
+		return answer, "", &noEndpointError{service: call.name, retryAfter: retryAfter}
 	}
-	answer, err = s.deps.Client.Call(ctx, address, call.request)
+	answer, err = s.deps.Client.Call(ctx, picked.Address, call.request)
+	s.deps.Services.Said(picked, answer.Facts, call.request.Header.Get(HeaderRequestID))
 	if err != nil {
-		s.deps.Services.Failed(host)
+		s.deps.Services.Failed(picked.Name)
+	}
+	return answer, picked.Name, err
+}
+
+// noEndpointError reports that no endpoint of a service takes calls now.
+type noEndpointError struct {
+	service string
+	// retryAfter is the time until the first endpoint takes calls again that wants none
+	// for a time; 0 if no endpoint does.
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (e *noEndpointError) Error() string {
+	if e.retryAfter > 0 {
+		return fmt.Sprintf("all endpoints of service %s want no calls for now; send the request again after the time in Retry-After", e.service)
 	}
-	return answer, host, err
+	return fmt.Sprintf("service %s has no live endpoint; send the request again later", e.service)
 }
 
-func noServiceEndpoint(service string, maybeSent bool) *refusal.Error {
-	refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, fmt.Sprintf("service %s has no live endpoint; send the request again later", service))
+// refusal returns the refusal of a call that an earlier attempt may have sent.
+func (e *noEndpointError) refusal(maybeSent bool) *refusal.Error {
+	refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, e.Error())
 	if maybeSent {
 		refused.Ran = refusal.RanUnknown
 	}
+	if e.retryAfter > 0 {
+		return refused.WithRetryAfter(e.retryAfter)
+	}
 	return refused.WithRetryAfter(serviceRetryAfter)
 }
 
--- a/internal/process/node/build.go
+++ b/internal/process/node/build.go
@@ -189,7 +189,7 @@
 		Claims:         n.claims,
 		Relay:          n.relay,
 		Suspects:       suspects{n.suspects},
-		Services:       newServiceEndpoints(n.follower, n.roster),
+		Services:       newServiceEndpoints(n.follower, n.roster, n.log),
 		Client:         n.endpoints,
 		Observer:       observers{n.metrics, n.burn},
 		MaxBodyBytes:   n.settings.Callers.MaxBodyBytes,
--- a/internal/request/place/waits.go
+++ b/internal/request/place/waits.go
@@ -4,12 +4,13 @@
 	"maps"
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/version/fleet"
 )
 
 const (
 	// MaxHostWait limits the time for which a host may ask for no requests.
-	MaxHostWait = time.Minute
+	MaxHostWait = endpoint.MaxWait
 	// waitRampTime is the time after the end of a wait in which a host is filled up to
 	// its limit again, and waitRampStart the share of the limit at its beginning.
 	waitRampTime  = 2 * time.Second
@@ -52,14 +53,22 @@
 // rampedLimit returns the limit of a host whose wait has ended lately: it grows to the
 // given limit within waitRampTime. The caller holds mu.
 func (b *Board) rampedLimit(host *fleet.Host, limit int, now time.Time) int {
-	until := b.waitUntil(host)
-	if until.IsZero() || now.Sub(until) >= waitRampTime {
+	share := RampShare(b.waitUntil(host), now)
+	if share == 1 {
 		return limit
 	}
-	share := waitRampStart + (1-waitRampStart)*float64(now.Sub(until))/float64(waitRampTime)
 	return max(int(share*float64(limit)), 1)
 }
 
+// RampShare returns the share of its requests, up to 1, that a host gets at now if its
+// wait ended at until, which is not later; the zero time means that it had none.
+func RampShare(until, now time.Time) float64 {
+	if until.IsZero() || now.Sub(until) >= waitRampTime {
+		return 1
+	}
+	return waitRampStart + (1-waitRampStart)*float64(now.Sub(until))/float64(waitRampTime)
+}
+
 // waitRetryAfter returns the delay after which a caller should return that was refused
 // because all hosts ask for no requests, the first of them until the given time. The
 // caller holds mu.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -34,6 +34,8 @@
 type Faults struct {
 	// Outage refuses every call with 503 before it runs.
 	Outage bool `json:"outage,omitempty"`
+	// RetryAfter is the Retry-After of these refusals, in seconds as text; "" sends none.
+	RetryAfter string `json:"retryAfter,omitempty"`
 	// Pause blocks every call before it runs. A blocked call runs after the
 	// pause even if its caller has disconnected in the meantime.
 	Pause bool `json:"pause,omitempty"`
@@ -56,6 +58,8 @@
 	Runs map[string]int `json:"runs"`
 	// Lookups counts the executions of GET and HEAD calls, by path.
 	Lookups map[string]int `json:"lookups"`
+	// Refused counts the calls that an outage refused.
+	Refused int `json:"refused"`
 }
 
 // Reply is the response body of a call that ran.
@@ -112,7 +116,7 @@
 func (s *Service) Ledger() Ledger {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Ledger{Runs: maps.Clone(s.ledger.Runs), Lookups: maps.Clone(s.ledger.Lookups)}
+	return Ledger{Runs: maps.Clone(s.ledger.Runs), Lookups: maps.Clone(s.ledger.Lookups), Refused: s.ledger.Refused}
 }
 
 // Handler returns the HTTP interface of the service: the health check GET
@@ -161,6 +165,9 @@
 	faults := s.nextCallFaults()
 	switch {
 	case faults.refuse:
+		if faults.retryAfter != "" {
+			w.Header().Set("Retry-After", faults.retryAfter)
+		}
 		jsonhttp.Fail(w, http.StatusServiceUnavailable, "outage")
 		return
 	case faults.cutBeforeRun:
@@ -176,6 +183,7 @@
 // callFaults is the set of faults that apply to one call.
 type callFaults struct {
 	refuse       bool
+	retryAfter   string
 	cutBeforeRun bool
 	loseReply    bool
 }
@@ -186,8 +194,12 @@
 	defer s.mu.Unlock()
 	s.calls++
 	f := &s.faults
+	if f.Outage {
+		s.ledger.Refused++
+	}
 	return callFaults{
 		refuse:       f.Outage,
+		retryAfter:   f.RetryAfter,
 		cutBeforeRun: consume(&f.CutNext) || isNth(f.CutEvery, s.calls),
 		loseReply:    consume(&f.LoseNext) || isNth(f.LoseEvery, s.calls),
 	}
