Heed service endpoints that say that they leave, in serve

Cause: nothing in an answer could say so; only the host list was read.

Ruled out: writing the word into the roster's copy of the list. The next read would replace it.

Change: header Endpoint-Leaving, decoded with the time to wait. The word is kept by life of the host in internal/request/route, and counts in the choice of an endpoint like the state of the list. The stand-in of a service has a fault `leaving`.

--- a/internal/connection/endpoint/facts.go
+++ b/internal/connection/endpoint/facts.go
@@ -10,12 +10,18 @@
 // MaxWait limits the time for which an endpoint may ask for no requests.
 const MaxWait = time.Minute
 
-// headerRetryAfter carries, in an answer with status 503, the time in seconds for which
-// an endpoint wants no requests.
-const headerRetryAfter = "Retry-After"
+const (
+	// HeaderLeaving has the value 1 in all answers of an endpoint that is about to leave.
+	HeaderLeaving = "Endpoint-Leaving"
+	// headerRetryAfter carries, in an answer with status 503, the time in seconds for
+	// which an endpoint wants no requests.
+	headerRetryAfter = "Retry-After"
+)
 
 // Facts are what an endpoint says of itself in an answer.
 type Facts struct {
+	// Leaving is true if the endpoint is about to leave and wants no further requests.
+	Leaving bool
 	// Wait is the time for which the endpoint wants no requests from this node, from 0
 	// to MaxWait; 0 if it names none.
 	Wait time.Duration
@@ -23,7 +29,7 @@
 
 // factsOf decodes the facts in the head of an answer.
 func factsOf(response *http.Response) Facts {
-	var facts Facts
+	facts := Facts{Leaving: response.Header.Get(HeaderLeaving) == "1"}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		facts.Wait = DecodeWait(response.Header.Get(headerRetryAfter))
 	}
--- a/internal/connection/endpoint/facts_test.go
+++ b/internal/connection/endpoint/facts_test.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// TestFactsOfAnswersAreDecoded guards against a time to wait that is missed, or out of
-// bounds.
+// TestFactsOfAnswersAreDecoded guards against a word of an endpoint that is missed, and
+// a time out of bounds.
 func TestFactsOfAnswersAreDecoded(t *testing.T) {
 	for name, test := range map[string]struct {
 		status int
@@ -21,6 +21,10 @@
 		"part of a second":             {503, "Retry-After: 0.25\r\n", 0, Facts{Wait: 250 * time.Millisecond}},
 		"head of an answer that broke": {503, "Retry-After: 2\r\n", 9, Facts{Wait: 2 * time.Second}},
 		"answer that is too large":     {503, "Retry-After: 2\r\n", MaxAnswerBytes + 1, Facts{Wait: 2 * time.Second}},
+		"leaves":                       {200, "Endpoint-Leaving: 1\r\n", 0, Facts{Leaving: true}},
+		"leaves and refuses":           {503, "Endpoint-Leaving: 1\r\nRetry-After: 2\r\n", 0, Facts{Leaving: true, Wait: 2 * time.Second}},
+		"leaves in a broken answer":    {200, "Endpoint-Leaving: 1\r\n", 9, Facts{Leaving: true}},
+		"another value":                {200, "Endpoint-Leaving: 0\r\n", 0, Facts{}},
 		"wait with another status":     {429, "Retry-After: 2\r\n", 0, Facts{}},
 		"negative wait":                {503, "Retry-After: -1\r\n", 0, Facts{}},
 		"wait that is no number":       {503, "Retry-After: soon\r\n", 0, Facts{}},
--- a/internal/process/node/service_waits_test.go
+++ b/internal/process/node/service_waits_test.go
@@ -173,3 +173,54 @@
 		}
 	})
 }
+
+// TestServiceEndpointThatSaidItLeavesGetsNoCalls guards against calls of an endpoint that
+// has said in an answer that it leaves, while the host list shows it live.
+func TestServiceEndpointThatSaidItLeavesGetsNoCalls(t *testing.T) {
+	inFleet(t, 1, 1, func(f *fleet) {
+		entry := hostlist.Host{Name: "service-0", Address: "service-0", Role: hostlist.RoleService, State: hostlist.StateLive, BootID: "1"}
+		f.list(entry)
+		time.Sleep(2 * time.Second)
+		calls := func() int { return f.serviceHosts["service-0"].Ledger().Lookups["/lanes"] }
+		f.serviceHosts["service-0"].SetFaults(service.Faults{Leaving: true})
+		for range 2 {
+			if answer := f.askService(http.MethodGet, "/lanes", ""); answer.status != http.StatusOK {
+				t.Fatalf("got %+v, want an answer", answer)
+			}
+		}
+		if n := calls(); n != 1 {
+			t.Fatalf("the leaving host got %d of 2 calls, want its turn", n)
+		}
+		for i := range 60 {
+			switch i {
+			case 10:
+				f.closeIdle()
+			case 20:
+				f.propose(object.Change{Object: &object.Object{Kind: object.KindRank, Metadata: object.Metadata{Name: "urgent"}, Spec: testRank(0, 700, 0, false)}})
+			case 30:
+				f.platform.SetFaults(platform.Faults{Outage: true, HostsOutage: true})
+			case 50:
+				f.platform.SetFaults(platform.Faults{})
+			}
+			if answer := f.askService(http.MethodGet, "/lanes", ""); answer.host != "service-1" {
+				t.Errorf("call %d: got %+v, want an answer of service-1", i, answer)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if n := calls(); n != 1 {
+			t.Errorf("the leaving host got %d calls, want only the one that it answered", n)
+		}
+		f.platform.ChangeHost(platform.HostChange{Drop: "service-1"})
+		time.Sleep(2 * time.Second)
+		if answer := f.askService(http.MethodGet, "/lanes", ""); answer.refused == nil || answer.refused.Ran != refusal.RanNo || calls() != 1 {
+			t.Errorf("with no other endpoint: got %+v and %d calls at the leaving host, want a refusal and 1", answer, calls())
+		}
+		f.serviceHosts["service-0"].SetFaults(service.Faults{})
+		entry.BootID = "2"
+		f.list(entry)
+		time.Sleep(2 * time.Second)
+		if answer := f.askService(http.MethodGet, "/lanes", ""); answer.host != "service-0" {
+			t.Errorf("after its restart: got %+v, want an answer of service-0", answer)
+		}
+	})
+}
--- a/internal/process/node/services.go
+++ b/internal/process/node/services.go
@@ -24,6 +24,7 @@
 	// lastFailure is the time of the last failed call, by host.
 	lastFailure map[string]time.Time
 	waits       *route.HostWaits
+	leaving     *route.LeavingHosts
 }
 
 // serviceQuarantine is how long an endpoint is skipped after a failed call. It
@@ -31,7 +32,7 @@
 const serviceQuarantine = 3 * time.Second
 
 func newServiceEndpoints(view configlog.View, hosts *roster.Roster, log *eventlog.Logger) *serviceEndpoints {
-	return &serviceEndpoints{view: view, roster: hosts, log: log, lastFailure: make(map[string]time.Time), waits: route.NewHostWaits()}
+	return &serviceEndpoints{view: view, roster: hosts, log: log, lastFailure: make(map[string]time.Time), waits: route.NewHostWaits(), leaving: route.NewLeavingHosts()}
 }
 
 // Pick implements callerapi.ServiceEndpoints.
@@ -47,7 +48,7 @@
 	defer s.mu.Unlock()
 	for _, name := range spec.Hosts {
 		entry, listed := s.roster.Host(name)
-		if !listed || entry.State != hostlist.StateLive || snap.Host(name).Drain || avoid[name] {
+		if !listed || entry.State != hostlist.StateLive || snap.Host(name).Drain || avoid[name] || s.leaving.Leaves(entry, now) {
 			continue
 		}
 		if wait := s.waits.End(entry).Sub(now); wait > 0 {
@@ -87,7 +88,7 @@
 // Said implements callerapi.ServiceEndpoints. An answer of a former life of a host says
 // nothing of the present one.
 func (s *serviceEndpoints) Said(host hostlist.Host, facts endpoint.Facts, requestID string) {
-	if facts.Wait == 0 {
+	if facts == (endpoint.Facts{}) {
 		return
 	}
 	now := time.Now()
@@ -96,7 +97,19 @@
 	if listed, ok := s.roster.Host(host.Name); ok && (listed.Address != host.Address || listed.BootID != host.BootID) {
 		return
 	}
+	if facts.Leaving && s.leaving.Observe(host, now, s.lists) {
+		s.log.LogLimited(eventlog.HostSaysLeaving, eventlog.Fields{"host": host.Name, "request": requestID})
+	}
+	if facts.Wait == 0 {
+		return
+	}
 	if until, changed := s.waits.Observe(host, facts.Wait, now); changed {
 		s.log.LogLimited(eventlog.HostWaits, eventlog.Fields{"host": host.Name, "request": requestID, "asked_ms": facts.Wait.Milliseconds(), "wait_ms": until.Sub(now).Milliseconds()})
 	}
 }
+
+// lists reports whether a host is in the host list.
+func (s *serviceEndpoints) lists(name string) bool {
+	_, listed := s.roster.Host(name)
+	return listed
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/standin/fault"
 	"currantladder.example/currantladder/internal/standin/jsonhttp"
 )
@@ -36,6 +37,8 @@
 	Outage bool `json:"outage,omitempty"`
 	// RetryAfter is the Retry-After of these refusals, in seconds as text; "" sends none.
 	RetryAfter string `json:"retryAfter,omitempty"`
+	// Leaving says in every answer that the host is about to leave.
+	Leaving bool `json:"leaving,omitempty"`
 	// Pause blocks every call before it runs. A blocked call runs after the
 	// pause even if its caller has disconnected in the meantime.
 	Pause bool `json:"pause,omitempty"`
@@ -139,7 +142,12 @@
 		}
 	})
 	mux.HandleFunc("/", s.handleCall)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.Faults().Leaving {
+			w.Header().Set(endpoint.HeaderLeaving, "1")
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (s *Service) handleHealth(w http.ResponseWriter, r *http.Request) {
