Heed Retry-After of engines in serve

Cause: the header was not read; the 503 counted as any failed attempt, which keeps only this one request from the group.

Ruled out: the quarantine after a crash. It belongs to a generation of a group, lasts 1 s and closes the group for the check of crashes; a wait belongs to the engine's process (`bootID` of its state), whatever group it leads, and runs to the time it names.

Change: a failed call carries the facts of the refusal. The home offers no slots of the group until the end of the wait, and then a growing part of them over 2 s (the share of managed nodes); running streams go on. Queued requests that no group takes return with the first end. The entry node does not poll for 3 s when every home has refused for longer than that: it refuses at once with the earliest time.

Not done: an engine that says that it leaves.

--- a/internal/connection/endpoint/client.go
+++ b/internal/connection/endpoint/client.go
@@ -36,7 +36,9 @@
 	// Status is the HTTP status of the endpoint's refusal, or 0 if the call
 	// failed in another way.
 	Status int
-	Err    error
+	// Facts are what the endpoint said of itself in its refusal.
+	Facts Facts
+	Err   error
 }
 
 // Error implements error.
@@ -172,7 +174,7 @@
 func statusError(address string, response *http.Response) error {
 	defer response.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-	return &CallError{Address: address, MaybeSent: true, Status: response.StatusCode, Err: fmt.Errorf("refused: %s", bytes.TrimSpace(text))}
+	return &CallError{Address: address, MaybeSent: true, Status: response.StatusCode, Facts: factsOf(response), Err: fmt.Errorf("refused: %s", bytes.TrimSpace(text))}
 }
 
 // ServiceRequest is one call of a plain service.
--- a/internal/connection/endpoint/protocol.go
+++ b/internal/connection/endpoint/protocol.go
@@ -9,6 +9,10 @@
 //	GET    /v1/kv/{id}                        -> 200 KVExport
 //	POST   /v1/kv             KVExport        -> 204
 //	POST   /v1/orders         Order           -> 200 State, 409 StaleOrder
+//
+// A service, and an engine asked to generate, may turn a request away with 503 and
+// Retry-After (seconds, parts of one allowed): it wants no requests from this node for so
+// long, of which at most MaxWait counts; see Facts.
 package endpoint
 
 import "time"
--- a/internal/process/node/build.go
+++ b/internal/process/node/build.go
@@ -15,6 +15,7 @@
 	"currantladder.example/currantladder/internal/connection/table"
 	"currantladder.example/currantladder/internal/process/burn"
 	"currantladder.example/currantladder/internal/process/callerapi"
+	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/explain"
 	"currantladder.example/currantladder/internal/process/lease"
 	"currantladder.example/currantladder/internal/process/membership"
@@ -174,12 +175,18 @@
 	n.budget = &retryBudget{budget: retry.NewBudget(), view: n.follower}
 	n.suspects = suspect.New()
 	n.home = dispatch.NewHome(n.backgroundCtx, n.endpoints, suspects{n.suspects}, n.reportCrash)
+	n.home.OnWait(n.logWait)
 	n.recorder = explain.NewRecorder(s.Node.Name)
 	n.burn = burn.NewRecorder(s.Node.Name, n.follower)
 	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Suspects: suspects{n.suspects}, Recorder: n.recorder}
 	n.gate = newGate(s.Callers.MaxStreams, n.notReadyReason)
 }
 
+// logWait logs that an engine wants no requests for a time.
+func (n *Node) logWait(target dispatch.Target, requestID string, asked, wait time.Duration) {
+	n.log.LogLimited(eventlog.HostWaits, eventlog.Fields{"host": target.Host, "group": target.Group, "request": requestID, "asked_ms": asked.Milliseconds(), "wait_ms": wait.Milliseconds()})
+}
+
 // handlers returns the handler of each listener.
 func (n *Node) handlers() (callers, peers, operators http.Handler, err error) {
 	callers = callerapi.New(callerapi.Deps{
--- a/internal/process/node/caller_test.go
+++ b/internal/process/node/caller_test.go
@@ -34,6 +34,7 @@
 	text             string
 	complete         bool // the terminal event, or an entire JSON answer, was read
 	refused          *refusal.Error
+	retryAfter       string // header, in seconds
 	err              error
 	timeToFirstToken time.Duration
 	duration         time.Duration
@@ -63,6 +64,7 @@
 	}
 	defer response.Body.Close()
 	a.status = response.StatusCode
+	a.retryAfter = response.Header.Get("Retry-After")
 	if a.status == http.StatusOK && c.stream {
 		a.readStream(response.Body, started)
 		return a
--- a/internal/process/node/plan.go
+++ b/internal/process/node/plan.go
@@ -283,7 +283,7 @@
 }
 
 func targetOf(placement *object.Placement, snap *snapshot.Snapshot, hosts map[string]hostlist.Host, observe func(string) health.Observation, maxAge time.Duration, now time.Time) dispatch.Target {
-	target := dispatch.Target{Group: placement.Group, Generation: placement.Generation, Address: hosts[placement.Members[0]].Address}
+	target := dispatch.Target{Group: placement.Group, Generation: placement.Generation, Address: hosts[placement.Members[0]].Address, Host: placement.Members[0]}
 	if placement.Phase != object.PhaseServing {
 		target.ClosedReason = "phase " + string(placement.Phase) + ": " + placement.Message
 		return target
@@ -293,7 +293,8 @@
 		target.ClosedReason = reason
 		return target
 	}
-	target.Slots = observe(placement.Members[0]).State.Slots
+	leader := observe(placement.Members[0]).State
+	target.Slots, target.BootID = leader.Slots, leader.BootID
 	for _, member := range placement.Members {
 		if hosts[member].State != hostlist.StateLive || snap.Host(member).Drain {
 			target.Draining = true
--- a/internal/request/dispatch/crash.go
+++ b/internal/request/dispatch/crash.go
@@ -173,5 +173,5 @@
 	if h.onCrash != nil {
 		h.onCrash(target.Group, fingerprints)
 	}
-	p.setGroups(h.ctx, h.slotsLocked(slices.Collect(maps.Values(h.targets[model]))))
+	p.setGroups(h.ctx, h.slotsLocked(slices.Collect(maps.Values(h.targets[model]))), h.retryAfterLocked(model, time.Now()))
 }
--- a/internal/request/dispatch/home.go
+++ b/internal/request/dispatch/home.go
@@ -11,14 +11,17 @@
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/request/queue"
+	"currantladder.example/currantladder/internal/request/route"
 )
 
 // Target is one replica group that this node is home for.
 type Target struct {
 	Group      string
 	Generation int64
-	// Address is the leading engine's host:port.
+	// Address is the leading engine's host:port, Host its name, and BootID its process.
 	Address string
+	Host    string
+	BootID  string
 	// Slots is the number of concurrent streams; 0 while the gate is closed.
 	Slots int
 	// Draining is true while a member is leaving: running requests may finish,
@@ -61,6 +64,9 @@
 	inFlight map[string]map[string]*inFlightRequest // key -> request ID -> request
 	// crashedAt is the time of each group's last crash, by key.
 	crashedAt map[string]time.Time
+	// waits are the times for which engines want no requests from this node.
+	waits  *route.HostWaits
+	onWait WaitReporter
 	// unverified counts the runs by fingerprint whose caller left and whose engine
 	// is being checked.
 	unverified map[uint64]int
@@ -92,6 +98,7 @@
 		suspects:     suspects,
 		onCrash:      onCrash,
 		crashedAt:    make(map[string]time.Time),
+		waits:        route.NewHostWaits(),
 		unverified:   make(map[uint64]int),
 		departed:     make(map[string][]departedRun),
 		engineChecks: make(chan struct{}, maxEngineChecks),
@@ -121,7 +128,7 @@
 	maps.DeleteFunc(h.crashedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= crashQuarantine })
 	for model, p := range h.pools {
 		h.targets[model] = indexTargets(targets[model])
-		p.configure(h.ctx, ranks, h.slotsLocked(targets[model]))
+		p.configure(h.ctx, ranks, h.slotsLocked(targets[model]), h.retryAfterLocked(model, now))
 	}
 	h.cancelClosedLocked()
 }
@@ -144,12 +151,13 @@
 }
 
 // usableSlotsLocked returns the number of slots of a group that may take new
-// work: 0 while the group is in quarantine after a crash. The caller holds mu.
+// work: 0 while the group is in quarantine after a crash or its engine waits, and a
+// growing part of them after a wait. The caller holds mu.
 func (h *Home) usableSlotsLocked(target Target) int {
 	if at, crashed := h.crashedAt[target.key()]; crashed && time.Since(at) < crashQuarantine {
 		return 0
 	}
-	return target.usableSlots()
+	return h.slotsAfterWaitLocked(target, time.Now())
 }
 
 // cancelClosedLocked cancels the requests in flight at groups whose gate closed
--- a/internal/request/dispatch/pool.go
+++ b/internal/request/dispatch/pool.go
@@ -220,32 +220,33 @@
 	return signals, ok
 }
 
-func (p *pool) configure(ctx context.Context, ranks []queue.Rank, groups []queue.Group) {
+func (p *pool) configure(ctx context.Context, ranks []queue.Rank, groups []queue.Group, retryAfter time.Duration) {
 	p.send(ctx, func(now time.Time) { p.scheduler.SetRanks(ranks, now) })
-	p.setGroups(ctx, groups)
+	p.setGroups(ctx, groups, retryAfter)
 }
 
-// setGroups replaces the groups and their slots.
-func (p *pool) setGroups(ctx context.Context, groups []queue.Group) {
+// setGroups replaces the groups and their slots. retryAfter is the Retry-After of queued
+// requests that none of them takes any more.
+func (p *pool) setGroups(ctx context.Context, groups []queue.Group, retryAfter time.Duration) {
 	p.send(ctx, func(now time.Time) {
 		p.slots = 0
 		for _, group := range groups {
 			p.slots += group.Slots
 		}
 		p.isolation.setGroups(groups)
-		p.returnUnservable(groups, now)
+		p.returnUnservable(groups, now, retryAfter)
 	})
 }
 
 // returnUnservable refuses the queued requests for which this home has no open
 // group left. Their entry nodes choose another home.
-func (p *pool) returnUnservable(groups []queue.Group, now time.Time) {
+func (p *pool) returnUnservable(groups []queue.Group, now time.Time, retryAfter time.Duration) {
 	for id, w := range p.waiters {
 		if hasOpenGroup(groups, w.avoid) || !p.withdraw(id, now) {
 			continue
 		}
 		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "the home node has no open group for the request any more; send the request again later")
-		p.notify(id, signal{refusal: refused.WithRetryAfter(noOpenGroupRetryAfter)})
+		p.notify(id, signal{refusal: refused.WithRetryAfter(retryAfter)})
 		delete(p.waiters, id)
 	}
 }
--- a/internal/request/dispatch/serve.go
+++ b/internal/request/dispatch/serve.go
@@ -84,9 +84,12 @@
 func (h *Home) openPool(r peer.HomeRequest) (*pool, *refusal.Error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
 	reason := "this node is not home for a group of it"
 	for key, target := range h.targets[r.Model] {
 		switch {
+		case h.waits.End(target.engine()).After(now):
+			reason = fmt.Sprintf("group %s: its engine wants no requests for now", target.Group)
 		case h.usableSlotsLocked(target) == 0:
 			reason = fmt.Sprintf("group %s: %s", target.Group, target.ClosedReason)
 		case slices.Contains(r.Avoid, key):
@@ -97,7 +100,7 @@
 	}
 	refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable,
 		fmt.Sprintf("no replica group of model %q is open here (%s); send the request again later", r.Model, reason))
-	return nil, refused.WithRetryAfter(noOpenGroupRetryAfter)
+	return nil, refused.WithRetryAfter(h.retryAfterLocked(r.Model, now))
 }
 
 func queueRequest(r peer.HomeRequest, now time.Time) queue.Request {
@@ -143,6 +146,7 @@
 		// The same error results if the engine crashes as the caller leaves.
 		h.reportIfGone(p, r, target)
 	}
+	h.observeWait(p, r.Model, target, r.RequestID, err)
 	if assembler.Complete() {
 		h.suspects.ClearSuspicion(r.Fingerprint)
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -4,10 +4,12 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
@@ -131,6 +133,8 @@
 	waitingSince time.Time
 	backoff      time.Duration
 	lastRefusal  *refusal.Error
+	// refusals are those of the homes without an open group, since the last backoff.
+	refusals []*refusal.Error
 }
 
 // callerError wraps a failed write to the caller.
@@ -212,6 +216,9 @@
 	}
 	node, ok := s.relay.Router.ChooseHome(s.request.Model, s.prefix, s.avoidNodes)
 	if !ok {
+		if refused := s.longRefusal(); refused != nil {
+			return refused, false
+		}
 		return s.waitForEndpoint(ctx, s.noHomeRefusal())
 	}
 	s.attempts++
@@ -309,9 +316,23 @@
 func (s *requestState) refusedByHome(node string, refused *refusal.Error) (*refusal.Error, bool) {
 	s.attempts--
 	s.avoidNodes[node] = true
+	s.refusals = append(s.refusals, refused)
 	return refused, refused.Kind == refusal.KindNoEndpoint
 }
 
+// longRefusal returns the refusal of the home that expects an open group first, if every
+// home has refused the request for longer than it would wait; else nil.
+func (s *requestState) longRefusal() *refusal.Error {
+	if len(s.refusals) == 0 || len(s.refusals) < len(s.avoidNodes) {
+		return nil
+	}
+	first := slices.MinFunc(s.refusals, func(a, b *refusal.Error) int { return cmp.Compare(a.RetryAfter, b.RetryAfter) })
+	if first.RetryAfter <= endpointTimeout {
+		return nil
+	}
+	return first
+}
+
 func (s *requestState) groupFailed(end *peer.End) (*refusal.Error, bool) {
 	s.avoidGroups = append(s.avoidGroups, end.Group)
 	if !end.Crashed {
@@ -376,6 +397,7 @@
 	s.backoff = min(2*s.backoff, maxEndpointBackoff)
 	clear(s.avoidNodes)
 	s.avoidGroups = nil
+	s.refusals = nil
 	return refused, true
 }
 
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -14,6 +14,9 @@
 	SlowFactor float64 `json:"slowFactor,omitempty"`
 	// LateMillis delays every reply.
 	LateMillis int64 `json:"lateMillis,omitempty"`
+	// RetryAfter, unless empty, refuses every generate request with 503 and this text
+	// as Retry-After.
+	RetryAfter string `json:"retryAfter,omitempty"`
 	// CrashMarker crashes the engine when it runs a prompt that contains it.
 	CrashMarker string `json:"crashMarker,omitempty"`
 	// BeforeCrash, unless nil, is called before CrashMarker crashes the engine.
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -41,6 +41,11 @@
 		jsonhttp.Fail(w, http.StatusBadRequest, "requestID must be set, and resumeIndex between 0 and maxTokens")
 		return
 	}
+	if retryAfter := e.Faults().RetryAfter; retryAfter != "" {
+		w.Header().Set("Retry-After", retryAfter)
+		jsonhttp.Fail(w, http.StatusServiceUnavailable, "the engine wants no requests for now")
+		return
+	}
 	s, reason := e.admit(r.Context(), request)
 	if s == nil {
 		jsonhttp.Fail(w, http.StatusConflict, reason)
