--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/standin/fault"
 	"currantladder.example/currantladder/internal/standin/jsonhttp"
 )
@@ -34,6 +35,10 @@
 type Faults struct {
 	// Outage refuses every call with 503 before it runs.
 	Outage bool `json:"outage,omitempty"`
+	// RetryAfter is the Retry-After of these refusals, in seconds as text; "" sends none.
+	RetryAfter string `json:"retryAfter,omitempty"`
+	// Leaving says in every answer that the host is about to leave.
+	Leaving bool `json:"leaving,omitempty"`
 	// Pause blocks every call before it runs. A blocked call runs after the
 	// pause even if its caller has disconnected in the meantime.
 	Pause bool `json:"pause,omitempty"`
@@ -56,6 +61,8 @@
 	Runs map[string]int `json:"runs"`
 	// Lookups counts the executions of GET and HEAD calls, by path.
 	Lookups map[string]int `json:"lookups"`
+	// Refused counts the calls that an outage refused.
+	Refused int `json:"refused"`
 }
 
 // Reply is the response body of a call that ran.
@@ -112,7 +119,7 @@
 func (s *Service) Ledger() Ledger {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Ledger{Runs: maps.Clone(s.ledger.Runs), Lookups: maps.Clone(s.ledger.Lookups)}
+	return Ledger{Runs: maps.Clone(s.ledger.Runs), Lookups: maps.Clone(s.ledger.Lookups), Refused: s.ledger.Refused}
 }
 
 // Handler returns the HTTP interface of the service: the health check GET
@@ -135,7 +142,12 @@
 		}
 	})
 	mux.HandleFunc("/", s.handleCall)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.Faults().Leaving {
+			w.Header().Set(endpoint.HeaderLeaving, "1")
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (s *Service) handleHealth(w http.ResponseWriter, r *http.Request) {
@@ -161,6 +173,9 @@
 	faults := s.nextCallFaults()
 	switch {
 	case faults.refuse:
+		if faults.retryAfter != "" {
+			w.Header().Set("Retry-After", faults.retryAfter)
+		}
 		jsonhttp.Fail(w, http.StatusServiceUnavailable, "outage")
 		return
 	case faults.cutBeforeRun:
@@ -176,6 +191,7 @@
 // callFaults is the set of faults that apply to one call.
 type callFaults struct {
 	refuse       bool
+	retryAfter   string
 	cutBeforeRun bool
 	loseReply    bool
 }
@@ -186,8 +202,12 @@
 	defer s.mu.Unlock()
 	s.calls++
 	f := &s.faults
+	if f.Outage {
+		s.ledger.Refused++
+	}
 	return callFaults{
 		refuse:       f.Outage,
+		retryAfter:   f.RetryAfter,
 		cutBeforeRun: consume(&f.CutNext) || isNth(f.CutEvery, s.calls),
 		loseReply:    consume(&f.LoseNext) || isNth(f.LoseEvery, s.calls),
 	}
