Give no lease by a late write over a row of another era

Cause: a write without an answer may be carried out seconds later, in a new era on a row with the same version. The node had learned of the era before, read its own row and took it for a write of that era: two leaders. Ruled out: late writes within an era; the version check orders them. Change: the row names the era of the row it was made from. An own row that the node does not know of gives no lease unless that is the era it was read in. Before: TestLateWriteInAnotherEraIsNoLease fails, both nodes lead.

--- a/internal/process/leader/era_test.go
+++ b/internal/process/leader/era_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/position"
 )
 
 // eraTest is a leader whose lease runs and another node, on a store that can be restored.
@@ -96,3 +98,40 @@
 		}
 	}
 }
+
+// lateWriter is a client whose next write is carried out only when late is called.
+type lateWriter struct {
+	client
+	late func()
+}
+
+func (w *lateWriter) Put(ctx context.Context, key string, expect position.Position, value json.RawMessage) (position.Position, error) {
+	if w.late != nil {
+		return w.client.Put(ctx, key, expect, value)
+	}
+	w.late = func() { _, _ = w.client.Put(ctx, key, expect, value) } // nobody gets the answer
+	return position.Position{}, errUnreachable
+}
+
+// TestLateWriteInAnotherEraIsNoLease guards against two leaders: a write without an answer
+// was carried out after the store had come back from a copy, over the row of another
+// leader, and the node believed its own row.
+func TestLateWriteInAnotherEraIsNoLease(t *testing.T) {
+	e := newEraTest()
+	e.rows.overwrite(`{"holder":"","term":1}`)
+	writer := &lateWriter{client: client{e.rows, "b"}}
+	e.other = New(writer, "b", e.clock, eventlog.Discard())
+	if _, err := e.other.step(context.Background(), eligible()); err == nil {
+		t.Fatal("got no error from a write without an answer")
+	}
+	e.rows.restore(row{}, 0)
+	e.step(t, e.leader, eligible())
+	e.now += leaseTTL + 2*takeoverMargin
+	e.step(t, e.leader, eligible())
+	e.step(t, e.other, eligible()) // it learns of the era and of the leader
+	writer.late()
+	for range 3 {
+		e.step(t, e.other, eligible())
+	}
+	e.checkOneLeads(t)
+}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -84,6 +84,9 @@
 	Holder   string `json:"holder"`
 	Term     int64  `json:"term"`
 	Renewals int64  `json:"renewals"`
+	// Era is that of the row that this one was made from. A write carried out late may
+	// replace a row of a later era that has the same version.
+	Era int64 `json:"era,omitempty"`
 }
 
 // LeaseNotice is a notice to other nodes of a leader's running lease.
@@ -347,10 +350,11 @@
 	if unusable != nil && at != c.position {
 		c.log.Log(eventlog.LeaderUnknown, eventlog.Fields{"error": unusable.Error(), "led": c.row.Holder == c.holder})
 	}
-	if at.Era != c.position.Era && c.versionSeenAt > 0 {
-		// The copy may be older than the end of a lease of this node. If it shows a write
-		// whose answer was lost, that may have replaced the row of another leader.
-		c.mustRetake = stored.Holder == c.holder && (c.row.Holder != c.holder || c.row.Term != stored.Term || c.row.Renewals < stored.Renewals)
+	if stored.Holder == c.holder && (c.row.Holder != c.holder || c.row.Term != stored.Term || c.row.Renewals < stored.Renewals) {
+		// A write whose answer was lost. In the era of the row that it was made from, it
+		// replaced that one. In another one it may have replaced the row of another
+		// leader, and a copy may be older than the end of this lease.
+		c.mustRetake = stored.Era != at.Era
 	}
 	if at != c.position || c.versionSeenAt == 0 {
 		c.moveTo(at, c.clock())
@@ -391,6 +395,7 @@
 // writeRow writes the row if it is still the one at expect, from which next was made.
 // The lease runs from before the write was sent.
 func (c *Candidate) writeRow(ctx context.Context, next row, expect position.Position) error {
+	next.Era = expect.Era
 	sent := c.clock()
 	written, err := c.putRow(ctx, next, expect)
 	if err == nil && written.Era != expect.Era {
