Heed engines that say that they leave, in serve

Cause: only the host list was read for it.

Ruled out: the answers to requests alone. Only the leading engine of a group gets requests; the other members answer probes only.

Change: Endpoint-Leaving is read from the answers to probes, which every home sends to all members of its groups and every controller to the hosts of its failure domain, and from those to requests, which come first at the leading engine. The word holds for the rest of the life of the host (`bootID` of its state). A group with such a member drains like one with a member that the list shows leaving, and its controller plans likewise.

--- a/internal/connection/endpoint/client.go
+++ b/internal/connection/endpoint/client.go
@@ -147,7 +147,9 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, statusError(address, response)
 	}
-	return NewStream(response.Body), nil
+	stream := NewStream(response.Body)
+	stream.Facts = factsOf(response)
+	return stream, nil
 }
 
 // Gone reports whether the engine at the address ended: it refuses a connection, or
--- a/internal/connection/endpoint/facts.go
+++ b/internal/connection/endpoint/facts.go
@@ -27,9 +27,12 @@
 	Wait time.Duration
 }
 
+// SaysLeaving reports whether an answer with the header says that its endpoint leaves.
+func SaysLeaving(header http.Header) bool { return header.Get(HeaderLeaving) == "1" }
+
 // factsOf decodes the facts in the head of an answer.
 func factsOf(response *http.Response) Facts {
-	facts := Facts{Leaving: response.Header.Get(HeaderLeaving) == "1"}
+	facts := Facts{Leaving: SaysLeaving(response.Header)}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		facts.Wait = DecodeWait(response.Header.Get(headerRetryAfter))
 	}
--- a/internal/connection/endpoint/protocol.go
+++ b/internal/connection/endpoint/protocol.go
@@ -12,7 +12,8 @@
 //
 // A service, and an engine asked to generate, may turn a request away with 503 and
 // Retry-After (seconds, parts of one allowed): it wants no requests from this node for so
-// long, of which at most MaxWait counts; see Facts.
+// long, of which at most MaxWait counts; see Facts. A host that is about to leave sets
+// Endpoint-Leaving: 1 in all its answers and gets no new requests.
 package endpoint
 
 import "time"
@@ -88,6 +89,8 @@
 	// Epoch is the highest fencing token that the engine has accepted.
 	Epoch int64 `json:"epoch"`
 	Slots int   `json:"slots"`
+	// Leaving is true if a probe's answer, in its header, said that the host leaves.
+	Leaving bool `json:"-"`
 }
 
 // Load is a load report. It is delayed and describes the load at AsOf.
--- a/internal/connection/endpoint/stream.go
+++ b/internal/connection/endpoint/stream.go
@@ -70,6 +70,8 @@
 
 // Stream reads the chunks of a generation that runs at an engine.
 type Stream struct {
+	// Facts are what the engine said of itself in the head of its answer.
+	Facts  Facts
 	reader *EventReader
 	body   io.ReadCloser
 }
--- a/internal/connection/health/probe.go
+++ b/internal/connection/health/probe.go
@@ -23,10 +23,10 @@
 func HTTPProbe(client *http.Client) ProbeFunc {
 	return func(ctx context.Context, host hostlist.Host) (endpoint.State, error) {
 		if host.Role == hostlist.RoleService {
-			_, err := get(ctx, client, "http://"+host.Address+"/health")
-			return endpoint.State{Host: host.Name, State: endpoint.EngineReady}, err
+			_, leaving, err := get(ctx, client, "http://"+host.Address+"/health")
+			return endpoint.State{Host: host.Name, State: endpoint.EngineReady, Leaving: leaving}, err
 		}
-		body, err := get(ctx, client, "http://"+host.Address+"/v1/state")
+		body, leaving, err := get(ctx, client, "http://"+host.Address+"/v1/state")
 		if err != nil {
 			return endpoint.State{}, err
 		}
@@ -37,26 +37,28 @@
 		if state.Host != host.Name {
 			return endpoint.State{}, fmt.Errorf("host %s: %s answers as host %q; correct the host list", host.Name, host.Address, state.Host)
 		}
+		state.Leaving = leaving
 		return state, nil
 	}
 }
 
-func get(ctx context.Context, client *http.Client, url string) ([]byte, error) {
+// get returns the body of an answer, and whether its host says that it leaves.
+func get(ctx context.Context, client *http.Client, url string) (body []byte, leaving bool, err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("GET %s: status %d", url, response.StatusCode)
+		return nil, false, fmt.Errorf("GET %s: status %d", url, response.StatusCode)
 	}
-	return body, nil
+	return body, endpoint.SaysLeaving(response.Header), nil
 }
--- a/internal/connection/health/prober.go
+++ b/internal/connection/health/prober.go
@@ -210,6 +210,8 @@
 		}
 		return next
 	}
+	// The word that a host leaves holds for the rest of its life.
+	state.Leaving = state.Leaving || before.State.Leaving && before.State.BootID == state.BootID && state.BootID != ""
 	next.State = state
 	next.SeenAt = sent
 	next.FailingSince = time.Time{}
@@ -233,5 +235,6 @@
 		before.State.Generation != after.State.Generation ||
 		before.State.ModelVersion != after.State.ModelVersion ||
 		before.State.BootID != after.State.BootID ||
+		before.State.Leaving != after.State.Leaving ||
 		before.State.Slots != after.State.Slots
 }
--- a/internal/process/node/build.go
+++ b/internal/process/node/build.go
@@ -175,7 +175,7 @@
 	n.budget = &retryBudget{budget: retry.NewBudget(), view: n.follower}
 	n.suspects = suspect.New()
 	n.home = dispatch.NewHome(n.backgroundCtx, n.endpoints, suspects{n.suspects}, n.reportCrash)
-	n.home.OnWait(n.logWait)
+	n.home.OnFacts(n.logWait, n.logLeaving)
 	n.recorder = explain.NewRecorder(s.Node.Name)
 	n.burn = burn.NewRecorder(s.Node.Name, n.follower)
 	n.relay = &relay.Relay{Homes: homes{n}, Router: n.router, Budget: n.budget, Suspects: suspects{n.suspects}, Recorder: n.recorder}
@@ -187,6 +187,11 @@
 	n.log.LogLimited(eventlog.HostWaits, eventlog.Fields{"host": target.Host, "group": target.Group, "request": requestID, "asked_ms": asked.Milliseconds(), "wait_ms": wait.Milliseconds()})
 }
 
+// logLeaving logs that an engine leaves.
+func (n *Node) logLeaving(target dispatch.Target, requestID string) {
+	n.log.LogLimited(eventlog.HostSaysLeaving, eventlog.Fields{"host": target.Host, "group": target.Group, "request": requestID})
+}
+
 // handlers returns the handler of each listener.
 func (n *Node) handlers() (callers, peers, operators http.Handler, err error) {
 	callers = callerapi.New(callerapi.Deps{
--- a/internal/process/node/engine_waits_test.go
+++ b/internal/process/node/engine_waits_test.go
@@ -123,3 +123,49 @@
 		})
 	}
 }
+
+// TestEngineThatSaysItLeavesGetsNoRequests guards against requests to a group a member of
+// which says in its answers that it leaves, while the host list shows it live.
+func TestEngineThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	const maxDelay = 500 * time.Millisecond // a probe and a plan
+	for _, scenario := range []struct {
+		name   string
+		member int
+		faults platform.Faults
+	}{
+		{"leader", 0, platform.Faults{}},
+		{"member", 1, platform.Faults{}},
+		{"leader while the store is down", 0, platform.Faults{Outage: true}},
+		{"member while the store is down", 1, platform.Faults{Outage: true}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			inFleet(t, 2, 3, func(f *fleet) {
+				placement := *f.anyNode().node.follower.Current().Placements["g0"]
+				calls := f.newCallGroup()
+				f.load(calls, "before", 100*time.Millisecond, time.Second, 200, nodeName(0), nodeName(1))
+				f.platform.SetFaults(scenario.faults)
+				f.engines[placement.Members[scenario.member]].SetFaults(engine.Faults{Leaving: true})
+				saidAt := time.Now()
+				f.load(calls, "after", 100*time.Millisecond, 10*time.Second, 30, nodeName(0), nodeName(1))
+				for _, a := range calls.wait() {
+					if !a.check(t) {
+						t.Errorf("%q: got an incomplete answer: refusal %v, error %v", a.call.prompt, a.refused, a.err)
+					}
+				}
+				used := 0
+				for _, a := range f.arrivalsAt("g0") {
+					if a.generation != placement.Generation {
+						continue
+					}
+					used++
+					if delay := a.at.Sub(saidAt); delay > maxDelay {
+						t.Errorf("got a request at the group %v after its member's word, want none later than %v", delay, maxDelay)
+					}
+				}
+				if used == 0 {
+					t.Error("group of the leaving host got no requests, want some to drain")
+				}
+			})
+		})
+	}
+}
--- a/internal/process/node/plan.go
+++ b/internal/process/node/plan.go
@@ -296,7 +296,7 @@
 	leader := observe(placement.Members[0]).State
 	target.Slots, target.BootID = leader.Slots, leader.BootID
 	for _, member := range placement.Members {
-		if hosts[member].State != hostlist.StateLive || snap.Host(member).Drain {
+		if hosts[member].State != hostlist.StateLive || snap.Host(member).Drain || observe(member).State.Leaving {
 			target.Draining = true
 			target.ClosedReason = "member " + member + " is leaving"
 		}
--- a/internal/request/dispatch/home.go
+++ b/internal/request/dispatch/home.go
@@ -65,8 +65,11 @@
 	// crashedAt is the time of each group's last crash, by key.
 	crashedAt map[string]time.Time
 	// waits are the times for which engines want no requests from this node.
-	waits  *route.HostWaits
-	onWait WaitReporter
+	waits *route.HostWaits
+	// leaving are the engines that have said in an answer that they leave.
+	leaving   *route.LeavingHosts
+	onWait    WaitReporter
+	onLeaving LeavingReporter
 	// unverified counts the runs by fingerprint whose caller left and whose engine
 	// is being checked.
 	unverified map[uint64]int
@@ -99,6 +102,7 @@
 		onCrash:      onCrash,
 		crashedAt:    make(map[string]time.Time),
 		waits:        route.NewHostWaits(),
+		leaving:      route.NewLeavingHosts(),
 		unverified:   make(map[uint64]int),
 		departed:     make(map[string][]departedRun),
 		engineChecks: make(chan struct{}, maxEngineChecks),
--- a/internal/request/dispatch/serve.go
+++ b/internal/request/dispatch/serve.go
@@ -88,6 +88,8 @@
 	reason := "this node is not home for a group of it"
 	for key, target := range h.targets[r.Model] {
 		switch {
+		case h.leaving.Leaves(target.engine(), now):
+			reason = fmt.Sprintf("group %s: its engine is leaving", target.Group)
 		case h.waits.End(target.engine()).After(now):
 			reason = fmt.Sprintf("group %s: its engine wants no requests for now", target.Group)
 		case h.usableSlotsLocked(target) == 0:
@@ -146,7 +148,7 @@
 		// The same error results if the engine crashes as the caller leaves.
 		h.reportIfGone(p, r, target)
 	}
-	h.observeWait(p, r.Model, target, r.RequestID, err)
+	h.observeFailure(p, r.Model, target, r.RequestID, err)
 	if assembler.Complete() {
 		h.suspects.ClearSuspicion(r.Fingerprint)
 	}
--- a/internal/request/dispatch/stream.go
+++ b/internal/request/dispatch/stream.go
@@ -38,6 +38,7 @@
 		return watchdog.withCause(err)
 	}
 	defer stream.Close()
+	h.observe(p, r.Model, target, r.RequestID, stream.Facts)
 	reported := assembler.Next()
 	for !assembler.Complete() {
 		chunk, err := stream.Next()
--- a/internal/request/dispatch/waits_test.go
+++ b/internal/request/dispatch/waits_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/request/queue"
+	"currantladder.example/currantladder/internal/request/refusal"
 )
 
 // TestSlotsAroundWait verifies the slots that a group offers in and after the wait of its
@@ -21,7 +26,7 @@
 	target := Target{Group: "g", Generation: 1, Address: "e:1", BootID: "1", Slots: 10}
 	h.Configure([]queue.Rank{{Name: "urgent", QueueBound: 8}}, map[string][]Target{"m": {target}})
 	asked := &endpoint.CallError{MaybeSent: true, Status: 503, Facts: endpoint.Facts{Wait: 10 * time.Second}}
-	h.observeWait(h.pools["m"], "m", target, "r", asked)
+	h.observeFailure(h.pools["m"], "m", target, "r", asked)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	end := h.waits.End(target.engine())
@@ -62,7 +67,7 @@
 	present := Target{Group: "g", Generation: 2, Address: "e:1", BootID: "2", Slots: 10}
 	h.Configure([]queue.Rank{{Name: "urgent", QueueBound: 8}}, map[string][]Target{"m": {present}})
 	ask := func(target Target, wait time.Duration) {
-		h.observeWait(h.pools["m"], "m", target, "r", &endpoint.CallError{Status: 503, Facts: endpoint.Facts{Wait: wait}})
+		h.observeFailure(h.pools["m"], "m", target, "r", &endpoint.CallError{Status: 503, Facts: endpoint.Facts{Wait: wait}})
 	}
 	ask(present, 10*time.Second)
 	ask(former, 30*time.Second)
@@ -72,3 +77,44 @@
 		t.Errorf("got a wait of %v, want that of the present process, 10s", wait)
 	}
 }
+
+// TestWordOfLeavingInAnAnswerClosesTheGroup guards against requests to an engine between
+// its first answer that says that it leaves and the next probe of it.
+func TestWordOfLeavingInAnAnswerClosesTheGroup(t *testing.T) {
+	requests := 0
+	d := newDepartureTest(t, func(w http.ResponseWriter, r *http.Request) {
+		readBody(r)
+		requests++
+		w.Header().Set(endpoint.HeaderLeaving, "1")
+		_, _ = io.WriteString(w, "data: {\"requestID\":\"r\",\"index\":0,\"finish\":\"length\"}\n\ndata: [DONE]\n\n") // a failed write fails the run
+	})
+	target := Target{Group: "g", Address: strings.TrimPrefix(d.engine.URL, "http://"), BootID: "1", Slots: 4}
+	ranks := []queue.Rank{{Name: "urgent", Priority: 1, QueueBound: 8}}
+	ask := func() (refused *refusal.Error) {
+		request := peer.HomeRequest{RequestID: "r", Model: "m", Rank: "urgent", Prompt: "p", MaxTokens: 8}
+		if err := d.home.Serve(context.Background(), request, func(f peer.Frame) error {
+			if f.End != nil {
+				refused = f.End.Refusal
+			}
+			return nil
+		}); err != nil {
+			t.Fatal(err)
+		}
+		return refused
+	}
+	d.home.Configure(ranks, map[string][]Target{"m": {target}})
+	if refused := ask(); refused != nil {
+		t.Fatalf("got %v, want an answer: the engine finishes what it has", refused)
+	}
+	for range 3 {
+		d.home.Configure(ranks, map[string][]Target{"m": {target}})
+		if refused := ask(); refused == nil || refused.Ran != refusal.RanNo || requests != 1 {
+			t.Errorf("got %v and %d requests at the engine, want a refusal and 1", refused, requests)
+		}
+	}
+	target.BootID = "2"
+	d.home.Configure(ranks, map[string][]Target{"m": {target}})
+	if refused := ask(); refused != nil || requests != 2 {
+		t.Errorf("after the restart: got %v and %d requests, want an answer and 2", refused, requests)
+	}
+}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -14,6 +14,8 @@
 	SlowFactor float64 `json:"slowFactor,omitempty"`
 	// LateMillis delays every reply.
 	LateMillis int64 `json:"lateMillis,omitempty"`
+	// Leaving says in every answer that the host is about to leave.
+	Leaving bool `json:"leaving,omitempty"`
 	// RetryAfter, unless empty, refuses every generate request with 503 and this text
 	// as Retry-After.
 	RetryAfter string `json:"retryAfter,omitempty"`
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -39,6 +39,9 @@
 		if e.gate.Pass(ctx) != nil || !e.Alive() {
 			jsonhttp.Abort()
 		}
+		if e.Faults().Leaving {
+			w.Header().Set(endpoint.HeaderLeaving, "1")
+		}
 		next(w, r)
 	}
 }
--- a/internal/version/groupcontrol/input.go
+++ b/internal/version/groupcontrol/input.go
@@ -109,7 +109,7 @@
 		Address:      h.Address,
 		FabricDomain: h.FabricDomain,
 		Listed:       true,
-		Leaving:      h.State == hostlist.StateLeaving,
+		Leaving:      h.State == hostlist.StateLeaving || seen.State.Leaving,
 		Drain:        view.Host(h.Name).Drain,
 		Observed:     !seen.SeenAt.IsZero(),
 		State:        seen.State,
