Send an idempotent call that was turned away to another endpoint

What callers saw: the first call at an endpoint that answers 503 with Retry-After got this 503 while other endpoints took calls.

Ruled out: the same for other calls. A 503 does not say that the call did not run.

Change: for calls declared idempotent such an answer counts as a failed attempt, within the rank's retry budget. It is passed on if no other endpoint takes the call.

--- a/internal/process/callerapi/services.go
+++ b/internal/process/callerapi/services.go
@@ -93,30 +93,43 @@
 }
 
 // callIdempotent runs a call and retries it on other endpoints within the
-// rank's retry budget.
+// rank's retry budget. The answer of an endpoint that turned it away and wants no calls
+// for a time is passed on only if no other endpoint takes the call.
 func (s *Server) callIdempotent(ctx context.Context, w http.ResponseWriter, current *callerRequest, call *serviceCall) *refusal.Error {
 	s.deps.Relay.Budget.RecordFirstAttempt(current.rank.Name, time.Now())
 	avoid := make(map[string]bool)
 	maybeSent := false
+	var turnedAway *endpoint.ServiceAnswer
 	for attempt := 1; ; attempt++ {
 		answer, host, err := s.callEndpoint(ctx, call, avoid)
-		if err == nil {
-			writeAnswer(w, toClaimAnswer(answer))
-			s.observeComplete(current)
-			return nil
-		}
 		var none *noEndpointError
-		if errors.As(err, &none) {
+		switch {
+		case err == nil && answer.Facts.Wait == 0:
+			return s.passOn(w, current, answer)
+		case err == nil:
+			turnedAway = &answer
+		case errors.As(err, &none) && turnedAway == nil:
 			return none.refusal(maybeSent)
 		}
-		maybeSent = maybeSent || endpoint.MayHaveBeenSent(err)
+		maybeSent = maybeSent || err == nil || endpoint.MayHaveBeenSent(err)
 		avoid[host] = true
-		if ctx.Err() != nil || !s.deps.Relay.Budget.Retry(current.rank.Name, attempt, time.Now()) {
-			return serviceFailed(call.name, err, maybeSent)
+		if none == nil && ctx.Err() == nil && s.deps.Relay.Budget.Retry(current.rank.Name, attempt, time.Now()) {
+			continue
 		}
+		if turnedAway != nil {
+			return s.passOn(w, current, *turnedAway)
+		}
+		return serviceFailed(call.name, err, maybeSent)
 	}
 }
 
+// passOn writes the answer of an endpoint to the caller.
+func (s *Server) passOn(w http.ResponseWriter, current *callerRequest, answer endpoint.ServiceAnswer) *refusal.Error {
+	writeAnswer(w, toClaimAnswer(answer))
+	s.observeComplete(current)
+	return nil
+}
+
 // callNonIdempotent claims a call and passes it to at most one connection. If an
 // earlier call with the same key was recorded, it returns that call's answer.
 func (s *Server) callNonIdempotent(ctx context.Context, w http.ResponseWriter, current *callerRequest, call *serviceCall) *refusal.Error {
--- a/internal/process/node/service_waits_test.go
+++ b/internal/process/node/service_waits_test.go
@@ -224,3 +224,51 @@
 		}
 	})
 }
+
+// TestTurnedAwayCallGoesElsewhere guards against a caller that gets the 503 of an endpoint
+// while another one takes its idempotent call, and against a second run of another call.
+func TestTurnedAwayCallGoesElsewhere(t *testing.T) {
+	away := service.Faults{Outage: true, RetryAfter: "1"}
+	t.Run("idempotent", func(t *testing.T) {
+		inFleet(t, 1, 1, func(f *fleet) {
+			f.serviceHosts["service-0"].SetFaults(away)
+			for i := range 8 {
+				if answer := f.askService(http.MethodGet, "/lanes", ""); answer.status != http.StatusOK || answer.host != "service-1" {
+					t.Errorf("call %d: got %+v, want an answer of service-1", i, answer)
+				}
+			}
+			if n := f.serviceHosts["service-0"].Ledger().Refused; n != 1 {
+				t.Errorf("the host refused %d calls, want 1", n)
+			}
+		})
+	})
+	t.Run("no other endpoint", func(t *testing.T) {
+		inFleet(t, 1, 1, func(f *fleet) {
+			for _, host := range f.serviceHosts {
+				host.SetFaults(away)
+			}
+			if answer := f.askService(http.MethodGet, "/lanes", ""); answer.status != http.StatusServiceUnavailable || answer.refused != nil {
+				t.Errorf("got %+v, want the answer of an endpoint", answer)
+			}
+			for name, host := range f.serviceHosts {
+				if n := host.Ledger().Refused; n != 1 {
+					t.Errorf("host %s refused %d calls, want 1", name, n)
+				}
+			}
+		})
+	})
+	t.Run("not idempotent", func(t *testing.T) {
+		inFleet(t, 1, 1, func(f *fleet) {
+			refused := 0
+			f.serviceHosts["service-0"].SetFaults(away)
+			for i := range 4 {
+				if answer := f.askService(http.MethodPost, "/book", strconv.Itoa(i)); answer.status == http.StatusServiceUnavailable {
+					refused++
+				}
+			}
+			if refused != 1 || len(f.serviceHosts["service-1"].Ledger().Runs) != 3 {
+				t.Errorf("got %d refused calls, runs %v; want 1 passed on as it is and 3 others run", refused, f.serviceHosts["service-1"].Ledger().Runs)
+			}
+		})
+	})
+}
