Hold copies of a request until its earlier run is found sound

Cause: an engine that crashes a few milliseconds after its caller left passes the first check, and the next one comes 50 ms later. Copies that arrived in that time were isolated but ran, on further engines. Copies of a suspect that arrived together ran at the same time on all groups reserved for suspects. Both cost a third engine.

Change: the home holds a copy while an earlier run of it is being checked, its caller left in the last 0.5 s, or the request is suspect and a run of it is at work; 2 s at most in all, and until its caller leaves. The last look is taken together with the start of the run. A verdict wakes the held copies; if the engine is sound they run on shared groups and are not isolated. A reported crash ends the watch of that engine.

--- a/internal/request/dispatch/crash.go
+++ b/internal/request/dispatch/crash.go
@@ -100,7 +100,13 @@
 func (h *Home) dropDeparted(key string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.departed[key] = slices.DeleteFunc(h.departed[key], func(d departedRun) bool { return time.Since(d.at) >= departedWindow })
+	h.departed[key] = slices.DeleteFunc(h.departed[key], func(d departedRun) bool {
+		if time.Since(d.at) < departedWindow {
+			return false
+		}
+		h.wakeHeld(d.fingerprint)
+		return true
+	})
 	if len(h.departed[key]) > 0 {
 		return true
 	}
@@ -125,6 +131,7 @@
 	h.unverified[fingerprint] += count
 	if h.unverified[fingerprint] == 0 {
 		delete(h.unverified, fingerprint)
+		h.wakeHeld(fingerprint)
 	}
 }
 
@@ -170,8 +177,12 @@
 	for _, d := range h.departed[key] {
 		fingerprints = append(fingerprints, d.fingerprint)
 	}
+	delete(h.departed, key)
 	if h.onCrash != nil {
 		h.onCrash(target.Group, fingerprints)
 	}
+	for _, fingerprint := range fingerprints {
+		h.wakeHeld(fingerprint)
+	}
 	p.setGroups(h.ctx, h.slotsLocked(slices.Collect(maps.Values(h.targets[model]))))
 }
--- a/internal/request/dispatch/home.go
+++ b/internal/request/dispatch/home.go
@@ -67,6 +67,12 @@
 	// departed contains the runs by group whose caller left within departedWindow
 	// while the engine was at work.
 	departed map[string][]departedRun
+	// copies counts the requests in flight by fingerprint.
+	copies map[uint64]int
+	// held is the number of copies that are held, and changed has a channel by
+	// fingerprint that wakes them.
+	held     int
+	changed  map[uint64]chan struct{}
 	priority map[string]int
 	loops    sync.WaitGroup
 	// engineChecks has an element for each engine that is being checked.
@@ -94,6 +100,8 @@
 		crashedAt:    make(map[string]time.Time),
 		unverified:   make(map[uint64]int),
 		departed:     make(map[string][]departedRun),
+		copies:       make(map[uint64]int),
+		changed:      make(map[uint64]chan struct{}),
 		engineChecks: make(chan struct{}, maxEngineChecks),
 		pools:        make(map[string]*pool),
 		targets:      make(map[string]map[string]Target),
--- a/internal/request/dispatch/serve.go
+++ b/internal/request/dispatch/serve.go
@@ -27,7 +27,16 @@
 // passed the terminal chunk or an End frame, or with the error of sink or ctx.
 func (h *Home) Serve(ctx context.Context, r peer.HomeRequest, sink Sink) error {
 	offeredAt := time.Now()
+	mayHold := maxHold
 	for {
+		held, refused := h.hold(ctx, r, mayHold)
+		if refused != nil {
+			return sink(endFrame(peer.EndRefused, "", refused, false))
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		mayHold -= held
 		refuse, isolate := h.checkSuspect(r.Fingerprint)
 		if refuse {
 			return sink(endFrame(peer.EndRefused, "", refusal.NewCrashSuspect(), false))
@@ -50,7 +59,11 @@
 			case s.refusal != nil:
 				return sink(endFrame(peer.EndRefused, "", s.refusal, false))
 			case !h.becameSuspect(r):
-				return h.runAssigned(ctx, p, r, s.group, signals, offeredAt, sink)
+				err := h.runAssigned(ctx, p, r, s.group, signals, offeredAt, mayHold > 0, sink)
+				if !errors.Is(err, errHeld) {
+					return err
+				}
+				continue
 			}
 			// The suspicion against the request arose or grew while it
 			// waited: free the slot and check it again.
@@ -116,12 +129,17 @@
 	return request
 }
 
-// runAssigned runs the request on the group that the scheduler chose.
-func (h *Home) runAssigned(ctx context.Context, p *pool, r peer.HomeRequest, key string, signals <-chan signal, offeredAt time.Time, sink Sink) error {
+// runAssigned runs the request on the group that the scheduler chose. If mayHold is true
+// and the request must not start yet, it frees the slot and returns errHeld.
+func (h *Home) runAssigned(ctx context.Context, p *pool, r peer.HomeRequest, key string, signals <-chan signal, offeredAt time.Time, mayHold bool, sink Sink) error {
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	target, open := h.register(r, key, cancel)
-	if !open {
+	target, err := h.register(r, key, mayHold, cancel)
+	if errors.Is(err, errHeld) {
+		p.finish(h.ctx, r.RequestID, 0)
+		return err
+	}
+	if err != nil {
 		p.finish(h.ctx, r.RequestID, 0)
 		refused := refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "replica group "+key+" closed before the request started; send it again")
 		return sink(endFrame(peer.EndRefused, key, refused, false))
@@ -130,12 +148,12 @@
 	defer stop()
 	wait := time.Since(offeredAt)
 	if err := sink(peer.Frame{Assigned: &peer.Assigned{Group: key, WaitMillis: wait.Milliseconds()}}); err != nil {
-		h.unregister(key, r.RequestID)
+		h.unregister(key, r)
 		p.finish(h.ctx, r.RequestID, 0)
 		return err
 	}
 	assembler := answer.New(r.RequestID, r.ResumeIndex, "")
-	err := h.stream(runCtx, p, r, target, assembler, sink)
+	err = h.stream(runCtx, p, r, target, assembler, sink)
 	crashed := err != nil && ctx.Err() == nil && isCrash(runCtx, err)
 	if crashed {
 		h.reportCrash(p, r.Model, target)
@@ -146,7 +164,7 @@
 	if assembler.Complete() {
 		h.suspects.ClearSuspicion(r.Fingerprint)
 	}
-	h.unregister(key, r.RequestID)
+	h.unregister(key, r)
 	p.finish(h.ctx, r.RequestID, int64(assembler.Next()-r.ResumeIndex))
 	var sinkErr *sinkError
 	switch {
@@ -196,27 +214,37 @@
 	return func() { close(done) }
 }
 
-// register adds the request to those in flight at the group. It reports false
-// if the group takes no new work any more.
-func (h *Home) register(r peer.HomeRequest, key string, cancel context.CancelCauseFunc) (Target, bool) {
+// register adds the request to those in flight at the group. It returns errGateClosed
+// if the group takes no new work any more, and errHeld if mayHold is true and the request
+// must not start yet.
+func (h *Home) register(r peer.HomeRequest, key string, mayHold bool, cancel context.CancelCauseFunc) (Target, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	target := h.targets[r.Model][key]
 	if h.usableSlotsLocked(target) == 0 {
-		return target, false
+		return target, errGateClosed
+	}
+	if mayHold && h.mustHold(r.Fingerprint) {
+		return target, errHeld
 	}
 	if h.inFlight[key] == nil {
 		h.inFlight[key] = make(map[string]*inFlightRequest)
 	}
 	h.inFlight[key][r.RequestID] = &inFlightRequest{group: target.Group, fingerprint: r.Fingerprint, cancel: cancel}
-	return target, true
+	h.copies[r.Fingerprint]++
+	return target, nil
 }
 
-func (h *Home) unregister(key, requestID string) {
+func (h *Home) unregister(key string, r peer.HomeRequest) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.inFlight[key], requestID)
+	delete(h.inFlight[key], r.RequestID)
 	if len(h.inFlight[key]) == 0 {
 		delete(h.inFlight, key)
 	}
+	h.copies[r.Fingerprint]--
+	if h.copies[r.Fingerprint] == 0 {
+		delete(h.copies, r.Fingerprint)
+	}
+	h.wakeHeld(r.Fingerprint)
 }
