Keep the group of a suspect until its engine is found sound

Cause, from a trace of TestCrashJustAfterTheCallerLeftBlamesTheRequest: the caller of an isolated suspect leaves, the first check finds the engine alive and the group is free again. Another request gets a slot there and the engine crashes. Both are blamed with 1/2, so the suspect stays below the refusal threshold (1/2 + 1/2 against 1 + 1/256) and crashes a third engine.

--- a/internal/request/dispatch/hold.go
+++ b/internal/request/dispatch/hold.go
@@ -48,11 +48,28 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	for ctx.Err() == nil && h.mustHold(r.Fingerprint) {
-		changed := h.changed[r.Fingerprint]
+	h.waitWhile(ctx, r.Fingerprint, h.mustHold)
+	return time.Since(began), nil
+}
+
+// awaitVerdict blocks until no engine is watched on behalf of the request any more, at
+// most departedWindow and the check after it.
+func (h *Home) awaitVerdict(fingerprint uint64) {
+	ctx, cancel := context.WithTimeout(h.ctx, departedWindow+departedCheckInterval+engineCheckTimeout)
+	defer cancel()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waitWhile(ctx, fingerprint, h.hasDeparted)
+}
+
+// waitWhile blocks while the condition is true of the request, or until ctx ends. The
+// caller must hold mu, which is free during the wait.
+func (h *Home) waitWhile(ctx context.Context, fingerprint uint64, condition func(uint64) bool) {
+	for ctx.Err() == nil && condition(fingerprint) {
+		changed := h.changed[fingerprint]
 		if changed == nil {
 			changed = make(chan struct{})
-			h.changed[r.Fingerprint] = changed
+			h.changed[fingerprint] = changed
 		}
 		h.mu.Unlock()
 		select {
@@ -61,7 +78,6 @@
 		}
 		h.mu.Lock()
 	}
-	return time.Since(began), nil
 }
 
 // wakeHeld wakes the held copies of a request, so that they look again whether they may
--- a/internal/request/dispatch/hold_test.go
+++ b/internal/request/dispatch/hold_test.go
@@ -22,8 +22,10 @@
 
 const (
 	holdGroups = 8
-	// copyFingerprint is the fingerprint of the requests that are copies of each other.
+	// copyFingerprint and copyPrompt are those of the requests that are copies of each
+	// other.
 	copyFingerprint = 7
+	copyPrompt      = "copy"
 )
 
 // trackedSuspects refuses and isolates as a tracker decides.
@@ -47,7 +49,7 @@
 }
 
 // inHold runs body with a home whose engines work for runTime on each run, also after
-// its caller left. Then they crash if crash is true, or else answer.
+// its caller left. Then they answer, or crash if crash is true and the run is a copy.
 func inHold(t *testing.T, runTime time.Duration, crash bool, body func(*holdTest)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -90,8 +92,10 @@
 		}
 		time.Sleep(runTime)
 		d.running.Add(-1)
-		if crash && gone.CompareAndSwap(false, true) {
+		if crash && request.Prompt == copyPrompt && gone.CompareAndSwap(false, true) {
 			d.crashed.Add(1)
+		}
+		if gone.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		data, err := json.Marshal(endpoint.Chunk{RequestID: request.RequestID, Finish: endpoint.FinishLength})
@@ -113,13 +117,19 @@
 // of earlier ones, as if other work had taken their slots. It returns the refusal, if any.
 func (d *holdTest) send(t *testing.T, id string, timeout time.Duration) *peer.End {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	var end *peer.End
-	request := peer.HomeRequest{RequestID: id, Model: "m", Rank: "urgent", Prompt: "p", MaxTokens: 8, Fingerprint: copyFingerprint}
+	request := peer.HomeRequest{RequestID: id, Model: "m", Rank: "urgent", Prompt: copyPrompt, MaxTokens: 8, Fingerprint: copyFingerprint}
 	d.mu.Lock()
 	request.Avoid = slices.Clone(d.used)
 	d.mu.Unlock()
+	return d.serve(t, request, timeout)
+}
+
+// serve is send for any request, which avoids no group.
+func (d *holdTest) serve(t *testing.T, request peer.HomeRequest, timeout time.Duration) *peer.End {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var end *peer.End
 	err := d.home.Serve(ctx, request, func(f peer.Frame) error {
 		if f.Assigned != nil {
 			d.mu.Lock()
@@ -132,7 +142,7 @@
 		return nil
 	})
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		t.Errorf("copy %s: got error %v, want none or that the caller left", id, err)
+		t.Errorf("request %s: got error %v, want none or that the caller left", request.RequestID, err)
 	}
 	return end
 }
@@ -225,3 +235,34 @@
 		}
 	})
 }
+
+// TestDepartedSuspectKeepsItsGroup covers other requests that arrive between the departure
+// of a suspect's caller and the crash of its engine. None may share the blame.
+func TestDepartedSuspectKeepsItsGroup(t *testing.T) {
+	const (
+		runTime, timeout = 40 * time.Millisecond, 30 * time.Millisecond
+		others           = 4 * holdGroups
+	)
+	inHold(t, runTime, true, func(d *holdTest) {
+		d.tracker.Lost(suspect.Loss{Endpoint: "before", InFlight: []uint64{copyFingerprint, 8, 9}}, time.Now())
+		var calls sync.WaitGroup
+		calls.Go(func() { d.send(t, "suspect", timeout) })
+		time.Sleep(timeout + time.Millisecond)
+		for i := range others {
+			calls.Go(func() {
+				request := peer.HomeRequest{RequestID: fmt.Sprint(i), Model: "m", Rank: "urgent", Prompt: "other", MaxTokens: 8, Fingerprint: uint64(100 + i)}
+				if end := d.serve(t, request, time.Minute); end != nil {
+					t.Errorf("other request %d: got the end %+v, want an answer", i, end)
+				}
+			})
+		}
+		calls.Wait()
+		time.Sleep(departedWindow)
+		if n := d.crashed.Load(); n != 1 {
+			t.Fatalf("got %d crashed engines, want 1", n)
+		}
+		if v := d.tracker.Verdict(copyFingerprint, time.Now()); !v.Refuse {
+			t.Errorf("the suspect has weight %v after its engine crashed, want at least %v", v.Weight, suspect.RefusalThreshold)
+		}
+	})
+}
--- a/internal/request/dispatch/serve.go
+++ b/internal/request/dispatch/serve.go
@@ -160,6 +160,10 @@
 	} else if ctx.Err() != nil && err != nil && endpoint.MayHaveBeenSent(err) {
 		// The same error results if the engine crashes as the caller leaves.
 		h.reportIfGone(p, r, target)
+		if r.Isolate {
+			// Other requests on the group would share the blame for a crash.
+			h.awaitVerdict(r.Fingerprint)
+		}
 	}
 	if assembler.Complete() {
 		h.suspects.ClearSuspicion(r.Fingerprint)
