Begin no attempt for a stream whose request has ended

Cause, by reading (review): a tick that coincides with the end of the request could begin an attempt that is cancelled at once, and charge it. Change: the wait for room looks at the end of the request first. No test shows it: which of the two the select takes is up to chance. Measured: internal/request/forward passes.

--- a/internal/request/forward/stream_room.go
+++ b/internal/request/forward/stream_room.go
@@ -44,7 +44,7 @@
 // wait is over. It reports whether the request is finished.
 func (s *streamState) checkRoom(ctx context.Context, now time.Time) bool {
 	awaited := s.awaited
-	if now.Before(s.nextMoveAt) {
+	if ctx.Err() != nil || now.Before(s.nextMoveAt) {
 		return false
 	}
 	s.nextMoveAt = now.Add(MoveBackoff)
