Soak hosts that say they leave or want no requests for a time

Change: the stand-in hosts say in their answers that they leave while their registration does not, and turn requests away with any Retry-After or none. Four faults make heads of groups and plain hosts do so. A judge compares what reached each host with what callers sent and were answered: over 2 s after a node passed on that a host leaves, nothing sent later may reach the host from it; at most two requests within a time, from 0.5 s after the refusal. Excused is a node that was killed, frozen or started in between; for times also a host whose connections the soak itself held or cut then, because the node may not have had the answer.

Ruled out: the faults among those of default runs. They are played by name (--fault).

--- a/cmd/currantladder/soak.go
+++ b/cmd/currantladder/soak.go
@@ -25,7 +25,7 @@
 	sub.Int(&nodes, "", "nodes", "Number of nodes.")
 	sub.Int(&seconds, "", "seconds", "Seconds during which new faults are started, for each seed.")
 	sub.String(&dir, "", "dir", "Folder that keeps settings and logs of failed seeds; by default the system's temporary folder.")
-	sub.StringSlice(&faults, "", "fault", "Name of a fault to inject, several times for more; by default all: "+strings.Join(soak.FaultNames(), ", ")+".")
+	sub.StringSlice(&faults, "", "fault", "Name of a fault to inject, several times for more; by default all: "+strings.Join(soak.FaultNames(), ", ")+"; and only by name: "+strings.Join(soak.FaultNamesOnRequest(), ", ")+".")
 	sub.Bool(&quiet, "", "quiet", "Print results only.")
 	return command{sub: sub, run: func(ctx context.Context) error {
 		options := soak.Options{Seed: seed, InjectionDuration: time.Duration(seconds) * time.Second, Nodes: nodes, Faults: faults}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,8 +32,13 @@
 	inject func(s *Soak, r *rand.Rand)
 }
 
-// faults lists all kinds of fault. Each is chosen with equal probability.
-var faults = slices.Concat(unplannedFaults, silenceFaults, oddFaults, plannedFaults)
+// faults lists the kinds of fault that a run chooses from by default, each with equal
+// probability. faultsByName are the others. A new kind among the former changes the schedules
+// of all seeds.
+var (
+	faults       = slices.Concat(unplannedFaults, silenceFaults, oddFaults, plannedFaults)
+	faultsByName = wordFaults
+)
 
 var unplannedFaults = []fault{
 	{"kill node", func(s *Soak, r *rand.Rand) {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +29,8 @@
 	// ending is true from a terminating signal to the next start.
 	ending    bool
 	startedAt time.Time
+	// starts are the times of all starts.
+	starts []time.Time
 	// onOwnEnd is called when the process ends without a terminating signal.
 	onOwnEnd func(state *os.ProcessState)
 }
@@ -100,6 +103,7 @@
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", n.name, err)
 	}
+	n.starts = append(n.starts, time.Now())
 	exited := make(chan struct{})
 	n.command, n.exited, n.paused, n.ending, n.startedAt = command, exited, false, false, time.Now()
 	go func() {
@@ -117,6 +121,13 @@
 	return nil
 }
 
+// startedWithin reports whether the process was started in a span of time.
+func (n *node) startedWithin(from, to time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(n.starts, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 // reloadAfterStart is how long after its start a process gets no SIGHUP, which ends a process
 // that has not reached its first statement.
 const reloadAfterStart = 500 * time.Millisecond
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -101,6 +101,8 @@
 	// modelHostsAdded is the number of model hosts started so far. The IDs of
 	// new ones continue from it.
 	modelHostsAdded int
+	// speaking holds the hosts that a fault makes say something of themselves.
+	speaking map[*standin.Host]bool
 	// revision is the last revision of the configuration in the store.
 	revision int64
 	// variation is what the last revision says.
@@ -108,6 +110,12 @@
 	// timeouts are the route timeouts of all revisions.
 	timeouts []writtenTimeout
 
+	// progressMu orders the lines of progress.
+	progressMu sync.Mutex
+
+	// sent holds the requests of the callers.
+	sent sentRequests
+
 	requestsServed, requestsSent atomic.Int64
 }
 
@@ -140,7 +148,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	s := &Soak{options: o, store: standin.NewStore(), ledger: standin.NewLedger(), started: time.Now()}
+	s := &Soak{options: o, store: standin.NewStore(), ledger: standin.NewLedger(), speaking: map[*standin.Host]bool{}, started: time.Now()}
 	server := httptest.NewServer(s.store)
 	defer server.Close()
 	s.fleet = standin.NewFleet(s.store, s.ledger, hostTiming, groupSizes)
@@ -264,9 +272,7 @@
 	for end := time.Now().Add(s.options.InjectionDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		f := chosen[r.Intn(len(chosen))]
 		faultRand := rand.New(rand.NewSource(r.Int63()))
-		if s.options.Progress != nil {
-			fmt.Fprintf(s.options.Progress, "seed %d: %v: %s\n", s.options.Seed, time.Since(s.started).Round(time.Millisecond), f.name)
-		}
+		s.progress("%s", f.name)
 		active.Go(func() {
 			if strings.Contains(f.name, "node") && !strings.Contains(f.name, "store") {
 				nodeFaults.Lock()
@@ -291,17 +297,23 @@
 	}
 	var chosen []fault
 	for _, name := range names {
-		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		all := slices.Concat(faults, faultsByName)
+		i := slices.IndexFunc(all, func(f fault) bool { return f.name == name })
 		if i < 0 {
-			return nil, fmt.Errorf("unknown fault %q: choose from %q", name, FaultNames())
+			return nil, fmt.Errorf("unknown fault %q: choose from %q and %q", name, FaultNames(), FaultNamesOnRequest())
 		}
-		chosen = append(chosen, faults[i])
+		chosen = append(chosen, all[i])
 	}
 	return chosen, nil
 }
 
-// FaultNames returns the names of all kinds of fault.
-func FaultNames() []string {
+// FaultNames returns the names of the kinds of fault that a run chooses from by default.
+func FaultNames() []string { return faultNames(faults) }
+
+// FaultNamesOnRequest returns the names of the kinds of fault that are played only by name.
+func FaultNamesOnRequest() []string { return faultNames(faultsByName) }
+
+func faultNames(faults []fault) []string {
 	var names []string
 	for _, f := range faults {
 		names = append(names, f.name)
@@ -338,6 +350,7 @@
 			channel.OpenDelay = openDelays[i%len(openDelays)]
 		}
 		request.sentAt = time.Now().Add(channel.OpenDelay)
+		s.sent.add(id, s.nodes[node], request.sentAt)
 		switch i % 5 {
 		case 0:
 			outcome = caller.Call(ctx, http.MethodPost, address, "/unsafe/1", id, requestTimeout)
@@ -347,6 +360,9 @@
 			request.mayRunAt = models
 			outcome = caller.Stream(ctx, address, "/stream/1", id, 10+i%30, requestTimeout)
 		}
+		if outcome.Complete {
+			s.sent.passedOn(id, time.Now())
+		}
 		s.judge(request, outcome)
 		s.requestsSent.Add(1)
 		if outcome.Complete {
@@ -398,6 +414,16 @@
 	}
 }
 
+// progress writes a line about the run if the options ask for it.
+func (s *Soak) progress(format string, args ...any) {
+	if s.options.Progress == nil {
+		return
+	}
+	s.progressMu.Lock()
+	defer s.progressMu.Unlock()
+	fmt.Fprintf(s.options.Progress, "seed %d: %v: %s\n", s.options.Seed, time.Since(s.started).Round(time.Millisecond), fmt.Sprintf(format, args...))
+}
+
 // recordHarnessError records an error of the harness as a violation, so that
 // the run fails.
 func (s *Soak) recordHarnessError(err error) {
