Log the end of a host's time without requests

What operators saw: event 1380 says who asked for no requests, in the answer to which request and until when, but nothing said that the time had ended or how much was kept from the host.

Change: event 1381 when the time ends and the host is filled again, with how long it waited and how many choices left it out.

Several 1380 may belong to one 1381: each later end is one.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -95,6 +95,7 @@
 	StreamStayed           = Event{1371, logrus.InfoLevel, "silent host went on; the stream stays at its group"}
 	StreamAwaitsRoom       = Event{1372, logrus.WarnLevel, "attempt of a stream that has begun failed and no group has room; the stream waits"}
 	HostWaits              = Event{1380, logrus.InfoLevel, "host refused a request and wants no others for a time"}
+	HostFilledAgain        = Event{1381, logrus.InfoLevel, "time without requests that a host asked for has ended; it is filled again"}
 	RequestPanicked        = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
 
@@ -193,6 +194,7 @@
 	StreamStayed,
 	StreamAwaitsRoom,
 	HostWaits,
+	HostFilledAgain,
 	LeaderElected,
 	LeaderLost,
 	LeaderUnknown,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -299,8 +299,8 @@
 	}
 }
 
-// housekeep removes hosts that did not register again, drops their counts and
-// logs when the node becomes ready. It runs until ctx ends.
+// housekeep removes hosts that did not register again, drops their counts, and logs
+// when waits of hosts end and when the node becomes ready. It runs until ctx ends.
 func (g *Gateway) housekeep(ctx context.Context) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
@@ -314,6 +314,7 @@
 			g.builder.applyDeferredHosts(now)
 			view := g.view.Load()
 			g.board.RemoveUnregistered(view)
+			g.logEndedWaits(view, now)
 			g.peers.applyFindings(g.poison.Reconsider(now))
 			if !ready && view.Configuration != nil && view.HostsKnown {
 				ready = true
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -57,7 +57,7 @@
 	returns map[string]*rate.Limiter
 	// waits holds the hosts that ask for no requests, by ID. An entry outlives the
 	// host's registration, which may lapse and come back within one life.
-	waits map[string]wait
+	waits map[string]*wait
 	// random returns numbers in [0, 1).
 	random func() float64
 }
@@ -95,7 +95,7 @@
 // NewBoardFrom returns an empty board that takes its random numbers in [0, 1)
 // from the given source.
 func NewBoardFrom(random func() float64) *Board {
-	return &Board{hosts: make(map[string]*hostRecord), reports: make(map[string]remoteReport), limiter: ratelimit.New(), returns: make(map[string]*rate.Limiter), waits: make(map[string]wait), random: random}
+	return &Board{hosts: make(map[string]*hostRecord), reports: make(map[string]remoteReport), limiter: ratelimit.New(), returns: make(map[string]*rate.Limiter), waits: make(map[string]*wait), random: random}
 }
 
 // ensureHost returns the record of the host and creates it if there is none. The
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -101,10 +101,11 @@
 		if !b.isEligible(host, q, now) {
 			continue
 		}
-		if end := b.waitUntil(host); now.Before(end) {
+		if w := b.waitOf(host); w != nil && now.Before(w.until) {
+			w.leftOut++
 			refusal.Waiting++
-			if firstWaitEnd.IsZero() || end.Before(firstWaitEnd) {
-				firstWaitEnd = end
+			if firstWaitEnd.IsZero() || w.until.Before(firstWaitEnd) {
+				firstWaitEnd = w.until
 			}
 			continue
 		}
--- a/internal/request/place/waits.go
+++ b/internal/request/place/waits.go
@@ -22,7 +22,12 @@
 // wait is the time for which one life of a host takes no requests from this node.
 type wait struct {
 	started time.Time
+	began   time.Time
 	until   time.Time
+	// leftOut counts the choices that left the host out.
+	leftOut int
+	// reported is true once TakeEndedWaits has returned the wait.
+	reported bool
 }
 
 // ObserveWait records that a host takes no requests from this node for a time, at most
@@ -31,32 +36,66 @@
 func (b *Board) ObserveWait(host *fleet.Host, d time.Duration, now time.Time) (until time.Time, changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	maps.DeleteFunc(b.waits, func(_ string, w wait) bool { return now.Sub(w.until) >= waitRampTime })
+	maps.DeleteFunc(b.waits, func(_ string, w *wait) bool {
+		ended := now.Sub(w.until)
+		return ended >= waitRampTime && (w.reported || ended >= MaxHostWait)
+	})
 	until = now.Add(min(d, MaxHostWait))
-	former, known := b.waits[host.ID]
-	if known && (former.started.After(host.Started) || former.started.Equal(host.Started) && !until.After(former.until)) {
+	former := b.waits[host.ID]
+	sameLife := former != nil && former.started.Equal(host.Started)
+	if former != nil && (former.started.After(host.Started) || sameLife && !until.After(former.until)) {
 		return former.until, false
 	}
-	b.waits[host.ID] = wait{host.Started, until}
+	if sameLife && !former.reported {
+		former.until = until
+	} else {
+		b.waits[host.ID] = &wait{started: host.Started, began: now, until: until}
+	}
 	return until, true
 }
 
-// waitUntil returns the end of a host's wait, or the zero time. The caller holds mu.
-func (b *Board) waitUntil(host *fleet.Host) time.Time {
-	if w, known := b.waits[host.ID]; known && w.started.Equal(host.Started) {
-		return w.until
+// EndedWait is a time that is over for which a host took no requests from this node.
+type EndedWait struct {
+	HostID string
+	// Started identifies the life of the host.
+	Started time.Time
+	// Waited is the time from the first refusal to the end.
+	Waited time.Duration
+	// LeftOut is the number of choices of a host for a request, second attempts included,
+	// that left this one out although it could run the request.
+	LeftOut int
+}
+
+// TakeEndedWaits returns the waits that have ended since the last call.
+func (b *Board) TakeEndedWaits(now time.Time) []EndedWait {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ended []EndedWait
+	for id, w := range b.waits {
+		if !w.reported && !now.Before(w.until) {
+			w.reported = true
+			ended = append(ended, EndedWait{HostID: id, Started: w.started, Waited: w.until.Sub(w.began), LeftOut: w.leftOut})
+		}
+	}
+	return ended
+}
+
+// waitOf returns the current or last wait of a host, or nil. The caller holds mu.
+func (b *Board) waitOf(host *fleet.Host) *wait {
+	if w := b.waits[host.ID]; w != nil && w.started.Equal(host.Started) {
+		return w
 	}
-	return time.Time{}
+	return nil
 }
 
 // rampedLimit returns the limit of a host whose wait has ended lately: it grows to the
 // given limit within waitRampTime. The caller holds mu.
 func (b *Board) rampedLimit(host *fleet.Host, limit int, now time.Time) int {
-	until := b.waitUntil(host)
-	if until.IsZero() || now.Sub(until) >= waitRampTime {
+	w := b.waitOf(host)
+	if w == nil || now.Sub(w.until) >= waitRampTime {
 		return limit
 	}
-	share := waitRampStart + (1-waitRampStart)*float64(now.Sub(until))/float64(waitRampTime)
+	share := waitRampStart + (1-waitRampStart)*float64(now.Sub(w.until))/float64(waitRampTime)
 	return max(int(share*float64(limit)), 1)
 }
 
--- a/internal/request/place/waits_test.go
+++ b/internal/request/place/waits_test.go
@@ -96,3 +96,51 @@
 		t.Errorf("got a wait of %v, want %v", until.Sub(start), MaxHostWait)
 	}
 }
+
+// TestEndedWaitIsReportedOnce verifies how long a host waited and how often it was left out.
+func TestEndedWaitIsReportedOnce(t *testing.T) {
+	view, query := waitingFleet(start, "a", "b")
+	b := NewBoard()
+	b.ObserveWait(view.Host("a"), time.Second, start)
+	for range 3 {
+		b.Choose(view, query, start.Add(500*time.Millisecond))
+	}
+	b.ObserveWait(view.Host("a"), 2*time.Second, start.Add(500*time.Millisecond)) // the same wait ends later
+	b.Choose(view, query, start.Add(2*time.Second))
+	if ended := b.TakeEndedWaits(start.Add(2499 * time.Millisecond)); len(ended) > 0 {
+		t.Errorf("got %+v before the end, want none", ended)
+	}
+	b.ObserveWait(view.Host("b"), time.Second, start.Add(10*time.Second)) // keeps what is not reported
+	want := EndedWait{HostID: "a", Started: start, Waited: 2500 * time.Millisecond, LeftOut: 4}
+	if ended := b.TakeEndedWaits(start.Add(10 * time.Second)); len(ended) != 1 || ended[0] != want {
+		t.Errorf("got %+v, want %+v", ended, want)
+	}
+	if ended := b.TakeEndedWaits(start.Add(10 * time.Second)); len(ended) > 0 {
+		t.Errorf("got %+v again, want none", ended)
+	}
+	b.ObserveWait(view.Host("a"), time.Second, start.Add(20*time.Second))
+	want = EndedWait{HostID: "a", Started: start, Waited: time.Second}
+	ended := b.TakeEndedWaits(start.Add(21 * time.Second))
+	if len(ended) != 2 || ended[0] != want && ended[1] != want {
+		t.Errorf("got %+v, want the wait of b and the new one of a, %+v", ended, want)
+	}
+}
+
+// TestWaitingHostCostsAChoiceNoAllocation compares choices beside a waiting host with those
+// without it.
+func TestWaitingHostCostsAChoiceNoAllocation(t *testing.T) {
+	allocations := func(ids ...string) float64 {
+		view, query := waitingFleet(start, ids...)
+		b := NewBoard()
+		if host := view.Host("waits"); host != nil {
+			b.ObserveWait(host, time.Minute, start)
+		}
+		return testing.AllocsPerRun(100, func() {
+			b.Choose(view, query, start)
+			b.Ended("a", OutcomeAnswered, time.Millisecond, start)
+		})
+	}
+	if alone, beside := allocations("a"), allocations("a", "waits"); beside > alone {
+		t.Errorf("got %v allocations beside a waiting host, %v without it", beside, alone)
+	}
+}
