Read a whole table of the store as of one version

A node could hold a row that was newer than its copy, or lack one that its version has, and other nodes that read from this copy took it for the rows of that version.

--- a/internal/connection/feed/feed.go
+++ b/internal/connection/feed/feed.go
@@ -56,6 +56,16 @@
 	return position.Position{Era: b.Era, Version: b.Version}
 }
 
+// Updated returns the whole table that b and the changes since its version lead to.
+// The records of b may be newer than its version; deleted ones may be absent.
+func (b Batch) Updated(changes Batch) Batch {
+	t := NewTable()
+	t.Apply(b)
+	t.Apply(changes)
+	updated, _ := t.Snapshot()
+	return updated
+}
+
 // Source serves tables. Implementations are safe for concurrent use.
 type Source interface {
 	// Snapshot reads the whole table as of one version.
