Keep removals in the copies that nodes read from each other

Cause: a copy claimed to know every change since any version. Three orders of events break that. (1) The copy was loaded after the removal, so it has no tombstone, and its horizon stayed 0. (2) The copy read the whole table again: it knows what was removed of its own rows, but not rows that came and went meanwhile, which a reader from that time holds. (3) The copy is told of a removal of a row that it never held, and dropped it instead of passing it on. Ruled out: the followers and eras; without reads from other nodes and with the three changes in Table the model holds. Change: Table keeps a history with a horizon, which the first load sets, and gaps, in which a whole table was read. A reader before the horizon or inside a gap gets ErrCompacted and reads the whole table. Changes carry the gaps, so that the next copy knows them too. A deletion of an unknown row is kept. A reader that waits is woken by it. TestApplyOfWholeTable... still holds: a reader at the version at which a gap begins is told what is missing.

--- a/internal/connection/feed/feed.go
+++ b/internal/connection/feed/feed.go
@@ -44,6 +44,9 @@
 	// Complete is true if Records is the whole table as of Version; other keys do
 	// not exist.
 	Complete bool `json:"whole,omitempty"`
+	// Gaps are set in changes by a node that serves its copy: the versions since the
+	// requested one between which it does not know every deletion.
+	Gaps []Gap `json:"gaps,omitempty"`
 	// ConfirmedAgo and FailedAgo are set by a node that serves its copy: the
 	// time since the store last confirmed the copy, and since Follower.LastOutage
 	// there. FailedAgo is 0 if there was none.
--- a/internal/connection/feed/table.go
+++ b/internal/connection/feed/table.go
@@ -9,22 +9,14 @@
 	"currantladder.example/currantladder/internal/version/position"
 )
 
-// maxTombstones limits the deletions that a table keeps for its readers. A
-// reader that is further behind reads the whole table.
-const maxTombstones = 4096
-
 // Table is a node's copy of a followed table, from which it also serves other
 // nodes. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
 	records map[string]Record
-	// tombstones are the kept deletions in order of version.
-	tombstones []Record
-	// horizon is the lowest version from which Changes can return every later
-	// change.
-	horizon int64
+	history history
 	// position is the state of the store that the table reflects. The versions of
-	// records and tombstones and the horizon belong to its era.
+	// the records and of the history belong to its era.
 	position position.Position
 	loaded   bool
 	// changed is closed and replaced at each change.
@@ -63,16 +55,16 @@
 	}
 	var changed []Record
 	switch {
-	case b.Era == t.position.Era || !t.loaded:
-		changed = t.merge(b)
-	case b.Complete:
+	case b.Complete && (!t.loaded || b.Era != t.position.Era):
 		changed = t.replace(b)
+	case !t.loaded || b.Era == t.position.Era:
+		changed = t.merge(b)
 	default:
 		return nil
 	}
 	t.position = b.Position()
 	t.loaded = t.loaded || b.Complete
-	if len(changed) > 0 || b.Complete {
+	if len(b.Records) > 0 || b.Complete {
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
@@ -99,16 +91,25 @@
 		if exists && old.Version >= r.Version {
 			continue
 		}
-		if !r.Deleted {
+		switch {
+		case !r.Deleted:
 			t.records[r.Key] = r
 			report(r)
-		} else if exists {
+		case exists:
 			report(t.remove(r.Key, r.Version))
+		default:
+			// A reader may hold a record that was added and deleted since the batch
+			// before.
+			t.history.addTombstone(r)
 		}
 	}
 	if !b.Complete {
+		for _, gap := range b.Gaps {
+			t.history.addGap(gap)
+		}
 		return changed
 	}
+	t.history.addGap(Gap{After: t.position.Version, Until: b.Version})
 	for key := range t.records {
 		if !present[key] {
 			report(t.remove(key, b.Version))
@@ -117,13 +118,13 @@
 	return changed
 }
 
-// replace puts the whole table of a later era in place of this one. The caller must
-// hold mu.
+// replace puts a whole table, the first one or that of a later era, in place of this
+// one. The caller must hold mu.
 func (t *Table) replace(b Batch) []Record {
 	former := t.records
 	t.records = make(map[string]Record, len(b.Records))
-	// Readers in this era have to start from this table.
-	t.tombstones, t.horizon = nil, b.Version
+	// What was deleted before is not known.
+	t.history = history{horizon: b.Version}
 	changed := slices.Clone(b.Records)
 	for _, r := range b.Records {
 		t.records[r.Key] = r
@@ -140,11 +141,7 @@
 func (t *Table) remove(key string, version int64) Record {
 	delete(t.records, key)
 	tombstone := Record{Key: key, Version: version, Deleted: true}
-	t.tombstones = append(t.tombstones, tombstone)
-	if excess := len(t.tombstones) - maxTombstones; excess > 0 {
-		t.horizon = t.tombstones[excess-1].Version
-		t.tombstones = slices.Delete(t.tombstones, 0, excess)
-	}
+	t.history.addTombstone(tombstone)
 	return tombstone
 }
 
@@ -178,7 +175,7 @@
 
 // Changes returns what changed after since. Without a change it blocks for at most
 // wait, and not at all if since is of a later era than the table. It returns
-// ErrCompacted if since is of an earlier one.
+// ErrCompacted if since is of an earlier one or the history does not reach back to it.
 func (t *Table) Changes(ctx context.Context, since position.Position, wait time.Duration) (Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -203,23 +200,23 @@
 	}
 }
 
-// changesSince returns the records newer than a state, or true if the tombstones do
+// changesSince returns the records newer than a state, or true if the history does
 // not reach back to it. The caller must hold mu.
 func (t *Table) changesSince(since position.Position) (Batch, bool) {
 	if since.Era > t.position.Era {
 		return Batch{Version: t.position.Version, Era: t.position.Era}, false
 	}
 	version := since.Version
-	if since.Era < t.position.Era || version < t.horizon {
+	if since.Era < t.position.Era || !t.history.reaches(version) {
 		return Batch{}, true
 	}
-	batch := Batch{Version: max(t.position.Version, version), Era: t.position.Era}
+	batch := Batch{Version: max(t.position.Version, version), Era: t.position.Era, Gaps: t.history.gapsAfter(version)}
 	for _, r := range t.records {
 		if r.Version > version {
 			batch.Records = append(batch.Records, r)
 		}
 	}
-	for _, r := range t.tombstones {
+	for _, r := range t.history.tombstones {
 		if _, exists := t.records[r.Key]; r.Version > version && !exists {
 			batch.Records = append(batch.Records, r)
 		}
