Bound what a node holds of all answers together

Reported by other operators: a faulty worker sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of other clients on that machine ended with it. It can happen here: each answer was bounded (4 MB, an event 1 MB), their sum was not. A node has 284 MB. Change: a package answermemory. The first 16 KB of each answer are not counted, so a small answer never waits. The rest comes from a pool of an eighth of the node's memory, in equal parts for the hosts with one left for the next host; an answer waits for memory by not reading on. The oldest answer may use a reserve of one answer, so that waiting ones cannot block each other. One that takes 0.5 s for 256 KB gives way if others wait: the host counts as failed, the caller gets 502 (it may have run) or another attempt, as after a broken connection; no crash is held against it. Bodies are read in chunks and never copied; events are charged until they are written. Answers with a status of 400 or more have at most 256 KB, event IDs 4 KB. Ruled out: lower limits alone (60 times 1 MB is too much, and sound answers of 4 MB would fail); a limit on requests at a host (26 slots and 52 waiting requests of one engine suffice). Not covered: slow callers of error answers (256 KB each, uncounted while written), heads (64 KB each), `serve` (internal/connection/endpoint). Tests: TestUnfinishedAnswersAreBoundedTogether fails before with the figures above, bound 51 MB; TestSoundHostIsServedBesideFaultyOnes; the pool's own. Race tests of both packages pass.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -39,6 +39,9 @@
 	// memoryLimitShare is the part of the node's memory that is set as the soft
 	// limit of the Go runtime, which collects garbage more often near it.
 	memoryLimitShare = 0.6
+	// answerMemoryShare is the part of the node's memory that the answers of hosts may
+	// take.
+	answerMemoryShare = 0.125
 )
 
 // Store is the table service as a node uses it.
@@ -119,7 +122,8 @@
 	g.core = forward.New(forward.Options{
 		View: g.view, Board: g.board, Endpoint: p.Endpoint, Budget: forward.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
 		Refuse: g.refuse, Admit: g.admit, RequestsEnd: g.stops.requestsEnd, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
-		Poison: g.poison, MayTryPoison: g.leads, ShareEvidence: g.sendDigestNow,
+		AnswerMemoryBytes: int64(answerMemoryShare * float64(s.MemoryMB) * (1 << 20)),
+		Poison:            g.poison, MayTryPoison: g.leads, ShareEvidence: g.sendDigestNow,
 		HostLeaves: func(host *fleet.Host, requestID string) { g.builder.hostSaysLeaving(host, requestID, time.Now()) },
 	})
 	g.builder = newViewBuilder(p.Decode, g.view, log, g.viewChanged)
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -11,7 +11,9 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
 	"currantladder.example/currantladder/internal/request/refusal"
@@ -30,6 +32,13 @@
 	NoEndpointRetryAfter = 500 * time.Millisecond
 )
 
+const (
+	// defaultAnswerMemoryBytes is Options.AnswerMemoryBytes if that is 0.
+	defaultAnswerMemoryBytes = 32 << 20
+	// answerReserveBytes is what one answer takes at most.
+	answerReserveBytes = endpoint.MaxAnswerBytes + 2*maxChunkBytes
+)
+
 // Budget limits the retries of all nodes together. Each node uses its part.
 type Budget struct {
 	// Ratio is the share of requests that may be retried. Slack is the number of
@@ -75,6 +84,9 @@
 	HostLeaves func(host *fleet.Host, requestID string)
 	// FailureDomain is the failure domain of this node.
 	FailureDomain string
+	// AnswerMemoryBytes limits what the node holds of the answers of all hosts, besides
+	// one answer and a few KB of each. 0 means defaultAnswerMemoryBytes.
+	AnswerMemoryBytes int64
 	// Admit returns the refusal of a request that is complete now, or nil. RequestsEnd
 	// returns when requests end because the node is stopping, or zero. Both may be nil.
 	Admit       func() *refusal.Error
@@ -88,6 +100,7 @@
 	retries *retry.Budget
 	// crashChecks passes hosts to RunCrashChecks.
 	crashChecks chan *fleet.Host
+	answers     *answermemory.Pool
 }
 
 // New returns a core. RunCrashChecks must run beside it.
@@ -98,7 +111,13 @@
 	if o.RequestsEnd == nil {
 		o.RequestsEnd = func() time.Time { return time.Time{} }
 	}
-	return &Core{Options: o, retries: retry.NewBudget(), crashChecks: make(chan *fleet.Host, maxWaitingCrashChecks)}
+	if o.AnswerMemoryBytes == 0 {
+		o.AnswerMemoryBytes = defaultAnswerMemoryBytes
+	}
+	return &Core{
+		Options: o, retries: retry.NewBudget(), crashChecks: make(chan *fleet.Host, maxWaitingCrashChecks),
+		answers: answermemory.NewPool(o.AnswerMemoryBytes, answerReserveBytes),
+	}
 }
 
 // MaxBodyBytes returns the maximum size of a request body, or 0 before there is a
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -180,8 +180,16 @@
 	took    time.Duration
 }
 
-func (setup *testSetup) serve(ctx context.Context) (got callerResult) {
+func (setup *testSetup) serve(ctx context.Context) callerResult {
 	recorder := httptest.NewRecorder()
+	got := setup.serveTo(ctx, recorder)
+	got.status, got.header, got.body = recorder.Code, recorder.Header(), recorder.Body.String()
+	return got
+}
+
+// serveTo serves one request and writes the answer to w. The result says only whether
+// the answer was aborted and how long it took.
+func (setup *testSetup) serveTo(ctx context.Context, w http.ResponseWriter) (got callerResult) {
 	request := &Request{
 		ID: "id", Method: http.MethodPost, Target: "/x", Path: "/x", Host: "example", Header: http.Header{}, APIKey: "key",
 		Received: time.Now(), TimeLimit: 5 * time.Second, Model: "m", PromptTokens: 100, MaxOutputTokens: 50,
@@ -194,9 +202,9 @@
 			}
 			got.aborted = true
 		}
-		got.status, got.header, got.body, got.took = recorder.Code, recorder.Header(), recorder.Body.String(), time.Since(started)
+		got.took = time.Since(started)
 	}()
-	setup.core.Serve(recorder, httptest.NewRequest(http.MethodPost, "/x", nil).WithContext(ctx), request)
+	setup.core.Serve(w, httptest.NewRequest(http.MethodPost, "/x", nil).WithContext(ctx), request)
 	return got
 }
 
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/version/fleet"
 )
 
@@ -16,7 +16,11 @@
 // answer to this request.
 var errUnverifiedAnswer = errors.New("answer carries no endpoint proof or belongs to another request")
 
-// errAnswerTooLarge reports an answer larger than endpoint.MaxAnswerBytes. It is
+// maxErrorAnswerBytes limits an answer with a status of 400 or more, which describes an
+// error, and endpoint.MaxAnswerBytes any other.
+const maxErrorAnswerBytes = 256 << 10
+
+// errAnswerTooLarge reports an answer larger than the limit for its status. It is
 // not delivered, because a part would look like the whole answer.
 var errAnswerTooLarge = errors.New("answer is too large")
 
@@ -31,11 +35,12 @@
 type answer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   body
 }
 
-// sendAndRead sends the request to the host, and reads and verifies the answer.
-func (s *requestState) sendAndRead(ctx context.Context, host *fleet.Host, toSend Attempt) attemptResult {
+// sendAndRead sends the request to the host, and reads and verifies the answer. The
+// body of the answer is in memory until the account is closed. ctx must be the account's.
+func (s *requestState) sendAndRead(ctx context.Context, host *fleet.Host, toSend Attempt, memory *answermemory.Account) attemptResult {
 	reply, err := s.Endpoint.Send(ctx, s.request, toSend)
 	if err != nil {
 		return attemptResult{mayHaveRun: endpoint.MayHaveBeenSent(err), err: err}
@@ -45,7 +50,7 @@
 	if reply.NotRun && !reply.WrongRequest {
 		return attemptResult{err: errNotRun}
 	}
-	content, err := readWholeBody(reply.Body)
+	content, err := readAnswerBody(ctx, reply, memory)
 	if err != nil {
 		return attemptResult{mayHaveRun: true, err: err}
 	}
@@ -69,26 +74,19 @@
 	return !current.Started.Equal(host.Started) || c.Endpoint.Gone(ctx, host.Address)
 }
 
-// readWholeBody reads a body of at most endpoint.MaxAnswerBytes.
-func readWholeBody(body io.Reader) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(body, endpoint.MaxAnswerBytes+1))
-	if err == nil && len(content) > endpoint.MaxAnswerBytes {
-		return nil, errAnswerTooLarge
-	}
-	return content, err
-}
-
 // deliver writes a complete answer to the caller.
 func (s *requestState) deliver(a *answer) {
 	header := s.w.Header()
 	for name, values := range a.header {
 		header[name] = values
 	}
-	header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	header.Set("Content-Length", strconv.Itoa(a.body.size()))
 	s.w.WriteHeader(a.status)
-	if _, err := s.w.Write(a.body); err != nil {
-		s.Log.LogLimited(eventlog.CallerDisconnected, eventlog.Fields{"request": s.request.ID, "error": err.Error()})
-		return
+	for _, chunk := range a.body {
+		if _, err := s.w.Write(chunk); err != nil {
+			s.Log.LogLimited(eventlog.CallerDisconnected, eventlog.Fields{"request": s.request.ID, "error": err.Error()})
+			return
+		}
 	}
 	s.logAnswered(a.status, 0)
 }
--- a/internal/request/forward/plain_attempts.go
+++ b/internal/request/forward/plain_attempts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -27,6 +28,7 @@
 type plainAttempt struct {
 	host    *fleet.Host
 	cancel  context.CancelFunc
+	memory  *answermemory.Account
 	started time.Time
 	// charged is true if the attempt was charged to the retry budget.
 	charged bool
@@ -61,8 +63,10 @@
 	finished chan struct{}
 	// silence fires when the attempt timeout of the newest attempt has passed.
 	silence *time.Timer
-	// failure is the last failure that a host answered, or nil.
-	failure *answer
+	// failure is the last failure that a host answered, or nil, and failureMemory what
+	// it takes.
+	failure       *answer
+	failureMemory *answermemory.Account
 	// refused is why no endpoint was found for another attempt after a failed one, or
 	// nil.
 	refused *refusal.Error
@@ -92,6 +96,9 @@
 func (p *plainState) finish() {
 	p.silence.Stop()
 	p.giveUpRunning()
+	if p.failure != nil {
+		p.failureMemory.Close()
+	}
 	close(p.finished)
 }
 
@@ -99,6 +106,7 @@
 func (p *plainState) giveUpRunning() {
 	for _, attempt := range p.running {
 		p.endAttempt(attempt, place.OutcomeAbandoned)
+		attempt.memory.Close()
 		p.giveUp(attempt.host, true)
 	}
 	p.running = nil
@@ -111,10 +119,11 @@
 		return refused
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
-	attempt := &plainAttempt{host: choice.Host, cancel: cancel, started: time.Now(), charged: charged}
+	memoryCtx, memory := p.answers.Open(attemptCtx, choice.Host.ID)
+	attempt := &plainAttempt{host: choice.Host, cancel: cancel, memory: memory, started: time.Now(), charged: charged}
 	p.running = append(p.running, attempt)
 	p.resetSilenceTimer()
-	go p.runAttempt(attemptCtx, attempt, p.newAttempt(choice.Host, p.request.ResumeAfter))
+	go p.runAttempt(memoryCtx, attempt, p.newAttempt(choice.Host, p.request.ResumeAfter))
 	return nil
 }
 
@@ -132,7 +141,7 @@
 		case <-p.finished:
 		}
 	}()
-	result = p.sendAndRead(ctx, attempt.host, toSend)
+	result = p.sendAndRead(ctx, attempt.host, toSend, attempt.memory)
 }
 
 // endAttempt releases the host of an attempt and records the outcome on the board.
@@ -153,19 +162,29 @@
 	p.recordResult(ctx, result)
 	switch {
 	case result.answer == nil:
+		result.attempt.memory.Close()
 		p.declaredNotRun = p.declaredNotRun || errors.Is(result.err, errNotRun)
 	case result.answer.status < http.StatusInternalServerError:
 		p.giveUpRunning()
 		p.deliver(result.answer)
+		result.attempt.memory.Close()
 		return
 	default:
-		p.failure = result.answer
+		p.keepFailure(result)
 	}
 	if !p.retry(ctx, result) && len(p.running) == 0 {
 		p.answerWithFailure(ctx)
 	}
 }
 
+// keepFailure keeps the failure that a host answered in place of an earlier one.
+func (p *plainState) keepFailure(result attemptResult) {
+	if p.failure != nil {
+		p.failureMemory.Close()
+	}
+	p.failure, p.failureMemory = result.answer, result.attempt.memory
+}
+
 // recordResult records the outcome of an attempt on the board, and what it says about
 // requests that crash hosts. It blocks while the host of a broken connection is checked.
 func (p *plainState) recordResult(ctx context.Context, result attemptResult) {
--- a/internal/request/forward/poison.go
+++ b/internal/request/forward/poison.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
 	"currantladder.example/currantladder/internal/request/refusal"
@@ -48,7 +49,7 @@
 // not by an answer or by this node.
 func connectionBroke(err error) bool {
 	var failure *statusError
-	for _, other := range []error{errUnverifiedAnswer, errAnswerTooLarge, errEventTooLarge, errAttemptPanicked, errNotRun, context.DeadlineExceeded, context.Canceled} {
+	for _, other := range []error{errUnverifiedAnswer, errAnswerTooLarge, errEventTooLarge, answermemory.ErrEvicted, errAttemptPanicked, errNotRun, context.DeadlineExceeded, context.Canceled} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -103,6 +103,7 @@
 		attempt.held = append(attempt.held, e)
 		return false
 	}
+	defer attempt.memory.Shrink(cap(e.raw))
 	if !isNew {
 		return false
 	}
--- a/internal/request/forward/stream_attempt.go
+++ b/internal/request/forward/stream_attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -40,6 +41,8 @@
 	host    *fleet.Host
 	updates chan attemptUpdate
 	cancel  context.CancelFunc
+	// memory holds the events that the caller has not got.
+	memory  *answermemory.Account
 	started time.Time
 	// lastProgress is when the attempt last delivered something, initially its
 	// start.
@@ -63,17 +66,19 @@
 		return nil, refused
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
+	memoryCtx, memory := s.answers.Open(attemptCtx, choice.Host.ID)
 	now := time.Now()
 	attempt := &streamAttempt{
-		host: choice.Host, updates: make(chan attemptUpdate, updateBufferSize), cancel: cancel, started: now, lastProgress: now,
+		host: choice.Host, updates: make(chan attemptUpdate, updateBufferSize), cancel: cancel, memory: memory, started: now, lastProgress: now,
 	}
-	go s.runAttempt(attemptCtx, attempt, s.newAttempt(choice.Host, s.lastID))
+	go s.runAttempt(attemptCtx, memoryCtx, attempt, s.newAttempt(choice.Host, s.lastID))
 	return attempt, nil
 }
 
 // end ends an attempt of the request and takes it out of the state.
 func (s *streamState) end(attempt *streamAttempt, outcome place.Outcome) {
 	attempt.cancel()
+	attempt.memory.Close()
 	now := time.Now()
 	s.Board.Ended(attempt.host.ID, outcome, now.Sub(attempt.started), now)
 	if attempt != s.current {
@@ -110,8 +115,9 @@
 	}
 }
 
-// runAttempt runs one attempt and sends its updates until the attempt or ctx ends.
-func (s *streamState) runAttempt(ctx context.Context, attempt *streamAttempt, toSend Attempt) {
+// runAttempt runs one attempt and sends its updates until the attempt or ctx ends. The
+// host's answer is read until memoryCtx ends, which is the context of the account.
+func (s *streamState) runAttempt(ctx, memoryCtx context.Context, attempt *streamAttempt, toSend Attempt) {
 	report := func(update attemptUpdate) bool {
 		select {
 		case attempt.updates <- update:
@@ -127,7 +133,7 @@
 			report(attemptUpdate{err: errAttemptPanicked, mayHaveRun: true})
 		}
 	}()
-	reply, err := s.Endpoint.Send(ctx, s.request, toSend)
+	reply, err := s.Endpoint.Send(memoryCtx, s.request, toSend)
 	if err != nil {
 		report(attemptUpdate{err: err, mayHaveRun: endpoint.MayHaveBeenSent(err)})
 		return
@@ -146,7 +152,7 @@
 		return
 	}
 	if reply.Status != http.StatusOK {
-		content, err := readWholeBody(reply.Body)
+		content, err := readAnswerBody(memoryCtx, reply, attempt.memory)
 		if err == nil {
 			err = &statusError{answer{reply.Status, reply.Header, content}}
 		}
@@ -154,6 +160,7 @@
 		return
 	}
 	events := newEventReader(reply.Body)
+	events.memory = attempt.memory
 	for received := 0; ; received++ {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) && reply.EndsWithConnection && (received == 0 || s.crashed(ctx, attempt.host)) {
@@ -164,7 +171,7 @@
 			return
 		}
 		if err != nil {
-			report(attemptUpdate{err: err, mayHaveRun: true})
+			report(attemptUpdate{err: evictionOr(memoryCtx, err), mayHaveRun: true})
 			return
 		}
 		s.Board.Progressed(attempt.host.ID, time.Now())
