Repeat a plain request whose answer a leaving host may have cut

Change: where the request may be repeated, such an answer is kept as a fallback and the request is sent to another host, if the budget allows. The caller gets that answer, or the fallback if no attempt ends better. Where it may not be repeated nothing changes: a complete answer must not be lost. Test: TestPlainAnswerOfAHostThatLeft; internal/request/forward passes.

--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -64,7 +64,8 @@
 	if reply.EndsWithConnection && s.crashed(ctx, host) {
 		return attemptResult{mayHaveRun: true, err: errCutAnswer}
 	}
-	return attemptResult{mayHaveRun: true, answer: &answer{reply.Status, reply.Header, content}}
+	doubtful := reply.EndsWithConnection && s.leftMeanwhile(ctx, host)
+	return attemptResult{mayHaveRun: true, answer: &answer{reply.Status, reply.Header, content}, doubtful: doubtful}
 }
 
 // crashed reports whether the process of a host is gone although the host was not
--- a/internal/request/forward/plain_attempts.go
+++ b/internal/request/forward/plain_attempts.go
@@ -41,6 +41,9 @@
 type attemptResult struct {
 	attempt *plainAttempt
 	answer  *answer
+	// doubtful is true if only the end of the connection shows that the answer is
+	// complete and the host has left.
+	doubtful bool
 	// mayHaveRun is true if the endpoint may have run the request.
 	mayHaveRun bool
 	err        error
@@ -63,10 +66,10 @@
 	finished chan struct{}
 	// silence fires when the attempt timeout of the newest attempt has passed.
 	silence *time.Timer
-	// failure is the last failure that a host answered, or nil, and failureMemory what
-	// it takes.
-	failure       *answer
-	failureMemory *answermemory.Account
+	// fallback is the last failure or doubtful answer of a host, or nil. The caller gets
+	// it if no attempt ends better. fallbackMemory is what it takes.
+	fallback       *answer
+	fallbackMemory *answermemory.Account
 	// refused is why no endpoint was found for another attempt after a failed one, or
 	// nil.
 	refused *refusal.Error
@@ -96,8 +99,8 @@
 func (p *plainState) finish() {
 	p.silence.Stop()
 	p.giveUpRunning()
-	if p.failure != nil {
-		p.failureMemory.Close()
+	if p.fallback != nil {
+		p.fallbackMemory.Close()
 	}
 	close(p.finished)
 }
@@ -155,7 +158,8 @@
 }
 
 // handleResult handles an attempt that has ended. The caller gets an answer that is no
-// failure at once, and the best failure once no attempt is left.
+// failure at once, and the fallback once no attempt is left. A doubtful answer is a
+// fallback where the request may be repeated.
 func (p *plainState) handleResult(ctx context.Context, result attemptResult) {
 	p.running = slices.DeleteFunc(p.running, func(a *plainAttempt) bool { return a == result.attempt })
 	p.mayHaveRun = p.mayHaveRun || result.mayHaveRun
@@ -164,25 +168,25 @@
 	case result.answer == nil:
 		result.attempt.memory.Close()
 		p.declaredNotRun = p.declaredNotRun || errors.Is(result.err, errNotRun)
-	case result.answer.status < http.StatusInternalServerError:
+	case result.answer.status < http.StatusInternalServerError && !(result.doubtful && p.route.Repeatable()):
 		p.giveUpRunning()
 		p.deliver(result.answer)
 		result.attempt.memory.Close()
 		return
 	default:
-		p.keepFailure(result)
+		p.keepFallback(result)
 	}
 	if !p.retry(ctx, result) && len(p.running) == 0 {
 		p.answerWithFailure(ctx)
 	}
 }
 
-// keepFailure keeps the failure that a host answered in place of an earlier one.
-func (p *plainState) keepFailure(result attemptResult) {
-	if p.failure != nil {
-		p.failureMemory.Close()
+// keepFallback keeps an answer in place of an earlier fallback.
+func (p *plainState) keepFallback(result attemptResult) {
+	if p.fallback != nil {
+		p.fallbackMemory.Close()
 	}
-	p.failure, p.failureMemory = result.answer, result.attempt.memory
+	p.fallback, p.fallbackMemory = result.answer, result.attempt.memory
 }
 
 // recordResult records the outcome of an attempt on the board, and what it says about
@@ -297,8 +301,8 @@
 func (p *plainState) answerWithFailure(ctx context.Context) {
 	switch {
 	case p.callerLeft(ctx):
-	case p.failure != nil:
-		p.deliver(p.failure)
+	case p.fallback != nil:
+		p.deliver(p.fallback)
 	case ctx.Err() != nil:
 		p.refuse(p.deadlineRefusal())
 	case p.mayHaveRun:
--- a/internal/request/forward/unframed_test.go
+++ b/internal/request/forward/unframed_test.go
@@ -169,6 +169,43 @@
 	}
 }
 
+// TestPlainAnswerOfAHostThatLeft guards against a part of a body that looks complete, as
+// in TestStreamOfAHostThatLeftIsConfirmed. Where the request may be repeated, another host
+// answers; elsewhere a complete answer must not be lost.
+func TestPlainAnswerOfAHostThatLeft(t *testing.T) {
+	late := func(text string) hostBehavior {
+		return endsWithConnection(func(ctx context.Context, r *Request, a Attempt) (*Reply, error) {
+			time.Sleep(120 * time.Millisecond) // the host leaves meanwhile
+			return answerWith(http.StatusOK, text)(ctx, r, a)
+		})
+	}
+	for name, test := range map[string]struct {
+		kind         fleet.Kind
+		first, rest  hostBehavior
+		want         string
+		wantAttempts int
+	}{
+		"cut, may be repeated":      {fleet.KindIdempotent, late("ye"), answerWith(http.StatusOK, "yes"), "yes", 2},
+		"whole, the other fails":    {fleet.KindIdempotent, late("yes"), loseAnswer, "yes", 2},
+		"whole, the other refuses":  {fleet.KindIdempotent, late("yes"), declareNotRun, "yes", 2},
+		"whole, not to be repeated": {fleet.KindNonIdempotent, late("yes"), loseAnswer, "yes", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			behavior := firstThen(test.first, test.rest)
+			setup := newTestSetup(test.kind, 2, map[string]hostBehavior{"a": behavior, "b": behavior})
+			setup.endpoint.firstGone, setup.firstLeaves = true, true
+			serveOnce(t, setup, func(t *testing.T, got callerResult) {
+				if got.status != http.StatusOK || got.body != test.want {
+					t.Errorf("got %d %q, want 200 %q", got.status, got.body, test.want)
+				}
+				if n := len(setup.endpoint.sent()); n != test.wantAttempts {
+					t.Errorf("got %d attempts, want %d", n, test.wantAttempts)
+				}
+			})
+		})
+	}
+}
+
 // errReader is a body that cannot be read.
 type errReader struct{ err error }
 
