Wait for room to confirm the end of a stream

Change: such a stream waits for room like one whose attempt has failed, at most 1.5 s since its last event, and is ended as incomplete if none comes. If no host is left that could serve it, it is still taken for complete. Test: TestDoubtfulEndWaitsForRoom, fails before ("room after 500ms", five of eight events); internal/request/forward passes.

--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -123,33 +123,37 @@
 		return true // the caller left
 	}
 	s.recordBegan(now)
-	var confirming *streamAttempt
-	if doubtful {
-		confirming = s.confirmEnd(ctx, attempt, now)
-	}
-	s.end(attempt, place.OutcomeAnswered)
-	if confirming != nil {
-		s.add(confirming)
+	if doubtful && s.confirmEnd(ctx, attempt, now) {
 		return false
 	}
+	s.end(attempt, place.OutcomeAnswered)
 	s.finishStream(attempt.header)
 	return true
 }
 
-// confirmEnd begins an attempt after the last event of a stream that may have been cut.
-// It sends the rest, or nothing if the stream was complete. It returns nil if no attempt is
-// allowed or no host has room.
-func (s *streamState) confirmEnd(ctx context.Context, doubted *streamAttempt, now time.Time) *streamAttempt {
+// confirmEnd continues a stream that may have been cut after its last event, at once or
+// as soon as a host has room. It sends the rest, or nothing if the stream was complete. It
+// reports whether the request goes on; it does not if no attempt is allowed or no other
+// host could serve it.
+func (s *streamState) confirmEnd(ctx context.Context, doubted *streamAttempt, now time.Time) bool {
 	if !s.route.Resumable || s.lastID == "" || !s.mayRetry(now) {
-		return nil
+		return false
 	}
-	confirming, refused := s.begin(ctx)
-	if refused != nil {
+	update := attemptUpdate{err: errDoubtfulEnd, mayHaveRun: true}
+	next, refused := s.begin(ctx)
+	switch {
+	case refused == nil:
+		s.end(doubted, place.OutcomeAnswered)
+		s.logRetried(doubted, next, update)
+		s.add(next)
+		return true
+	case s.awaitRoom(doubted, update, true, now):
+		s.end(doubted, place.OutcomeAnswered)
+		return true
+	default:
 		s.retries.Refund(s.service.Name, now)
-		return nil
+		return false
 	}
-	s.logRetried(doubted, confirming, attemptUpdate{err: errDoubtfulEnd, mayHaveRun: true})
-	return confirming
 }
 
 // sendHeader sends the status line and the headers of an endpoint's answer.
--- a/internal/request/forward/unframed_test.go
+++ b/internal/request/forward/unframed_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -109,6 +110,21 @@
 	}
 }
 
+// TestDoubtfulEndWaitsForRoom guards against a part of a stream that looks complete because
+// no other host has room at the moment at which its own has left.
+func TestDoubtfulEndWaitsForRoom(t *testing.T) {
+	for roomAfter, wantAborted := range map[time.Duration]bool{500 * time.Millisecond: false, 0: true} {
+		synctest.Test(t, func(t *testing.T) {
+			setup := newTurnSetup(fleet.KindStream, 2, 2, endsWithConnection(streamEvents(3, testEventInterval, closeStream)), streamEvents(8, testEventInterval, closeStream))
+			setup.endpoint.firstGone, setup.firstLeaves = true, true
+			got := serveWithFullGroups(t, setup, roomAfter)
+			if got.aborted != wantAborted || !wantAborted && got.body != eventsText(1, 8) {
+				t.Errorf("room after %v: got aborted %t, want %t; body:\n%s", roomAfter, got.aborted, wantAborted, got.body)
+			}
+		})
+	}
+}
+
 // TestCutStreamThatMayNotBeResumed verifies that a cut stream never looks whole where
 // no second attempt is allowed.
 func TestCutStreamThatMayNotBeResumed(t *testing.T) {
