Judge the pace of an answer only while it has counted memory

Change: the time and the bytes by which an answer is judged begin anew when it gets counted memory. Test: TestLongSmallAnswerIsNotSlow, fails before (see its text), passes now.

--- a/internal/request/answermemory/pool.go
+++ b/internal/request/answermemory/pool.go
@@ -214,11 +214,11 @@
 	return a
 }
 
-// recordProgress records received bytes. Time spent waiting for memory does not make
-// an answer slow.
+// recordProgress records bytes that are about to be received. Neither time spent waiting
+// for memory nor time without counted bytes makes an answer slow.
 func (a *Account) recordProgress(n int64, now time.Time) {
 	a.progress += n
-	if a.waiting || a.slowSince.IsZero() || a.progress >= progressBytes {
+	if a.waiting || counted(a.held) == 0 || a.progress >= progressBytes {
 		a.waiting, a.slowSince, a.progress = false, now, 0
 	}
 }
--- a/internal/request/answermemory/pool_test.go
+++ b/internal/request/answermemory/pool_test.go
@@ -147,6 +147,31 @@
 	})
 }
 
+// TestLongSmallAnswerIsNotSlow guards against a stream that gives way at its first large
+// event, because it has received little for long.
+func TestLongSmallAnswerIsNotSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := NewPool(testLimit, testReserve)
+		ctx, stream := pool.Open(context.Background(), "sound")
+		defer stream.Close()
+		for range 20 {
+			if err := stream.Grow(500); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+			stream.Shrink(500)
+		}
+		if err := stream.Grow(testChunk); err != nil {
+			t.Fatal(err)
+		}
+		defer stallAnswers(t, pool, "sound", 20, 3<<20)()
+		time.Sleep(slowTimeout - time.Millisecond)
+		if err := context.Cause(ctx); err != nil {
+			t.Errorf("the stream ended with %v within %v of its large event", err, slowTimeout)
+		}
+	})
+}
+
 // TestUseIsBounded verifies for random hosts, sizes, pauses and ends that the counted bytes
 // stay within the limit and the reserve, and that nothing is left counted.
 func TestUseIsBounded(t *testing.T) {
