Look twice for the process of a host that leaves

Hypothesis: a process that ends closes its sockets one after the other, a connection before its listener; the node then finds the host alive. Ruled out: the budget (it logs 1359) and the wait for room (1372). Change: a host that leaves is looked for again 150 ms later if it was found alive. This concerns only answers without a length of such hosts, and only their end. Test: TestHostThatIsEndingCountsAsGone, fails before (three of eight events as a complete answer).

--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -36,6 +36,9 @@
 	// firstGone is true if the host of the first attempt has crashed by the time that
 	// it is asked for.
 	firstGone bool
+	// asked is the number of calls of Gone, and aliveFor how many of them find the host
+	// of the first attempt alive although it has crashed.
+	asked, aliveFor int
 }
 
 func (f *fakeEndpoint) Send(ctx context.Context, r *Request, a Attempt) (*Reply, error) {
@@ -50,7 +53,8 @@
 func (f *fakeEndpoint) Gone(_ context.Context, address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.firstGone && len(f.attempts) > 0 && f.attempts[0].Address == address
+	f.asked++
+	return f.firstGone && f.asked > f.aliveFor && len(f.attempts) > 0 && f.attempts[0].Address == address
 }
 
 func (f *fakeEndpoint) sent() []Attempt {
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/process/eventlog"
@@ -20,6 +21,9 @@
 // error, and endpoint.MaxAnswerBytes any other.
 const maxErrorAnswerBytes = 256 << 10
 
+// exitDuration is how long a process may take to close its sockets when it ends.
+const exitDuration = 150 * time.Millisecond
+
 // errAnswerTooLarge reports an answer larger than the limit for its status. It is
 // not delivered, because a part would look like the whole answer.
 var errAnswerTooLarge = errors.New("answer is too large")
@@ -81,9 +85,19 @@
 
 // leftMeanwhile reports whether the process of a host that was about to leave is gone. It
 // may have ended after its answers or in the middle of them. It blocks while the host is
-// checked.
+// checked, twice because a process that ends may close its listener after its connections.
 func (c *Core) leftMeanwhile(ctx context.Context, host *fleet.Host) bool {
-	return isLeaving(c.View.Load().Host(host.ID)) && c.Endpoint.Gone(ctx, host.Address)
+	if !isLeaving(c.View.Load().Host(host.ID)) {
+		return false
+	}
+	if c.Endpoint.Gone(ctx, host.Address) {
+		return true
+	}
+	select {
+	case <-time.After(exitDuration):
+	case <-ctx.Done():
+	}
+	return c.Endpoint.Gone(ctx, host.Address)
 }
 
 // isLeaving reports whether a host is about to leave or, if nil, not registered any more.
--- a/internal/request/forward/unframed_test.go
+++ b/internal/request/forward/unframed_test.go
@@ -110,6 +110,18 @@
 	}
 }
 
+// TestHostThatIsEndingCountsAsGone guards against a part of a stream that looks complete
+// because its host has closed the connection and not yet its listener.
+func TestHostThatIsEndingCountsAsGone(t *testing.T) {
+	setup := newTurnSetup(fleet.KindStream, 2, 2, endsWithConnection(streamEvents(3, testEventInterval, closeStream)), streamEvents(8, testEventInterval, closeStream))
+	setup.endpoint.firstGone, setup.endpoint.aliveFor, setup.firstLeaves = true, 1, true
+	serveOnce(t, setup, func(t *testing.T, got callerResult) {
+		if got.aborted || got.body != eventsText(1, 8) {
+			t.Errorf("got aborted %t, want the whole stream; body:\n%s", got.aborted, got.body)
+		}
+	})
+}
+
 // TestDoubtfulEndWaitsForRoom guards against a part of a stream that looks complete because
 // no other host has room at the moment at which its own has left.
 func TestDoubtfulEndWaitsForRoom(t *testing.T) {
