Send nothing to a group that a member has left

Cause: nodes send requests to each head that is registered as open. While the leader cannot reach a head it orders the members to leave; the head runs on as open, and nodes that reach it use it until the leader's order arrives there, although the host list shows the departure at once. Change: a node remembers the places in groups whose hosts have registered outside the group since. A head takes nothing while such a place is vacant. A registration that has lapsed is no departure, since a member that is cut from the store goes on working.

--- a/internal/process/gateway/view.go
+++ b/internal/process/gateway/view.go
@@ -54,6 +54,8 @@
 	ended      *fleet.EndedLives
 	deferred   map[string]deferredRecord
 	restoredAt time.Time
+	// departures tells the groups that a member has left.
+	departures *fleet.Departures
 	// said contains the hosts that have said in an answer that they leave.
 	said         map[string]saidLeaving
 	hostsVersion int64
@@ -65,7 +67,7 @@
 	return &viewBuilder{
 		decode: decode, view: view, log: log, onChange: onChange,
 		hosts: map[string]*fleet.Host{}, lapseDeadlines: map[string]time.Time{}, unusable: map[string]bool{},
-		ended: fleet.NewEndedLives(), deferred: map[string]deferredRecord{}, said: map[string]saidLeaving{},
+		ended: fleet.NewEndedLives(), deferred: map[string]deferredRecord{}, departures: fleet.NewDepartures(), said: map[string]saidLeaving{},
 	}
 }
 
@@ -142,6 +144,7 @@
 	delete(b.lapseDeadlines, r.Key)
 	host = b.staysLeaving(host, now)
 	b.ended.Registered(host, now)
+	b.departures.Registered(host)
 	b.hosts[r.Key] = host
 	if previous == nil || previous.State != host.State || previous.Group != host.Group || previous.Instance() != host.Instance() {
 		b.log.LogLimited(eventlog.HostChanged, eventlog.Fields{
@@ -213,5 +216,23 @@
 	for _, h := range b.hosts {
 		hosts = append(hosts, h)
 	}
+	b.departures.Mark(hosts, b.groupSize)
 	b.view.Store(fleet.NewView(b.configuration, hosts, b.hostsVersion, b.readAt, b.hostsKnown))
 }
+
+// groupSize returns the number of hosts of a head's group, or 0 if the configuration
+// does not tell it. The caller must hold mu.
+func (b *viewBuilder) groupSize(head *fleet.Host) int {
+	if b.configuration == nil {
+		return 0
+	}
+	service := b.configuration.Services[head.Service]
+	if service == nil || service.Engine == nil {
+		return 0
+	}
+	model := service.Engine.Model(head.LoadedModel)
+	if model == nil {
+		return 0
+	}
+	return model.Size
+}
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -260,6 +260,9 @@
 	StagedModels []string
 	// Group is the membership reported by the host; Group.Name is "" for none.
 	Group Membership
+	// Deserted is true if a member has left the host's group, which the host may not have
+	// noticed. It is set for heads only.
+	Deserted bool
 }
 
 // MemberState is the state of one member of a group.
@@ -286,7 +289,7 @@
 func (h *Host) Instance() string { return h.ID + "@" + h.Started.UTC().Format(time.RFC3339Nano) }
 
 // IsOpenHead reports whether the host is the head of an open group and thus takes
-// the group's requests.
+// the group's requests. A group that a member has left does not work.
 func (h *Host) IsOpenHead() bool {
-	return h.State == HostReady && h.Group.Name != "" && h.Group.Rank == 0 && h.Group.State == MemberOpen
+	return h.State == HostReady && !h.Deserted && h.Group.Name != "" && h.Group.Rank == 0 && h.Group.State == MemberOpen
 }
