Bound what serve holds of the answers of plain services

The same fault as on a related path, found by reading and left open there: `serve` read each answer of a plain service up to 4 MB, with no bound of their sum, so that a faulty service could use up a node's memory and end the requests of all callers there. Change: the answers of services take their memory from a pool of 32 MB, as in `gateway`; a call that has to give way ends with 502, as it may have run. The reading of a body in chunks moves from internal/request/forward to internal/connection/endpoint, which both use; `gateway` reads as before.

--- a/internal/connection/endpoint/client.go
+++ b/internal/connection/endpoint/client.go
@@ -186,6 +186,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Memory limits what the answer takes; nil means no limit but MaxAnswerBytes.
+	Memory AnswerMemory
 }
 
 // ServiceAnswer is the whole answer of a plain service.
@@ -212,12 +214,16 @@
 	}
 	defer response.Body.Close()
 	facts := factsOf(response)
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
-	if err != nil {
-		return ServiceAnswer{Facts: facts}, &CallError{Address: address, MaybeSent: true, Err: fmt.Errorf("answer was cut: %w", err)}
+	memory := r.Memory
+	if memory == nil {
+		memory = unlimitedMemory{}
 	}
-	if len(body) > MaxAnswerBytes {
-		return ServiceAnswer{Facts: facts}, &CallError{Address: address, MaybeSent: true, Err: fmt.Errorf("answer is larger than %d bytes", MaxAnswerBytes)}
+	body, err := readWhole(response.Body, MaxAnswerBytes, memory)
+	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return ServiceAnswer{Facts: facts}, &CallError{Address: address, MaybeSent: true, Err: fmt.Errorf("read the answer: %w", err)}
 	}
 	return ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body, Facts: facts}, nil
 }
--- a/internal/process/callerapi/server.go
+++ b/internal/process/callerapi/server.go
@@ -20,6 +20,7 @@
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/connection/hostlist"
+	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/request/claim"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/request/relay"
@@ -135,13 +136,14 @@
 
 // Server is the HTTP handler for callers.
 type Server struct {
-	deps Deps
-	mux  *http.ServeMux
+	deps    Deps
+	mux     *http.ServeMux
+	answers *answermemory.Pool
 }
 
 // New returns the handler for callers.
 func New(deps Deps) *Server {
-	s := &Server{deps: deps, mux: http.NewServeMux()}
+	s := &Server{deps: deps, mux: http.NewServeMux(), answers: answermemory.NewPool(answerMemoryBytes, answerReserveBytes)}
 	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	s.mux.HandleFunc("GET /readyz", s.readiness)
 	s.mux.HandleFunc("POST /v1/completions", s.wrap(s.completions))
--- a/internal/process/callerapi/services.go
+++ b/internal/process/callerapi/services.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/request/claim"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/object"
@@ -23,6 +24,15 @@
 // before a byte is passed to a connection.
 const maxUnsentAttempts = 3
 
+const (
+	// answerMemoryBytes limits what a node holds of the answers of all services, besides
+	// one answer and a few KB of each.
+	answerMemoryBytes = 32 << 20
+	// answerReserveBytes is what one answer takes at most, while it is put together from
+	// its chunks.
+	answerReserveBytes = 2*endpoint.MaxAnswerBytes + 2*endpoint.MaxChunkBytes
+)
+
 // maxIdempotencyKeyBytes limits the length of the caller's key.
 const maxIdempotencyKeyBytes = 255
 
@@ -32,6 +42,15 @@
 	spec    *object.ServiceSpec
 	request endpoint.ServiceRequest
 	key     string
+	// memory are the accounts of the answers, open until the caller has one.
+	memory []*answermemory.Account
+}
+
+// closeMemory releases the memory of the answers.
+func (c *serviceCall) closeMemory() {
+	for _, account := range c.memory {
+		account.Close()
+	}
 }
 
 // service handles one call of a plain service.
@@ -40,6 +59,7 @@
 	if refused != nil {
 		return refused
 	}
+	defer call.closeMemory()
 	admission, refused := s.deps.Limiter.Admit(current.account.Name, 0, current.received)
 	if refused != nil {
 		return refused
@@ -189,9 +209,14 @@
 	if !ok {
 		return answer, "", &noEndpointError{service: call.name, retryAfter: retryAfter}
 	}
-	answer, err = s.deps.Client.Call(ctx, picked.Address, call.request)
+	ctx, memory := s.answers.Open(ctx, picked.Name)
+	call.memory = append(call.memory, memory)
+	request := call.request
+	request.Memory = memory
+	answer, err = s.deps.Client.Call(ctx, picked.Address, request)
 	s.deps.Services.Said(picked, answer.Facts, call.request.Header.Get(HeaderRequestID))
 	if err != nil {
+		memory.Close()
 		s.deps.Services.Failed(picked.Name)
 	}
 	return answer, picked.Name, err
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -36,7 +36,7 @@
 	// defaultAnswerMemoryBytes is Options.AnswerMemoryBytes if that is 0.
 	defaultAnswerMemoryBytes = 32 << 20
 	// answerReserveBytes is what one answer takes at most.
-	answerReserveBytes = endpoint.MaxAnswerBytes + 2*maxChunkBytes
+	answerReserveBytes = endpoint.MaxAnswerBytes + 2*endpoint.MaxChunkBytes
 )
 
 // Budget limits the retries of all nodes together. Each node uses its part.
--- a/internal/request/forward/memory_test.go
+++ b/internal/request/forward/memory_test.go
@@ -139,7 +139,7 @@
 
 // TestChunkedBodyIsUnchanged verifies bodies whose size is near that of a chunk or a limit.
 func TestChunkedBodyIsUnchanged(t *testing.T) {
-	for _, size := range []int{0, 1, minChunkBytes - 1, minChunkBytes, minChunkBytes + 1, 3 * minChunkBytes, maxErrorAnswerBytes, endpoint.MaxAnswerBytes} {
+	for _, size := range []int{0, 1, endpoint.MinChunkBytes - 1, endpoint.MinChunkBytes, endpoint.MinChunkBytes + 1, 3 * endpoint.MinChunkBytes, maxErrorAnswerBytes, endpoint.MaxAnswerBytes} {
 		for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
 			want := strings.Repeat("ab", size/2+1)[:size]
 			serveOnce(t, newTestSetup(fleet.KindNonIdempotent, 1, map[string]hostBehavior{"a": answerWith(status, want)}), func(t *testing.T, got callerResult) {
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -24,10 +24,6 @@
 // exitDuration is how long a process may take to close its sockets when it ends.
 const exitDuration = 150 * time.Millisecond
 
-// errAnswerTooLarge reports an answer larger than the limit for its status. It is
-// not delivered, because a part would look like the whole answer.
-var errAnswerTooLarge = errors.New("answer is too large")
-
 // errCutAnswer reports an answer without a length or chunks whose connection ended
 // because the host crashed.
 var errCutAnswer = errors.New("answer ended with its connection as the host crashed")
--- a/internal/request/forward/poison.go
+++ b/internal/request/forward/poison.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/request/place"
@@ -49,7 +50,7 @@
 // not by an answer or by this node.
 func connectionBroke(err error) bool {
 	var failure *statusError
-	for _, other := range []error{errUnverifiedAnswer, errAnswerTooLarge, errEventTooLarge, answermemory.ErrEvicted, errAttemptPanicked, errNotRun, context.DeadlineExceeded, context.Canceled} {
+	for _, other := range []error{errUnverifiedAnswer, endpoint.ErrAnswerTooLarge, errEventTooLarge, answermemory.ErrEvicted, errAttemptPanicked, errNotRun, context.DeadlineExceeded, context.Canceled} {
 		if errors.Is(err, other) {
 			return false
 		}
