A begun stream waits for room as long as its caller does

Callers saw streams cut after 2 s of silence at most although they wait longer: after two seconds, four latency targets or eight pause targets, whichever is longest. The wait for room at another group ended 1.5 s after the last event for all routes; with a pause target of 300 ms callers stay for 2.4 s. Seen in the soak: the group of a stream was ended and the other one had no room under its limit for 2 s.

Routes without one keep the 1.5 s. Ruled out: waiting to the deadline of the request, since the caller is gone by then and the place would be taken in vain.

TestBegunStreamWaitsForRoom gets two cases, room after 1.7 and 3.3 s; they fail with the former bound.

--- a/internal/request/forward/stream_room.go
+++ b/internal/request/forward/stream_room.go
@@ -8,9 +8,23 @@
 	"currantladder.example/currantladder/internal/request/place"
 )
 
-// maxRoomWait limits the time since its last event for which a stream waits for room at
-// another group. Callers leave a stream that is silent for longer.
-const maxRoomWait = 1500 * time.Millisecond
+const (
+	// defaultSilenceTimeout replaces the silence timeout of a route that has none.
+	defaultSilenceTimeout = 2 * time.Second
+	// roomWaitMargin is the part of the silence timeout that is left for the first event
+	// of the group that a waiting stream goes on at.
+	roomWaitMargin = 500 * time.Millisecond
+)
+
+// roomWait is the time since its last event for which a stream waits for room at another
+// group. Its caller leaves soon after that.
+func (s *streamState) roomWait() time.Duration {
+	timeout := s.route.SilenceTimeout
+	if timeout <= 0 {
+		timeout = defaultSilenceTimeout
+	}
+	return timeout - roomWaitMargin
+}
 
 // awaitedRoom is the wait of a stream whose last attempt has failed.
 type awaitedRoom struct {
@@ -25,7 +39,7 @@
 // it again to another node as easily as one that has not. It reports whether the stream
 // waits; it does not if no host is left that could go on with it.
 func (s *streamState) awaitRoom(failed *streamAttempt, update attemptUpdate, charge bool, now time.Time) bool {
-	until := s.lastEventAt.Add(maxRoomWait)
+	until := s.lastEventAt.Add(s.roomWait())
 	if !s.headerSent || !s.route.Repeatable() || !now.Before(until) || !place.MayServe(s.View.Load(), s.query()) {
 		return false
 	}
--- a/internal/request/forward/stream_room_test.go
+++ b/internal/request/forward/stream_room_test.go
@@ -50,11 +50,15 @@
 }
 
 // TestBegunStreamWaitsForRoom guards against streams that are cut because no other group
-// has room at the moment at which their own fails.
+// has room at the moment at which their own fails, although their callers still wait.
 func TestBegunStreamWaitsForRoom(t *testing.T) {
-	for _, roomAfter := range []time.Duration{200 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond} {
+	for _, test := range []struct{ silenceTimeout, roomAfter time.Duration }{
+		{0, 200 * time.Millisecond}, {0, 700 * time.Millisecond}, {0, 1300 * time.Millisecond}, {2400 * time.Millisecond, 1700 * time.Millisecond}, {4 * time.Second, 3300 * time.Millisecond},
+	} {
 		synctest.Test(t, func(t *testing.T) {
+			roomAfter := test.roomAfter
 			setup := newTurnSetup(fleet.KindStream, 2, 2, streamEvents(3, testEventInterval, resetConnection), streamEvents(8, testEventInterval, closeStream))
+			setup.route.SilenceTimeout = test.silenceTimeout
 			got := serveWithFullGroups(t, setup, roomAfter)
 			if got.status != http.StatusOK || got.aborted || got.body != eventsText(1, 8) {
 				t.Errorf("room after %v: got status %d, aborted %t, want 200 and the whole stream; body:\n%s", roomAfter, got.status, got.aborted, got.body)
@@ -74,7 +78,7 @@
 		if !got.aborted || got.body != eventsText(1, 3) {
 			t.Errorf("got aborted %t, want an incomplete stream; body:\n%s", got.aborted, got.body)
 		}
-		if limit := 3*testEventInterval + maxRoomWait + MoveBackoff; got.took > limit {
+		if limit := 3*testEventInterval + defaultSilenceTimeout - roomWaitMargin + MoveBackoff; got.took > limit {
 			t.Errorf("took %v, want at most %v", got.took, limit)
 		}
 		policy := retry.Policy{RetryShare: 0.2, MaxAttempts: 2, Reserve: 0.8}
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -63,6 +63,9 @@
 	// PauseTarget is the objective for the longest time between two events of a
 	// stream; 0 for other kinds.
 	PauseTarget time.Duration
+	// SilenceTimeout is the time without an event after which callers leave a stream; 0 if
+	// it is not known.
+	SilenceTimeout time.Duration
 	// Rank orders requests by urgency; 0 is the most urgent.
 	Rank int
 	// Targets are the services among which the route's requests are split.
