Evacuate failure domains: no new requests to their hosts (whole)

What operators see: the row evacuate/DOMAIN in the table op takes the hosts of that failure domain out of use at every node, and deleting it brings them back at once. Events 1316 to 1319, gauges evacuated_domains and groups_evacuated.

Cause: nodes ignored all rows of the table op except the configuration.

Change: fleet.Evacuations records the rows; the view marks hosts, with and without a configuration; placing, MayServe and IsOpenHead heed the mark; plans keep evacuated groups and count neither them nor their hosts. feed.Table reports deletions of keys that it does not hold, so that a deletion after a restore ends what a node has kept.

Ruled out: closing the groups (their hosts would load again for seconds); a new revision of the configuration as the trigger.

Tests: random models of rows, restores and registrations (TestEvacuatedHostsTakeNoRequests), 20 simulated fleets (TestGroupsServeAgainAfterAnEvacuation), and nodes on the stand-in platform with the store refusing (TestEvacuatedDomainGetsNoRequests).

--- a/internal/connection/feed/table.go
+++ b/internal/connection/feed/table.go
@@ -99,8 +99,10 @@
 			report(t.remove(r.Key, r.Version))
 		default:
 			// A reader may hold a record that was added and deleted since the batch
-			// before.
+			// before. After a restore of the store, the deletion of a record that the
+			// older copy lacks withdraws what a node has kept.
 			t.history.addTombstone(r)
+			report(r)
 		}
 	}
 	if !b.Complete {
--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -68,6 +68,10 @@
 	StoreRestored      = Event{1313, logrus.WarnLevel, "the store has come back from an older copy; what was in force stays until it is written again"}
 	NodeRowUnusable    = Event{1314, logrus.WarnLevel, "row of a node is unusable and is ignored"}
 	HostSaysLeaving    = Event{1315, logrus.InfoLevel, "host says in an answer that it leaves; it gets no new requests"}
+	EvacuationInForce  = Event{1316, logrus.InfoLevel, "evacuation of a failure domain is in force at this node; its hosts get no requests"}
+	EvacuationEnded    = Event{1317, logrus.InfoLevel, "evacuation of a failure domain has ended at this node"}
+	EvacuationUnknown  = Event{1318, logrus.WarnLevel, "evacuation names a failure domain that no host is in; it changes nothing"}
+	EvacuationLost     = Event{1319, logrus.WarnLevel, "request of an evacuation is missing in the older copy of the store; it stays in force for 30 s"}
 	HostRemovalDelayed = Event{1310, logrus.InfoLevel, "registration of a host lapsed around an outage of the store; the host is kept for now"}
 )
 
@@ -171,6 +175,10 @@
 	StoreRestored,
 	NodeRowUnusable,
 	HostSaysLeaving,
+	EvacuationInForce,
+	EvacuationEnded,
+	EvacuationUnknown,
+	EvacuationLost,
 	RequestPlaced,
 	RequestNotPlaced,
 	RequestRetried,
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -127,8 +127,8 @@
 		HostLeaves: func(host *fleet.Host, requestID string) { g.builder.hostSaysLeaving(host, requestID, time.Now()) },
 	})
 	g.builder = newViewBuilder(p.Decode, g.view, log, g.viewChanged)
-	g.configs = feed.NewFollower(feed.TopicConfiguration, p.Feed, g.upstream, log, func(changed []feed.Record, _ bool) {
-		g.builder.applyConfiguration(changed)
+	g.configs = feed.NewFollower(feed.TopicConfiguration, p.Feed, g.upstream, log, func(changed []feed.Record, restored bool) {
+		g.builder.applyConfigurationFeed(changed, restored, time.Now())
 	})
 	g.hosts = feed.NewFollower(feed.TopicHosts, p.Feed, g.upstream, log, func(changed []feed.Record, restored bool) {
 		version, _ := g.hosts.Table().Version()
@@ -316,6 +316,7 @@
 		case now := <-ticker.C:
 			g.builder.removeLapsedHosts(now)
 			g.builder.applyDeferredHosts(now)
+			g.metrics.Scope().Gauge("evacuated_domains").Update(float64(g.builder.expireEvacuations(now)))
 			view := g.view.Load()
 			g.board.RemoveUnregistered(view)
 			g.logEndedWaits(view, now)
--- a/internal/process/gateway/view.go
+++ b/internal/process/gateway/view.go
@@ -31,6 +31,9 @@
 type Decoder struct {
 	Configuration func([]feed.Record) (*fleet.Configuration, error)
 	Host          func(feed.Record) (*fleet.Host, error)
+	// Evacuation returns the failure domain whose evacuation a record of the
+	// configuration feed requests, or false for any other record.
+	Evacuation func(feed.Record) (domain string, ok bool)
 }
 
 // viewBuilder builds the node's view of the fleet from the two feeds.
@@ -56,6 +59,10 @@
 	restoredAt time.Time
 	// departures tells the groups that a member has left.
 	departures *fleet.Departures
+	// evacuations are the failure domains whose hosts get no requests, and
+	// unknownDomains those that are requested and that no host is in.
+	evacuations    *fleet.Evacuations
+	unknownDomains map[string]bool
 	// said contains the hosts that have said in an answer that they leave.
 	said         map[string]saidLeaving
 	hostsVersion int64
@@ -68,9 +75,18 @@
 		decode: decode, view: view, log: log, onChange: onChange,
 		hosts: map[string]*fleet.Host{}, lapseDeadlines: map[string]time.Time{}, unusable: map[string]bool{},
 		ended: fleet.NewEndedLives(), deferred: map[string]deferredRecord{}, departures: fleet.NewDepartures(), said: map[string]saidLeaving{},
+		evacuations: fleet.NewEvacuations(), unknownDomains: map[string]bool{},
 	}
 }
 
+// applyConfigurationFeed applies changes of the configuration feed: evacuations, then the
+// configuration. restored is true if the store has come back from an older copy and the
+// changes are its whole table.
+func (b *viewBuilder) applyConfigurationFeed(changed []feed.Record, restored bool, now time.Time) {
+	b.applyEvacuations(changed, restored, now)
+	b.applyConfiguration(changed)
+}
+
 // applyConfiguration puts a newer revision in force. An older revision, or one
 // that cannot be decoded, changes nothing.
 func (b *viewBuilder) applyConfiguration(changed []feed.Record) {
@@ -142,6 +158,7 @@
 	}
 	delete(b.unusable, r.Key)
 	delete(b.lapseDeadlines, r.Key)
+	host.Evacuated = b.evacuations.InForce(host.FailureDomain)
 	host = b.staysLeaving(host, now)
 	b.ended.Registered(host, now)
 	b.departures.Registered(host)
@@ -216,6 +233,7 @@
 	for _, h := range b.hosts {
 		hosts = append(hosts, h)
 	}
+	b.logUnknownEvacuations(hosts)
 	b.departures.Mark(hosts, b.groupSize)
 	b.view.Store(fleet.NewView(b.configuration, hosts, b.hostsVersion, b.readAt, b.hostsKnown))
 }
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -283,7 +283,7 @@
 // matches reports whether the host is open for the request, whatever is known of its load
 // and its failures.
 func (q Query) matches(host *fleet.Host) bool {
-	if host.State != fleet.HostReady || slices.Contains(q.Exclude, host.ID) {
+	if !host.TakesRequests() || slices.Contains(q.Exclude, host.ID) {
 		return false
 	}
 	return q.Service.Engine == nil || host.IsOpenHead() && host.LoadedModel == q.Model
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -263,6 +263,9 @@
 	// Deserted is true if a member has left the host's group, which the host may not have
 	// noticed. It is set for heads only.
 	Deserted bool
+	// Evacuated is true while the operator evacuates the host's failure domain. The host
+	// gets no requests, and its group stays as it is.
+	Evacuated bool
 }
 
 // MemberState is the state of one member of a group.
@@ -288,8 +291,12 @@
 // Instance identifies one incarnation of a host.
 func (h *Host) Instance() string { return h.ID + "@" + h.Started.UTC().Format(time.RFC3339Nano) }
 
+// TakesRequests reports whether the host, or its group, may get new requests as far as
+// its state and the operator's evacuations tell.
+func (h *Host) TakesRequests() bool { return h.State == HostReady && !h.Evacuated }
+
 // IsOpenHead reports whether the host is the head of an open group and thus takes
 // the group's requests. A group that a member has left does not work.
 func (h *Host) IsOpenHead() bool {
-	return h.State == HostReady && !h.Deserted && h.Group.Name != "" && h.Group.Rank == 0 && h.Group.State == MemberOpen
+	return h.TakesRequests() && !h.Deserted && h.Group.Name != "" && h.Group.Rank == 0 && h.Group.State == MemberOpen
 }
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -340,6 +340,10 @@
 		summary += m + " serving " + strconv.Itoa(plan.Serving[m]) + " forming " + strconv.Itoa(plan.Forming[m]) + " spares " + strconv.Itoa(plan.Spares[m]) + "; "
 		c.Metrics.Tagged(map[string]string{"model": m}).Gauge("groups_serving").Update(float64(plan.Serving[m]))
 		c.Metrics.Tagged(map[string]string{"model": m}).Gauge("spare_hosts").Update(float64(plan.Spares[m]))
+		if evacuated := plan.Evacuated[m]; evacuated > 0 {
+			summary += m + " evacuated " + strconv.Itoa(evacuated) + "; "
+		}
+		c.Metrics.Tagged(map[string]string{"model": m}).Gauge("groups_evacuated").Update(float64(plan.Evacuated[m]))
 	}
 	if summary == c.lastSummary {
 		return
--- a/internal/version/formation/form.go
+++ b/internal/version/formation/form.go
@@ -16,7 +16,7 @@
 // spares.
 func (p *planner) collectFreeHosts() {
 	for _, h := range p.Hosts {
-		if p.inUse[h.ID] || h.State != fleet.HostReady || p.isUnreachable(h) || p.Conditions[h.ID].Slow {
+		if p.inUse[h.ID] || !h.TakesRequests() || p.isUnreachable(h) || p.Conditions[h.ID].Slow {
 			continue
 		}
 		if last, ok := p.orderInFlight(h); ok && (last.Refused || last.Order.Operation == OpLeave && !last.Answered) {
@@ -36,7 +36,7 @@
 // targetRatio returns the hosts of the model's wanted groups relative to its
 // target, or 1 if it has no target.
 func (p *planner) targetRatio(m *fleet.Model) float64 {
-	target := m.WorkShare * float64(len(p.Hosts))
+	target := m.WorkShare * float64(p.usableHosts)
 	if d, ok := p.Demand[m.Name]; ok && d > 0 {
 		target = d
 	}
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -123,6 +123,9 @@
 	// Serving and Forming count the wanted groups by model.
 	Serving map[string]int
 	Forming map[string]int
+	// Evacuated counts the open groups of evacuated failure domains, which get no
+	// requests, by model. They are not among the others.
+	Evacuated map[string]int
 	// Spares counts the free hosts by the model whose weights they have.
 	Spares map[string]int
 	// Contested are the IDs of the hosts that are registered for a place in a group for
@@ -147,14 +150,16 @@
 	reserved map[string]bool
 	// domainGroups counts wanted groups by domain and model.
 	domainGroups map[string]map[string]int
+	// usableHosts counts the hosts among which the models' shares are divided.
+	usableHosts int
 }
 
 // MakePlan returns the orders that bring the fleet closer to its target.
 func MakePlan(in Input) Plan {
 	p := &planner{
 		Input: in, groups: map[string]*group{}, serving: map[string][]*group{}, free: map[string]*fleet.Host{}, inUse: map[string]bool{}, reserved: map[string]bool{}, ended: map[string]bool{},
-		domainGroups: map[string]map[string]int{},
-		plan:         Plan{NextEpoch: in.FirstEpoch, Serving: map[string]int{}, Forming: map[string]int{}, Spares: map[string]int{}},
+		domainGroups: map[string]map[string]int{}, usableHosts: len(in.Hosts) - countEvacuated(in.Hosts),
+		plan: Plan{NextEpoch: in.FirstEpoch, Serving: map[string]int{}, Forming: map[string]int{}, Evacuated: map[string]int{}, Spares: map[string]int{}},
 	}
 	p.collectEnded()
 	p.collectGroups()
@@ -308,6 +313,10 @@
 
 // keepGroup counts the group as wanted and marks its members as in use.
 func (p *planner) keepGroup(g *group, serving bool) {
+	if isEvacuated(g) {
+		p.keepEvacuated(g, serving)
+		return
+	}
 	domain := ""
 	for _, h := range g.members {
 		if h != nil {
