place: split a choice into candidates, room and choice; index of open heads

Choose did all in one function, so that each further rule of room would have changed all of it, and it looked at every host of the service, members of groups and spares included. It now has three steps: candidates.go (which hosts), room.go (how much room each has, and the reason if none), choice.go (which one). fleet.View.OpenHeads and ReadyHosts are indexes that are built with the view, so that hosts that take no requests cost a choice nothing.

Ruled out: an index inside the board, which would have to follow the host list.

--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -44,29 +44,22 @@
 	b.reports[name] = report
 }
 
-// applyRateLimits sets the room of the candidates, and removes those that may get no
-// more requests now. It returns the rest and the rate of requests that all limited
-// candidates take. The caller holds mu.
-func (b *Board) applyRateLimits(candidates []candidate, now time.Time) (withRoom []candidate, perSecond float64) {
-	withRoom = candidates[:0]
-	reportAge := b.reportAge(now)
-	for _, c := range candidates {
-		sentElsewhere := 0
-		for _, r := range b.reports {
-			if now.Sub(r.receivedAt) <= reportTTL {
-				sentElsewhere += r.sent[c.host.ID]
-			}
-		}
-		c.room = math.Inf(1)
-		if room, limited := b.limiter.Room(c.host.ID, c.host.Started, sentElsewhere, reportAge, now); limited {
-			c.room, c.limited = room, true
-			perSecond += b.limiter.Limit(c.host.ID, c.host.Started, now).PerSecond
-		}
-		if c.room > 0 {
-			withRoom = append(withRoom, c)
+// rateLimitRoom returns how many more requests a host may get from all nodes until their
+// next reports, and the limit of requests a second that it names. Without a limit the
+// room is infinite. The caller holds mu.
+func (b *Board) rateLimitRoom(host *fleet.Host, reportAge time.Duration, now time.Time) (room, perSecond float64) {
+	limit := b.limiter.Limit(host.ID, host.Started, now)
+	if !limit.Named {
+		return math.Inf(1), 0
+	}
+	sentElsewhere := 0
+	for _, r := range b.reports {
+		if now.Sub(r.receivedAt) <= reportTTL {
+			sentElsewhere += r.sent[host.ID]
 		}
 	}
-	return withRoom, perSecond
+	room, _ = b.limiter.Room(host.ID, host.Started, sentElsewhere, reportAge, now)
+	return room, limit.PerSecond
 }
 
 // placedTogether estimates how many requests all nodes place until their next reports,
