place: a choice costs the same among 300 and 5,000 hosts

Cause: each choice added up the reports of all nodes for each host of the service, and sorted all candidates, behind the lock that all requests of a node take.

Change: the board keeps the sum of the reports for each host and the number of nodes as reports come and expire. A load index keeps the hosts of a service and model in order of load, with sums; a change by one request costs a constant time. Up to 64 hosts a choice looks at all of them, as before. Among more it looks at 64 at even distances in the order of load, from a random one on, so that the shares of water-filling stay the same on average. If none of them has room, it looks at up to 64 more from the least loaded on, so the last room in a fleet is found.

Ruled out: the first hosts in the order of load, since all nodes with the same reports would fill the same few groups; a few hosts at random, whose level varies more than that of an even sample; a copy of all loads that is some milliseconds old.

--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,9 +18,6 @@
 )
 
 const (
-	// reportTTL is how long another node's counts are used. It covers several
-	// exchange intervals.
-	reportTTL = 1500 * time.Millisecond
 	// suspicionTTL is how long a stalled group gets no request. By then its
 	// controller has checked the members.
 	suspicionTTL = 1500 * time.Millisecond
@@ -52,7 +50,17 @@
 	mu      sync.Mutex
 	hosts   map[string]*hostRecord
 	reports map[string]remoteReport
-	limiter *ratelimit.Limiter
+	// nodesElsewhere is the number of nodes behind the reports. No report expires until
+	// nextExpiry.
+	nodesElsewhere int
+	nextExpiry     time.Time
+	// indexes hold the hosts by load, for each service and model that was asked for and
+	// is served.
+	indexes map[indexedModel]*loadIndex
+	// impaired holds the hosts that may be suspected, quarantined, waiting or filled
+	// slowly after a wait. Choices remove the others.
+	impaired map[string]struct{}
+	limiter  *ratelimit.Limiter
 	// returns holds, by service and model, the times that refused callers were given.
 	returns map[string]*rate.Limiter
 	// waits holds the hosts that ask for no requests, by ID. An entry outlives the
@@ -64,7 +72,10 @@
 
 // hostRecord is the load and health of one host.
 type hostRecord struct {
-	inFlight int
+	// inFlight is the number of this node's requests, elsewhere that of the other nodes'
+	// by the reports that have not expired. entry is nil if no index holds the host.
+	inFlight, elsewhere int
+	entry               *indexEntry
 	// lastProgress is when the host last sent any part of an answer.
 	lastProgress     time.Time
 	quarantinedUntil time.Time
@@ -78,24 +89,13 @@
 	answerTime time.Duration
 }
 
-// remoteReport is the load reported by another node, for itself or as the sum
-// over several nodes.
-type remoteReport struct {
-	receivedAt time.Time
-	inFlight   map[string]int
-	nodes      int
-	// sent is the number of requests sent within ratelimit.Window to each host that
-	// names a limit.
-	sent map[string]int
-}
-
 // NewBoard returns an empty board.
 func NewBoard() *Board { return NewBoardFrom(rand.Float64) }
 
 // NewBoardFrom returns an empty board that takes its random numbers in [0, 1)
 // from the given source.
 func NewBoardFrom(random func() float64) *Board {
-	return &Board{hosts: make(map[string]*hostRecord), reports: make(map[string]remoteReport), limiter: ratelimit.New(), returns: make(map[string]*rate.Limiter), waits: make(map[string]*wait), random: random}
+	return &Board{hosts: make(map[string]*hostRecord), reports: make(map[string]remoteReport), indexes: make(map[indexedModel]*loadIndex), impaired: make(map[string]struct{}), limiter: ratelimit.New(), returns: make(map[string]*rate.Limiter), waits: make(map[string]*wait), random: random}
 }
 
 // ensureHost returns the record of the host and creates it if there is none. The
@@ -113,7 +113,7 @@
 func (b *Board) Started(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ensureHost(id).inFlight++
+	b.ensureHost(id).addOwn(1)
 }
 
 // movingAverageWeight is the weight of the newest attempt in moving averages.
@@ -124,7 +124,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.ensureHost(id)
-	r.inFlight = max(r.inFlight-1, 0)
+	r.addOwn(-1)
 	switch outcome {
 	case OutcomeAnswered:
 		r.failures = 0
@@ -132,7 +132,7 @@
 		r.failureRate *= 1 - movingAverageWeight
 		r.answerTime += time.Duration(movingAverageWeight * float64(took-r.answerTime))
 	case OutcomeFailed, OutcomeRefused:
-		r.recordFailure(now)
+		b.recordFailure(id, now)
 	case OutcomeAbandoned:
 	}
 }
@@ -142,11 +142,13 @@
 func (b *Board) Overdue(id string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ensureHost(id).recordFailure(now)
+	b.recordFailure(id, now)
 }
 
-// recordFailure quarantines the host for a failed attempt.
-func (r *hostRecord) recordFailure(now time.Time) {
+// recordFailure quarantines the host for a failed attempt. The caller holds mu.
+func (b *Board) recordFailure(id string, now time.Time) {
+	r := b.ensureHost(id)
+	b.impaired[id] = struct{}{}
 	if now.Sub(r.lastFailure) > failureWindow {
 		r.failures = 0
 	}
@@ -185,6 +187,7 @@
 	r := b.ensureHost(id)
 	isNew := !now.Before(r.suspectedUntil)
 	r.suspectedUntil = now.Add(suspicionTTL)
+	b.impaired[id] = struct{}{}
 	return isNew
 }
 
@@ -223,100 +226,21 @@
 	return counts
 }
 
-// Merge stores the report received under a name: the requests in flight by host,
-// summed over the given number of nodes. It replaces the former report of that
-// name.
-func (b *Board) Merge(name string, inFlight map[string]int, nodes int, suspects []string, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.reports[name] = remoteReport{receivedAt: now, inFlight: inFlight, nodes: nodes}
-	for _, id := range suspects {
-		r := b.ensureHost(id)
-		// A host that sent something to this node lately is not stalled.
-		if now.Sub(r.lastProgress) > suspicionTTL && !now.Before(r.suspectedUntil) {
-			r.suspectedUntil = now.Add(suspicionTTL / 2)
-		}
-	}
-}
-
-// LiveNodes returns the number of nodes whose reports have not expired, including
-// this one.
-func (b *Board) LiveNodes(now time.Time) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.liveNodes(now)
-}
-
-// liveNodes implements LiveNodes. The caller holds mu.
-func (b *Board) liveNodes(now time.Time) int {
-	live := 1
-	for _, r := range b.reports {
-		if now.Sub(r.receivedAt) <= reportTTL {
-			live += r.nodes
-		}
-	}
-	return live
-}
-
-// Report is a load report received under one name.
-type Report struct {
-	// InFlight is the number of requests in flight by host, summed over Nodes
-	// nodes.
-	InFlight map[string]int
-	Nodes    int
-	// Sent is the number of requests sent within ratelimit.Window to each host that
-	// names a limit.
-	Sent map[string]int
-}
-
-// Reported returns the reports that have not expired, by name, and deletes the
-// others.
-func (b *Board) Reported(now time.Time) map[string]Report {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	reported := make(map[string]Report, len(b.reports))
-	for name, r := range b.reports {
-		if now.Sub(r.receivedAt) > reportTTL {
-			delete(b.reports, name)
-			continue
-		}
-		reported[name] = Report{r.inFlight, r.nodes, r.sent}
-	}
-	return reported
-}
-
 // RemoveUnregistered drops hosts that are no longer registered and have no
 // requests.
 func (b *Board) RemoveUnregistered(view *fleet.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for key, x := range b.indexes {
+		if !slices.Equal(x.hosts, view.OpenHeads(key.service, key.model)) && !slices.Equal(x.hosts, view.ReadyHosts(key.service)) {
+			x.release()
+			delete(b.indexes, key)
+		}
+	}
 	for id, r := range b.hosts {
-		if r.inFlight == 0 && view.Host(id) == nil {
+		if r.inFlight == 0 && r.elsewhere == 0 && r.entry == nil && view.Host(id) == nil {
 			delete(b.hosts, id)
 		}
 	}
 	b.limiter.Forget(func(id string) bool { return view.Host(id) != nil })
 }
-
-// Load returns the number of requests in flight at a host over all nodes, as far as
-// reported.
-func (b *Board) Load(id string, now time.Time) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.load(id, now)
-}
-
-// load is the number of requests in flight at a host over all nodes: this node's
-// count and the unexpired reports. The caller holds mu.
-func (b *Board) load(id string, now time.Time) int {
-	total := 0
-	if r := b.hosts[id]; r != nil {
-		total = r.inFlight
-	}
-	for _, r := range b.reports {
-		if now.Sub(r.receivedAt) <= reportTTL {
-			total += r.inFlight[id]
-		}
-	}
-	return total
-}
--- a/internal/request/place/candidates.go
+++ b/internal/request/place/candidates.go
@@ -25,7 +25,8 @@
 
 // candidate is a host that may take a request.
 type candidate struct {
-	host *fleet.Host
+	host   *fleet.Host
+	record *hostRecord
 	// ownInFlight is the number of this node's requests at the host; reported
 	// adds the numbers that the other nodes reported.
 	ownInFlight, reported, limit int
@@ -41,9 +42,11 @@
 
 // survey is what a choice knows of the hosts of a service and model.
 type survey struct {
-	// candidates are the hosts that may take requests now, whatever their load.
+	// candidates are hosts that may take requests now, whatever their load: all of
+	// them, or a sample. part is the sample's part of the hosts, 1 for all.
 	candidates []candidate
-	// count, load, limit and ownInFlight are sums over them.
+	part       float64
+	// count, load, limit and ownInFlight are sums over all hosts that may take requests.
 	count, load, limit, ownInFlight int
 	// waiting is the number of hosts that ask for no requests, and firstWaitEnd when the
 	// first of them takes requests again.
@@ -54,41 +57,56 @@
 	// limit take together.
 	notFull     int
 	limitedRate float64
+	// index holds all hosts if the candidates are a sample, and is nil otherwise. looked
+	// is the number of hosts that were looked at.
+	index  *loadIndex
+	looked int
 }
 
-// survey collects the candidates among the hosts. The caller holds mu.
+// survey collects the candidates among the hosts. Beyond maxCandidates hosts it takes a
+// sample, and the sums of the index. The caller holds mu.
 func (b *Board) survey(hosts []*fleet.Host, q Query, now time.Time) survey {
-	var s survey
-	for _, host := range hosts {
-		switch b.blockedBy(host, q, now) {
-		case ReasonNone:
-			s.add(b.candidate(host, q, now))
-		case ReasonWaiting:
-			w := b.waitOf(host)
-			w.leftOut++
-			s.waiting++
-			if s.firstWaitEnd.IsZero() || w.until.Before(s.firstWaitEnd) {
-				s.firstWaitEnd = w.until
-			}
-		}
+	b.expireReports(now)
+	if len(hosts) == 0 {
+		return survey{}
+	}
+	x := b.index(hosts, q)
+	if len(hosts) > maxCandidates {
+		return b.surveySample(x, q, now)
+	}
+	s := survey{part: 1, looked: len(hosts), candidates: make([]candidate, 0, len(hosts))}
+	for i, host := range hosts {
+		b.addHost(&s, host, x.records[i], q, now)
 	}
 	return s
 }
 
-// add adds a candidate and its counts.
-func (s *survey) add(c candidate) {
-	s.candidates = append(s.candidates, c)
-	s.count++
-	s.load += c.reported
-	s.limit += c.limit
-	s.ownInFlight += c.ownInFlight
+// addHost adds a host as a candidate with its counts, or counts it as waiting. The caller
+// holds mu.
+func (b *Board) addHost(s *survey, host *fleet.Host, r *hostRecord, q Query, now time.Time) {
+	switch b.blockedBy(host, r, q, now) {
+	case ReasonNone:
+		c := b.candidate(host, r, q, now)
+		s.candidates = append(s.candidates, c)
+		s.count++
+		s.load += c.reported
+		s.limit += c.limit
+		s.ownInFlight += c.ownInFlight
+	case ReasonWaiting:
+		s.addWaiting(b.waitOf(host))
+	}
 }
 
-// candidate returns a host with its counts. The caller holds mu.
-func (b *Board) candidate(host *fleet.Host, q Query, now time.Time) candidate {
-	c := candidate{host: host, limit: b.rampedLimit(host, hostLimit(host, q), now), reported: b.load(host.ID, now)}
-	if r := b.hosts[host.ID]; r != nil {
-		c.ownInFlight = r.inFlight
+// addWaiting counts a host that asks for no requests.
+func (s *survey) addWaiting(w *wait) {
+	w.leftOut++
+	s.waiting++
+	if s.firstWaitEnd.IsZero() || w.until.Before(s.firstWaitEnd) {
+		s.firstWaitEnd = w.until
 	}
-	return c
+}
+
+// candidate returns a host with its counts. The caller holds mu.
+func (b *Board) candidate(host *fleet.Host, r *hostRecord, q Query, now time.Time) candidate {
+	return candidate{host: host, record: r, limit: b.rampedLimit(host, hostLimit(host, q), now), ownInFlight: r.inFlight, reported: r.load()}
 }
--- a/internal/request/place/choice.go
+++ b/internal/request/place/choice.go
@@ -37,7 +37,7 @@
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		c.load = (1-weight)*float64(c.reported) + weight*scale*float64(c.ownInFlight)
-		c.cost = c.load + b.penalty(c.host, q, now)*float64(c.limit)
+		c.cost = c.load + b.penalty(c.host, c.record, q, now)*float64(c.limit)
 	}
 }
 
@@ -114,16 +114,14 @@
 
 // penalty is the addition to the cost of a host for failures and quarantine, less
 // the bonus for the node's own failure domain, as a share of the host's limit.
-func (b *Board) penalty(host *fleet.Host, q Query, now time.Time) float64 {
+func (b *Board) penalty(host *fleet.Host, r *hostRecord, q Query, now time.Time) float64 {
 	penalty := 0.0
 	if host.FailureDomain == q.FailureDomain {
 		penalty -= localDomainBonus
 	}
-	if r := b.hosts[host.ID]; r != nil {
-		penalty += failurePenalty * r.failureRate
-		if q.Service.Engine == nil && now.Before(r.quarantinedUntil) {
-			penalty++
-		}
+	penalty += failurePenalty * r.failureRate
+	if q.Service.Engine == nil && now.Before(r.quarantinedUntil) {
+		penalty++
 	}
 	return penalty
 }
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -76,6 +76,9 @@
 	}
 	b.estimateLoad(&s, q, now)
 	candidates := b.withRoom(&s, now)
+	if len(candidates) == 0 && s.index != nil {
+		candidates = b.lookFurther(&s, q, now)
+	}
 	if s.notFull == 0 || b.random() < b.sheddingProbability(q, refusal, now) {
 		refusal.RetryAfter = b.retryAfter(q, refusal)
 		return Choice{}, refusal
@@ -84,13 +87,13 @@
 	if s.limitedRate > 0 {
 		requests = max(requests, b.placedTogether(asked, now))
 	}
-	chosen, found := b.pickByWaterFilling(candidates, requests)
+	chosen, found := b.pickByWaterFilling(candidates, requests*s.part)
 	if !found {
 		refusal.RateLimited = true
 		refusal.RetryAfter = b.rateLimitedRetryAfter(q, s.limitedRate, now)
 		return Choice{}, refusal
 	}
-	b.ensureHost(chosen.host.ID).inFlight++
+	chosen.record.addOwn(1)
 	b.limiter.Sent(chosen.host.ID, now)
 	return Choice{chosen.host, chosen.reported, chosen.limit, chosen.limited}, nil
 }
--- a/internal/request/place/room.go
+++ b/internal/request/place/room.go
@@ -35,19 +35,17 @@
 
 // blockedBy returns the rule by which a host gets no request at present, whatever its
 // load is. The caller holds mu.
-func (b *Board) blockedBy(host *fleet.Host, q Query, now time.Time) Reason {
+func (b *Board) blockedBy(host *fleet.Host, r *hostRecord, q Query, now time.Time) Reason {
 	if slices.Contains(q.Exclude, host.ID) {
 		return ReasonTried
 	}
-	if r := b.hosts[host.ID]; r != nil {
-		if now.Before(r.suspectedUntil) {
-			return ReasonSuspected
-		}
-		// A quarantined endpoint of a plain service stays a candidate, because there
-		// may be no other. Its penalty ranks it last.
-		if q.Service.Engine != nil && now.Before(r.quarantinedUntil) {
-			return ReasonQuarantined
-		}
+	if now.Before(r.suspectedUntil) {
+		return ReasonSuspected
+	}
+	// A quarantined endpoint of a plain service stays a candidate, because there
+	// may be no other. Its penalty ranks it last.
+	if q.Service.Engine != nil && now.Before(r.quarantinedUntil) {
+		return ReasonQuarantined
 	}
 	if w := b.waitOf(host); w != nil && now.Before(w.until) {
 		return ReasonWaiting
@@ -64,7 +62,7 @@
 		reason, perSecond := b.setRoom(&c, reportAge, now)
 		if reason != ReasonFull {
 			s.notFull++
-			s.limitedRate += perSecond
+			s.limitedRate += perSecond / s.part
 		}
 		if reason == ReasonNone {
 			candidates = append(candidates, c)
--- a/internal/request/place/waits.go
+++ b/internal/request/place/waits.go
@@ -51,6 +51,7 @@
 		former.until = until
 	} else {
 		b.waits[host.ID] = &wait{started: host.Started, began: now, until: until}
+		b.impaired[host.ID] = struct{}{}
 	}
 	return until, true
 }
