Limit what all nodes send to cold hosts and to groups that have just opened (whole)

What operators see: settings [cold] over and [cold] slack, rendered from the deployment's bounds and empty without them; event 1320, counters place_sent_to_cold and place_refused_beside_cold, field cold of 1352. Deployments without these bounds, and services without cold_per_s, are served as before.

Cause: a group that has just opened is the least loaded one, and all nodes filled it at once (28 and 32 requests in a second were observed, bound 26).

Change: package warmup. For each host the known nodes divide 0.65 of the bound per 1.25 s, in the host's rendezvous order. A host is cold until the time of its registration or health answer, and for 2.5 s after its group opened or its domain's evacuation ended. Nodes that started lately, have read no list of nodes or hear from none send cold hosts nothing. Digests carry the number of known nodes, so that a member with a short list reads the rows again.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -72,6 +72,7 @@
 	EvacuationEnded    = Event{1317, logrus.InfoLevel, "evacuation of a failure domain has ended at this node"}
 	EvacuationUnknown  = Event{1318, logrus.WarnLevel, "evacuation names a failure domain that no host is in; it changes nothing"}
 	EvacuationLost     = Event{1319, logrus.WarnLevel, "request of an evacuation is missing in the older copy of the store; it stays in force for 30 s"}
+	HostCold           = Event{1320, logrus.InfoLevel, "host is cold; all nodes together limit what they send to it"}
 	HostRemovalDelayed = Event{1310, logrus.InfoLevel, "registration of a host lapsed around an outage of the store; the host is kept for now"}
 )
 
@@ -179,6 +180,7 @@
 	EvacuationEnded,
 	EvacuationUnknown,
 	EvacuationLost,
+	HostCold,
 	RequestPlaced,
 	RequestNotPlaced,
 	RequestRetried,
--- a/internal/process/gateway/digest.go
+++ b/internal/process/gateway/digest.go
@@ -85,6 +85,9 @@
 	Sent       map[string]int     `json:"sent,omitempty"`
 	RateLimits []ratelimit.Report `json:"limits,omitempty"`
 	Nodes      int                `json:"nodes"`
+	// Known is the number of nodes that the sender knows, running or not; 0 where the
+	// deployment has no limits for cold hosts.
+	Known int `json:"known,omitempty"`
 	// Suspects are the head hosts of groups that are suspected to be stalled.
 	Suspects []string `json:"suspects,omitempty"`
 	// HadTraffic is true once any node has received a request.
@@ -218,7 +221,7 @@
 	own := digest{
 		Kind: digestOwn, Node: p.node, Row: p.self, InFlight: p.board.InFlight(), Nodes: 1, Suspects: p.board.Suspects(now),
 		HadTraffic: p.hadTraffic(), HasFreshFeeds: p.hasFreshFeeds(), Leader: p.candidate.Notice(),
-		Poison: p.poison.Digest(now), Sent: p.board.SentToLimited(now),
+		Poison: p.poison.Digest(now), Sent: p.board.SentToLimited(now), Known: p.warmup.Nodes(),
 	}
 	reported := p.board.Reported(now)
 	p.mu.Lock()
@@ -364,6 +367,10 @@
 	case digestOthers:
 		name = hubReportName
 	}
+	p.warmup.Heard(now)
+	if p.warmup.Lacks(d.Known) {
+		p.listLacksNodes.Store(true)
+	}
 	p.board.Merge(name, d.InFlight, d.Nodes, d.Suspects, now)
 	p.board.MergeRateLimits(name, d.RateLimits, d.Sent, now)
 	if d.Leader != nil {
--- a/internal/process/gateway/evacuation.go
+++ b/internal/process/gateway/evacuation.go
@@ -26,7 +26,7 @@
 	if !restored && len(requested)+len(withdrawn) == 0 {
 		return
 	}
-	b.changeEvacuations(func() {
+	b.changeEvacuations(now, func() {
 		if restored {
 			for _, domain := range b.evacuations.Restore(requested, now) {
 				b.log.Log(eventlog.EvacuationLost, eventlog.Fields{"domain": domain})
@@ -45,12 +45,12 @@
 // expireEvacuations ends the evacuations that were only kept for a time after the store
 // came back from an older copy. It returns the number of those in force.
 func (b *viewBuilder) expireEvacuations(now time.Time) int {
-	return b.changeEvacuations(func() { b.evacuations.Expire(now) })
+	return b.changeEvacuations(now, func() { b.evacuations.Expire(now) })
 }
 
 // changeEvacuations applies a change of the evacuations to the hosts and publishes a view
 // if the evacuated domains are others than before. It returns their number.
-func (b *viewBuilder) changeEvacuations(change func()) int {
+func (b *viewBuilder) changeEvacuations(now time.Time, change func()) int {
 	b.mu.Lock()
 	former := b.evacuations.Domains()
 	change()
@@ -59,12 +59,12 @@
 	if changed {
 		for _, domain := range current {
 			if !slices.Contains(former, domain) {
-				b.log.Log(eventlog.EvacuationInForce, eventlog.Fields{"domain": domain, "hosts": b.evacuate(domain, true)})
+				b.log.Log(eventlog.EvacuationInForce, eventlog.Fields{"domain": domain, "hosts": b.evacuate(domain, true, now)})
 			}
 		}
 		for _, domain := range former {
 			if !slices.Contains(current, domain) {
-				b.log.Log(eventlog.EvacuationEnded, eventlog.Fields{"domain": domain, "hosts": b.evacuate(domain, false)})
+				b.log.Log(eventlog.EvacuationEnded, eventlog.Fields{"domain": domain, "hosts": b.evacuate(domain, false, now)})
 			}
 		}
 		b.publish()
@@ -77,8 +77,9 @@
 }
 
 // evacuate marks the hosts of a failure domain as evacuated or not, and returns their
-// number. The caller must hold mu.
-func (b *viewBuilder) evacuate(domain string, evacuated bool) int {
+// number. Those that are not evacuated any more have just begun to take requests. The
+// caller must hold mu.
+func (b *viewBuilder) evacuate(domain string, evacuated bool, now time.Time) int {
 	count := 0
 	for id, host := range b.hosts {
 		if host.FailureDomain != domain {
@@ -87,6 +88,9 @@
 		count++
 		changed := *host
 		changed.Evacuated = evacuated
+		if !evacuated {
+			changed.ServingSince = now
+		}
 		b.hosts[id] = &changed
 	}
 	return count
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"currantladder.example/currantladder/internal/request/forward"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
+	"currantladder.example/currantladder/internal/request/warmup"
 	"currantladder.example/currantladder/internal/version/fleet"
 	"currantladder.example/currantladder/internal/version/formation"
 )
@@ -91,6 +92,7 @@
 
 	view       *fleet.ViewHolder
 	board      *place.Board
+	warmup     *warmup.Guard
 	poison     *poison.Tracker
 	core       *forward.Core
 	builder    *viewBuilder
@@ -118,6 +120,8 @@
 func New(s *Settings, p Platform, log *eventlog.Logger) *Gateway {
 	g := &Gateway{settings: s, platform: p, log: log, metrics: metrics.New(s.Node), view: &fleet.ViewHolder{}, board: place.NewBoard(), poison: poison.New(), conns: conntrack.New()}
 	g.stops.schedule = newStopSchedule(s.StopTime)
+	g.warmup = newWarmupGuard(s, time.Now())
+	g.board.LimitColdHosts(g.warmup)
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.core = forward.New(forward.Options{
 		View: g.view, Board: g.board, Endpoint: p.Endpoint, Budget: forward.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
@@ -132,6 +136,8 @@
 	})
 	g.hosts = feed.NewFollower(feed.TopicHosts, p.Feed, g.upstream, log, func(changed []feed.Record, restored bool) {
 		version, _ := g.hosts.Table().Version()
+		confirmed, _ := g.hosts.LastContact()
+		g.builder.copyConfirmed(confirmed)
 		if restored {
 			g.builder.applyRestoredHosts(changed, version, time.Now())
 			return
@@ -147,6 +153,23 @@
 	return g
 }
 
+// newWarmupGuard returns the guard of cold hosts for a node that starts now. At the first
+// start of the fleet no node has sent anything, and all know each other after
+// firstStartWait.
+func newWarmupGuard(s *Settings, now time.Time) *warmup.Guard {
+	delay := warmup.StartDelay
+	if s.FirstStart {
+		delay = firstStartWait
+	}
+	return warmup.New(s.Node, warmup.Bounds{Over: s.ColdOver, Slack: s.ColdSlack}, now.Add(delay))
+}
+
+// HostIsCold records that a host has said in a health answer that it stays cold for some
+// time.
+func (g *Gateway) HostIsCold(id string, left time.Duration) {
+	g.builder.hostSaysCold(id, left, time.Now())
+}
+
 func (g *Gateway) viewChanged() {
 	g.controller.Wake()
 }
@@ -194,7 +217,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w; choose a free port", g.settings.Peers, err)
 	}
-	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, poison: g.poison, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, firstStart: g.settings.FirstStart, hasFreshFeeds: g.hasFreshFeeds, storeEra: g.storeEra, log: g.log})
+	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, warmup: g.warmup, poison: g.poison, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, firstStart: g.settings.FirstStart, hasFreshFeeds: g.hasFreshFeeds, storeEra: g.storeEra, log: g.log})
 	servers, err := g.listen(ctx)
 	if err != nil {
 		return err
@@ -319,6 +342,7 @@
 			g.metrics.Scope().Gauge("evacuated_domains").Update(float64(g.builder.expireEvacuations(now)))
 			view := g.view.Load()
 			g.board.RemoveUnregistered(view)
+			g.board.ForgetCold(view, now)
 			g.logEndedWaits(view, now)
 			g.peers.applyFindings(g.poison.Reconsider(now))
 			if !ready && view.Configuration != nil && view.HostsKnown {
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,6 +23,7 @@
 	"currantladder.example/currantladder/internal/process/leader"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
+	"currantladder.example/currantladder/internal/request/warmup"
 )
 
 // Intervals, timeouts and limits of the exchange between nodes.
@@ -117,6 +119,7 @@
 type peersOptions struct {
 	store     table.Store
 	board     *place.Board
+	warmup    *warmup.Guard
 	poison    *poison.Tracker
 	candidate *leader.Candidate
 	conn      net.PacketConn
@@ -159,6 +162,9 @@
 	trafficElsewhere bool
 	// heardDigest is true once a digest of another node has arrived.
 	heardDigest bool
+	// listLacksNodes is true if another node knows many more nodes than this one, which
+	// then reads the rows of all nodes, although it has a hub.
+	listLacksNodes atomic.Bool
 	// wake has room for one signal to send a digest before its time.
 	wake chan struct{}
 }
@@ -195,7 +201,7 @@
 			}
 		}
 		delay := rosterBackoff // the feed followers log the failure of the store
-		if p.hasLiveHub() {
+		if p.hasLiveHub() && !p.listLacksNodes.Load() {
 			if registered {
 				delay = p.jitteredRosterInterval()
 			}
@@ -308,6 +314,8 @@
 		p.updatePeer(name, row)
 	}
 	p.unusableRows = unusable
+	p.warmup.Listed()
+	p.listLacksNodes.Store(false)
 	return ownRow, nil
 }
 
@@ -322,6 +330,7 @@
 	if other == nil {
 		other = &peer{}
 		p.byName[node] = other
+		p.warmup.AddNode(node)
 	}
 	other.nodeRow = row
 	return other
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -37,6 +37,11 @@
 	// a share of the requests, and a number in addition.
 	RetryRatio float64
 	RetrySlack float64
+	// ColdOver and ColdSlack limit what all nodes together send to a cold host in any
+	// second: the service's rate for cold hosts times ColdOver, plus ColdSlack. A
+	// ColdOver of 0 is no limit.
+	ColdOver  float64
+	ColdSlack float64
 	// StopTime is the longest time from SIGTERM to the end of the process.
 	StopTime time.Duration
 	// ProcessorShare is the share of a processor core that the node may use. The
@@ -121,6 +126,8 @@
 		{"store", "address", true, "", "IP:port of the platform's store", address(func(s *Settings) *string { return &s.Store })},
 		{"retry", "ratio", false, "0.1", "retries of all nodes, as a share of the requests within 10 s", number(func(s *Settings) *float64 { return &s.RetryRatio })},
 		{"retry", "slack", false, "20", "retries of all nodes within 10 s in addition", number(func(s *Settings) *float64 { return &s.RetrySlack })},
+		{"cold", "over", false, "", "requests of all nodes to a cold host in any second, as a multiple of the service's rate for cold hosts; no limit without it", number(func(s *Settings) *float64 { return &s.ColdOver })},
+		{"cold", "slack", false, "0", "requests of all nodes to a cold host in any second in addition", number(func(s *Settings) *float64 { return &s.ColdSlack })},
 		{"log", "level", false, "info", "lowest level that is logged", text(func(s *Settings) *string { return &s.LogLevel })},
 	}
 }
--- a/internal/process/gateway/view.go
+++ b/internal/process/gateway/view.go
@@ -64,7 +64,11 @@
 	evacuations    *fleet.Evacuations
 	unknownDomains map[string]bool
 	// said contains the hosts that have said in an answer that they leave.
-	said         map[string]saidLeaving
+	said map[string]saidLeaving
+	// former contains the hosts whose registration was removed lately, and confirmedAt
+	// when the copy of the host list that is applied was confirmed.
+	former       map[string]formerHost
+	confirmedAt  time.Time
 	hostsVersion int64
 	readAt       time.Time
 	hostsKnown   bool
@@ -75,7 +79,7 @@
 		decode: decode, view: view, log: log, onChange: onChange,
 		hosts: map[string]*fleet.Host{}, lapseDeadlines: map[string]time.Time{}, unusable: map[string]bool{},
 		ended: fleet.NewEndedLives(), deferred: map[string]deferredRecord{}, departures: fleet.NewDepartures(), said: map[string]saidLeaving{},
-		evacuations: fleet.NewEvacuations(), unknownDomains: map[string]bool{},
+		evacuations: fleet.NewEvacuations(), unknownDomains: map[string]bool{}, former: map[string]formerHost{},
 	}
 }
 
@@ -159,6 +163,7 @@
 	delete(b.unusable, r.Key)
 	delete(b.lapseDeadlines, r.Key)
 	host.Evacuated = b.evacuations.InForce(host.FailureDomain)
+	b.setTimes(host, b.confirmedAt, now)
 	host = b.staysLeaving(host, now)
 	b.ended.Registered(host, now)
 	b.departures.Registered(host)
@@ -203,6 +208,7 @@
 func (b *viewBuilder) remove(id string, version int64, now time.Time) {
 	host := b.hosts[id]
 	b.ended.Removed(host, now)
+	b.rememberFormer(host, now)
 	delete(b.hosts, id)
 	delete(b.lapseDeadlines, id)
 	b.log.LogLimited(eventlog.HostRemoved, eventlog.Fields{"host": id, "group": host.Group.Name, "version": version})
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -289,14 +289,20 @@
 		if choice.RateLimited {
 			s.Metrics.Counter("place_sent_to_limited").Inc(1)
 		}
+		if choice.Cold {
+			s.Metrics.Counter("place_sent_to_cold").Inc(1)
+		}
 		s.logPlaced(view, choice)
 		return choice, nil
 	}
 	s.Log.LogLimited(eventlog.RequestNotPlaced, eventlog.Fields{
 		"request": s.request.ID, "service": s.service.Name, "model": query.Model, "rank": s.rank,
-		"candidates": none.Candidates, "waiting": none.Waiting, "load": none.Load, "limit": none.Limit, "hosts_version": view.HostsVersion,
+		"candidates": none.Candidates, "waiting": none.Waiting, "cold": none.Cold, "load": none.Load, "limit": none.Limit, "hosts_version": view.HostsVersion,
 		"hosts_age_ms": time.Since(view.HostsRead).Milliseconds(), "attempt": len(s.triedHosts) + 1,
 	})
+	if none.Cold > 0 {
+		s.Metrics.Counter("place_refused_beside_cold").Inc(1)
+	}
 	if none.Candidates == 0 && none.Waiting > 0 {
 		s.Metrics.Counter("place_refused_by_waits").Inc(1)
 		return place.Choice{}, refusal.New(refusal.KindOverloaded, http.StatusServiceUnavailable, "all endpoints ask for no requests at present; send the request again after the given time").WithRetryAfter(none.RetryAfter)
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"currantladder.example/currantladder/internal/request/ratelimit"
+	"currantladder.example/currantladder/internal/request/warmup"
 	"currantladder.example/currantladder/internal/version/fleet"
 )
 
@@ -58,6 +59,8 @@
 	// waits holds the hosts that ask for no requests, by ID. An entry outlives the
 	// host's registration, which may lapse and come back within one life.
 	waits map[string]*wait
+	// warmup limits the requests to cold hosts; nil for no limit.
+	warmup *warmup.Guard
 	// random returns numbers in [0, 1).
 	random func() float64
 }
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -70,6 +70,8 @@
 	Limit int
 	// RateLimited is true if the host names a limit of requests a second.
 	RateLimited bool
+	// Cold is true if the host is cold or has just begun to take requests.
+	Cold bool
 }
 
 // Refusal describes why no endpoint was chosen.
@@ -83,6 +85,9 @@
 	RateLimited bool
 	// Waiting is the number of endpoints that could run it but ask for no requests.
 	Waiting int
+	// Cold is the number of endpoints that could run it but are cold and may get no more
+	// requests of this node now.
+	Cold int
 	// RetryAfter is the delay after which room is expected.
 	RetryAfter time.Duration
 }
@@ -95,6 +100,7 @@
 	defer b.mu.Unlock()
 	refusal := &Refusal{RetryAfter: minRetryAfter}
 	var candidates []candidate
+	var cold coldCandidates
 	ownInFlight := 0
 	var firstWaitEnd time.Time
 	for _, host := range view.ServiceHosts(q.Service.Name) {
@@ -113,13 +119,17 @@
 		if r := b.hosts[host.ID]; r != nil {
 			c.ownInFlight = r.inFlight
 		}
+		if cold.add(b, c, q, now) {
+			continue
+		}
 		ownInFlight += c.ownInFlight
 		refusal.Candidates++
 		refusal.Load += c.reported
 		refusal.Limit += c.limit
 		candidates = append(candidates, c)
 	}
-	if refusal.Candidates == 0 && refusal.Waiting > 0 {
+	refusal.Cold = cold.found - len(cold.open)
+	if refusal.Candidates == 0 && cold.found == 0 && refusal.Waiting > 0 {
 		refusal.RetryAfter = b.waitRetryAfter(firstWaitEnd, now)
 		return Choice{}, refusal
 	}
@@ -129,7 +139,14 @@
 	}
 	b.estimateLoad(candidates, q, ownInFlight, refusal.Load, now)
 	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return max(c.load, float64(c.reported)) >= float64(c.limit) })
+	if chosen, found := cold.cheapest(b, candidates, now); found {
+		return b.started(chosen, q, true, now), nil
+	}
 	notFull := len(candidates)
+	if refusal.Candidates == 0 && cold.found > 0 {
+		refusal.Candidates, refusal.RetryAfter = cold.found, cold.retryAfter(b)
+		return Choice{}, refusal
+	}
 	candidates, limitedRate := b.applyRateLimits(candidates, now)
 	if notFull == 0 || b.random() < b.sheddingProbability(q, refusal, now) {
 		refusal.RetryAfter = b.retryAfter(q, refusal)
@@ -145,9 +162,7 @@
 		refusal.RetryAfter = b.rateLimitedRetryAfter(q, limitedRate, now)
 		return Choice{}, refusal
 	}
-	b.ensureHost(chosen.host.ID).inFlight++
-	b.limiter.Sent(chosen.host.ID, now)
-	return Choice{chosen.host, chosen.reported, chosen.limit, chosen.limited}, nil
+	return b.started(chosen, q, false, now), nil
 }
 
 // candidate is a host that may take a request.
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -93,6 +93,10 @@
 	// MaxConnections is the maximum number of connections of all callers to one
 	// endpoint.
 	MaxConnections int
+	// ColdTime is how long a host is usually cold after its start. ColdPerSecond is the
+	// rate of requests that a cold host can take; 0 means that there is no limit.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -254,6 +258,13 @@
 	Slots        int
 	// Started distinguishes incarnations with the same ID.
 	Started time.Time
+	// ColdLeft is how long the host stayed cold from its registration on, as it said
+	// there, and WarmAt when it will be warm, by the node's clock.
+	ColdLeft time.Duration
+	WarmAt   time.Time
+	// ServingSince is when the host began to take requests: when its group opened, or an
+	// evacuation ended. It is zero if that was before this node's first view.
+	ServingSince time.Time
 	// LoadedModel is the model in memory, "" for none.
 	LoadedModel string
 	// StagedModels are the models whose weights are staged on the host.
