Merge limits of cold hosts

A choice keeps cold hosts apart from the candidates and their sums; the cheapest one that this node may send to is taken before a warm one that costs more.

--- a/internal/request/place/candidates.go
+++ b/internal/request/place/candidates.go
@@ -57,6 +57,8 @@
 	// limit take together.
 	notFull     int
 	limitedRate float64
+	// cold are the cold hosts, which are not among the candidates and the sums.
+	cold coldCandidates
 	// index holds all hosts if the candidates are a sample, and is nil otherwise. looked
 	// is the number of hosts that were looked at.
 	index  *loadIndex
@@ -87,6 +89,9 @@
 	switch b.blockedBy(host, r, q, now) {
 	case ReasonNone:
 		c := b.candidate(host, r, q, now)
+		if s.cold.add(b, c, q, now) {
+			return
+		}
 		s.candidates = append(s.candidates, c)
 		s.count++
 		s.load += c.reported
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -38,6 +38,8 @@
 	Limit int
 	// RateLimited is true if the host names a limit of requests a second.
 	RateLimited bool
+	// Cold is true if the host is cold or has just begun to take requests.
+	Cold bool
 }
 
 // Refusal describes why no endpoint was chosen.
@@ -51,6 +53,9 @@
 	RateLimited bool
 	// Waiting is the number of endpoints that could run it but ask for no requests.
 	Waiting int
+	// Cold is the number of endpoints that could run it but are cold and may get no more
+	// requests of this node now.
+	Cold int
 	// RetryAfter is the delay after which room is expected.
 	RetryAfter time.Duration
 }
@@ -65,8 +70,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.survey(q.hosts(view), q, now)
-	refusal := &Refusal{Candidates: s.count, Load: s.load, Limit: s.limit, Waiting: s.waiting, RetryAfter: minRetryAfter}
-	if s.count == 0 && s.waiting > 0 {
+	refusal := &Refusal{Candidates: s.count, Load: s.load, Limit: s.limit, Waiting: s.waiting, Cold: s.cold.closed(), RetryAfter: minRetryAfter}
+	if s.count == 0 && s.cold.found == 0 && s.waiting > 0 {
 		refusal.RetryAfter = b.waitRetryAfter(s.firstWaitEnd, now)
 		return Choice{}, refusal
 	}
@@ -79,6 +84,13 @@
 	if len(candidates) == 0 && s.index != nil {
 		candidates = b.lookFurther(&s, q, now)
 	}
+	if chosen, found := s.cold.cheapest(b, candidates, now); found {
+		return b.started(chosen, q, true, now), nil
+	}
+	if s.count == 0 && s.cold.found > 0 {
+		refusal.Candidates, refusal.RetryAfter = s.cold.found, s.cold.retryAfter(b)
+		return Choice{}, refusal
+	}
 	if s.notFull == 0 || b.random() < b.sheddingProbability(q, refusal, now) {
 		refusal.RetryAfter = b.retryAfter(q, refusal)
 		return Choice{}, refusal
@@ -93,9 +105,7 @@
 		refusal.RetryAfter = b.rateLimitedRetryAfter(q, s.limitedRate, now)
 		return Choice{}, refusal
 	}
-	chosen.record.addOwn(1)
-	b.limiter.Sent(chosen.host.ID, now)
-	return Choice{chosen.host, chosen.reported, chosen.limit, chosen.limited}, nil
+	return b.started(chosen, q, false, now), nil
 }
 
 // unreportedShare is the share of the running requests that began after the
