--- a/internal/process/gateway/digest.go
+++ b/internal/process/gateway/digest.go
@@ -337,12 +337,17 @@
 		if err != nil {
 			continue // the error concerns one datagram, such as a refused one
 		}
-		var d digest
-		if json.Unmarshal(buffer[:n], &d) != nil || d.Node == "" || d.Node == p.node {
-			continue // not a digest of this version
-		}
-		p.handleDigest(d, time.Now())
+		p.receive(buffer[:n], time.Now())
+	}
+}
+
+// receive applies a datagram if it contains a digest.
+func (p *peers) receive(datagram []byte, now time.Time) {
+	var d digest
+	if json.Unmarshal(datagram, &d) != nil || d.Node == "" || d.Node == p.node {
+		return // not a digest of this version
 	}
+	p.handleDigest(d, now)
 }
 
 // handleDigest applies a digest to the peers, the board and the candidate.
