Encode each answer of a feed once, compressed, for all its readers

Cause: a hub encoded every answer again for each member, as JSON with the values in base64. A registration that was only renewed was sent whole.

Changes: a reader that names the packed form in the header Accept gets gzip of JSON lines with the values as text. A record whose value the reader holds is sent without it, with a checksum: a hub may have missed a value between two equal ones, and the reader then reads the whole table. Readers that do not name the form get JSON as before; their whole table is shared, too.

Ruled out: leaving renewals out altogether, since copies of one node serve as sources of others and the records' versions order them; base64 inside gzip, which compresses badly.

--- a/internal/connection/feed/feed.go
+++ b/internal/connection/feed/feed.go
@@ -32,8 +32,16 @@
 	Version int64  `json:"version"`
 	Value   []byte `json:"value,omitempty"`
 	Deleted bool   `json:"deleted,omitempty"`
+	// Unchanged is true in changes for a reader that holds the value already: Value is
+	// left out, and Checksum is its checksum. Table.Complete puts it back.
+	Unchanged bool   `json:"-"`
+	Checksum  uint32 `json:"-"`
 }
 
+// errValueMissing reports changes for a reader that holds a value which this one does
+// not hold. The whole table is read instead.
+var errValueMissing = errors.New("changes leave out a value that this node does not hold; read the whole table")
+
 // Batch is a part of a table's history, or the whole table.
 type Batch struct {
 	Records []Record `json:"records"`
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -107,6 +107,8 @@
 	// nextStoreCall is when the next one is due.
 	storeBackoff  time.Duration
 	nextStoreCall time.Time
+
+	shared sharedAnswers
 }
 
 // NewFollower returns a follower that does nothing until Run.
@@ -315,7 +317,10 @@
 		callCtx, cancel := context.WithTimeout(ctx, wait+replyMargin)
 		defer cancel()
 		batch, err := source.Changes(callCtx, f.topic, f.table.Position(), wait)
-		if !errors.Is(err, ErrCompacted) {
+		if err == nil {
+			batch, err = f.table.Complete(batch)
+		}
+		if !errors.Is(err, ErrCompacted) && !errors.Is(err, errValueMissing) {
 			return batch, err
 		}
 		f.log.Log(eventlog.FeedCompacted, eventlog.Fields{"topic": f.topic, "since": version})
--- a/internal/connection/feed/history_test.go
+++ b/internal/connection/feed/history_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -46,7 +47,7 @@
 	case exists && !old.Deleted && s.random.IntN(2) == 0:
 		s.rows[key] = Record{Key: key, Version: s.position.Version, Deleted: true}
 	default:
-		s.rows[key] = record(key, s.position.Version)
+		s.rows[key] = Record{Key: key, Version: s.position.Version, Value: []byte{'0' + byte(s.random.IntN(2))}}
 	}
 	s.versions[s.position.Version] = maps.Clone(s.rows)
 }
@@ -101,15 +102,15 @@
 	return batch, nil
 }
 
-// live returns the rows of a version that are not deleted, by key.
-func live(rows map[string]Record) map[string]int64 {
-	versions := map[string]int64{}
+// live returns the versions and values of the rows that are not deleted, by key.
+func live(rows map[string]Record) map[string]string {
+	contents := map[string]string{}
 	for key, row := range rows {
 		if !row.Deleted {
-			versions[key] = row.Version
+			contents[key] = fmt.Sprint(row.Version, row.Value)
 		}
 	}
-	return versions
+	return contents
 }
 
 // tableSource serves a copy without waiting.
@@ -129,6 +130,27 @@
 	return s.Follower.Changes(ctx, since, 0)
 }
 
+// packedSource serves a copy in packed form.
+type packedSource struct{ *Follower }
+
+// Snapshot implements Source.
+func (s packedSource) Snapshot(context.Context, Topic) (Batch, error) {
+	packed, loaded, err := s.Follower.PackedSnapshot()
+	if err != nil || !loaded {
+		return Batch{}, errors.Join(err, errors.New("nothing was read yet"))
+	}
+	return Unpack(bytes.NewReader(packed.Body))
+}
+
+// Changes implements Source.
+func (s packedSource) Changes(ctx context.Context, _ Topic, since position.Position, _ time.Duration) (Batch, error) {
+	packed, err := s.Follower.PackedChanges(ctx, since, 0)
+	if err != nil {
+		return Batch{}, err
+	}
+	return Unpack(bytes.NewReader(packed.Body))
+}
+
 // check returns an error if a copy differs from the store at the copy's version.
 func (s *modelStore) check(copies []*Follower) error {
 	for i, f := range copies {
@@ -136,12 +158,12 @@
 		if _, loaded := f.table.Version(); !loaded || at.Era != s.position.Era {
 			continue
 		}
-		got := map[string]int64{}
+		got := map[string]string{}
 		for _, r := range f.table.Records() {
-			got[r.Key] = r.Version
+			got[r.Key] = fmt.Sprint(r.Version, r.Value)
 		}
 		if want := live(s.versions[at.Version]); !maps.Equal(got, want) {
-			return fmt.Errorf("copy %d at %v holds versions %v, the store %v", i, at, got, want)
+			return fmt.Errorf("copy %d at %v holds versions and values %v, the store %v", i, at, got, want)
 		}
 	}
 	return nil
@@ -149,7 +171,7 @@
 
 // playHistory plays random writes, reads and restarts and returns the first difference
 // between a copy and the store.
-func playHistory(seed uint64, paged, restores bool) error {
+func playHistory(seed uint64, paged, restores, packed bool) error {
 	const copyCount, steps = 4, 400
 	store := newModelStore(rand.New(rand.NewPCG(seed, 0)), paged)
 	newCopy := func() *Follower {
@@ -174,6 +196,9 @@
 			source := Source(store)
 			if other := store.random.IntN(copyCount); other != reader && store.random.IntN(2) == 0 {
 				source = tableSource{copies[other]}
+				if packed && store.random.IntN(4) > 0 {
+					source = packedSource{copies[other]}
+				}
 			}
 			if batch, err := copies[reader].read(context.Background(), source, 0, time.Minute); err == nil {
 				copies[reader].apply(batch)
@@ -191,16 +216,18 @@
 // held the row, passed later versions on without the removal.
 func TestCopiesHoldTheRowsOfTheirVersion(t *testing.T) {
 	const histories = 250
-	for name, test := range map[string]struct{ paged, restores bool }{
+	for name, test := range map[string]struct{ paged, restores, packed bool }{
 		"whole tables in one answer": {},
 		"whole tables in pages":      {paged: true},
 		"a store that is restored":   {restores: true},
 		"a restored store in pages":  {paged: true, restores: true},
+		"packed copies":              {packed: true},
+		"packed, restored, in pages": {paged: true, restores: true, packed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			broken := 0
 			for seed := range uint64(histories) {
-				if err := playHistory(seed, test.paged, test.restores); err != nil {
+				if err := playHistory(seed, test.paged, test.restores, test.packed); err != nil {
 					if broken++; broken <= 3 {
 						t.Errorf("seed %d: %v", seed, err)
 					}
--- a/internal/connection/feed/table.go
+++ b/internal/connection/feed/table.go
@@ -1,11 +1,14 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"currantladder.example/currantladder/internal/version/position"
 )
 
@@ -14,7 +17,11 @@
 type Table struct {
 	mu      sync.Mutex
 	records map[string]Record
-	history history
+	// valueSince is the version from which the record of a key has had its value.
+	valueSince map[string]int64
+	history    history
+	// lastChange is the highest version of a record or a deletion of this era.
+	lastChange int64
 	// position is the state of the store that the table reflects. The versions of
 	// the records and of the history belong to its era.
 	position position.Position
@@ -25,7 +32,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: make(map[string]Record), changed: make(chan struct{})}
+	return &Table{records: make(map[string]Record), valueSince: make(map[string]int64), changed: make(chan struct{})}
 }
 
 // Version returns the version that the table reflects, and whether the whole
@@ -93,14 +100,14 @@
 		}
 		switch {
 		case !r.Deleted:
-			t.records[r.Key] = r
+			t.put(r)
 			report(r)
 		case exists:
 			report(t.remove(r.Key, r.Version))
 		default:
 			// A reader may hold a record that was added and deleted since the batch
 			// before.
-			t.history.addTombstone(r)
+			t.addTombstone(r)
 		}
 	}
 	if !b.Complete {
@@ -123,11 +130,13 @@
 func (t *Table) replace(b Batch) []Record {
 	former := t.records
 	t.records = make(map[string]Record, len(b.Records))
+	t.valueSince = make(map[string]int64, len(b.Records))
+	t.lastChange = 0
 	// What was deleted before is not known.
 	t.history = history{horizon: b.Version}
 	changed := slices.Clone(b.Records)
 	for _, r := range b.Records {
-		t.records[r.Key] = r
+		t.put(r)
 	}
 	for key := range former {
 		if _, exists := t.records[key]; !exists {
@@ -137,14 +146,32 @@
 	return changed
 }
 
+// put adds or replaces a record. The caller must hold mu.
+func (t *Table) put(r Record) {
+	if old, exists := t.records[r.Key]; !exists || !bytes.Equal(old.Value, r.Value) {
+		t.valueSince[r.Key] = r.Version
+	} else {
+		r.Value = old.Value // keeps one copy
+	}
+	t.records[r.Key] = r
+	t.lastChange = max(t.lastChange, r.Version)
+}
+
 // remove deletes a record and keeps a tombstone. The caller must hold mu.
 func (t *Table) remove(key string, version int64) Record {
 	delete(t.records, key)
+	delete(t.valueSince, key)
 	tombstone := Record{Key: key, Version: version, Deleted: true}
-	t.history.addTombstone(tombstone)
+	t.addTombstone(tombstone)
 	return tombstone
 }
 
+// addTombstone keeps a deletion for readers. The caller must hold mu.
+func (t *Table) addTombstone(r Record) {
+	t.history.addTombstone(r)
+	t.lastChange = max(t.lastChange, r.Version)
+}
+
 // Records returns the current records, sorted by key.
 func (t *Table) Records() []Record {
 	t.mu.Lock()
@@ -177,29 +204,100 @@
 // wait, and not at all if since is of a later era than the table. It returns
 // ErrCompacted if since is of an earlier one or the history does not reach back to it.
 func (t *Table) Changes(ctx context.Context, since position.Position, wait time.Duration) (Batch, error) {
+	if err := t.await(ctx, since, wait); err != nil {
+		return Batch{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	batch, compacted := t.changesSince(since)
+	if compacted {
+		return Batch{}, ErrCompacted
+	}
+	return batch, nil
+}
+
+// await blocks like Changes until there is something to return.
+func (t *Table) await(ctx context.Context, since position.Position, wait time.Duration) error {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		t.mu.Lock()
-		batch, compacted := t.changesSince(since)
+		later := since.Era > t.position.Era
+		compacted := !later && !t.reaches(since)
+		hasChanges := t.lastChange > since.Version
 		signal := t.changed
 		t.mu.Unlock()
 		if compacted {
-			return Batch{}, ErrCompacted
+			return ErrCompacted
 		}
-		if len(batch.Records) > 0 || batch.Era < since.Era {
-			return batch, nil
+		if later || hasChanges {
+			return nil
 		}
 		select {
 		case <-signal:
 		case <-timer.C:
-			return batch, nil
+			return nil
 		case <-ctx.Done():
-			return Batch{}, ctx.Err()
+			return ctx.Err()
+		}
+	}
+}
+
+// reaches reports whether every change after a state of the same or an earlier era is
+// known. The caller must hold mu.
+func (t *Table) reaches(since position.Position) bool {
+	return since.Era == t.position.Era && t.history.reaches(since.Version)
+}
+
+// followsFrom reports whether a reader of the whole table as of a state needs only
+// changes to follow, and no reader that must read the whole table is at a later one.
+func (t *Table) followsFrom(at position.Position) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reaches(at) && len(t.history.gapsAfter(at.Version)) == 0
+}
+
+// shortChanges returns what changed after since, without the values that a reader at
+// that state holds.
+func (t *Table) shortChanges(since position.Position) (Batch, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	batch, compacted := t.changesSince(since)
+	if compacted {
+		return Batch{}, ErrCompacted
+	}
+	for i := range batch.Records {
+		r := &batch.Records[i]
+		if !r.Deleted && t.valueSince[r.Key] <= since.Version {
+			r.Value, r.Unchanged, r.Checksum = nil, true, checksum(r.Value)
 		}
 	}
+	return batch, nil
 }
 
+// Complete puts the values into changes that leave out those which the reader holds. It
+// returns an error if the table does not hold one of them: the node that sent the
+// changes may not know of a value between two equal ones.
+func (t *Table) Complete(b Batch) (Batch, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range b.Records {
+		r := &b.Records[i]
+		if !r.Unchanged {
+			continue
+		}
+		held, exists := t.records[r.Key]
+		if b.Era != t.position.Era || !exists || checksum(held.Value) != r.Checksum {
+			return Batch{}, errValueMissing
+		}
+		r.Value, r.Unchanged, r.Checksum = held.Value, false, 0
+	}
+	return b, nil
+}
+
+// checksum returns a checksum of a value.
+func checksum(value []byte) uint32 { return uint32(xxhash.Sum64(value)) }
+
 // changesSince returns the records newer than a state, or true if the history does
 // not reach back to it. The caller must hold mu.
 func (t *Table) changesSince(since position.Position) (Batch, bool) {
@@ -207,7 +305,7 @@
 		return Batch{Version: t.position.Version, Era: t.position.Era}, false
 	}
 	version := since.Version
-	if since.Era < t.position.Era || !t.history.reaches(version) {
+	if !t.reaches(since) {
 		return Batch{}, true
 	}
 	batch := Batch{Version: max(t.position.Version, version), Era: t.position.Era, Gaps: t.history.gapsAfter(version)}
--- a/internal/process/gateway/peerfeed.go
+++ b/internal/process/gateway/peerfeed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -24,6 +25,15 @@
 	http *http.Client
 }
 
+// Names of the packed form of a batch. A reader that understands it names it in the
+// header Accept; others get JSON, as from nodes of the previous version. The ages of the
+// copy are in headers, in nanoseconds.
+const (
+	typePacked         = "application/x-currantladder-packed"
+	headerConfirmedAgo = "Copy-Confirmed-Ago"
+	headerFailedAgo    = "Copy-Failed-Ago"
+)
+
 // Paths of the peer listener.
 const (
 	pathTable   = "/peer/table"
@@ -46,6 +56,7 @@
 	if err != nil {
 		return feed.Batch{}, fmt.Errorf("build the request to the peer: %w", err)
 	}
+	request.Header.Set("Accept", typePacked)
 	response, err := s.http.Do(request)
 	if err != nil {
 		return feed.Batch{}, err
@@ -57,6 +68,9 @@
 	if response.StatusCode != http.StatusOK {
 		return feed.Batch{}, fmt.Errorf("peer returned HTTP status %d", response.StatusCode)
 	}
+	if response.Header.Get("Content-Type") == typePacked {
+		return readPacked(response)
+	}
 	var batch feed.Batch
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxPeerAnswerBytes)).Decode(&batch); err != nil {
 		return feed.Batch{}, fmt.Errorf("decode the answer of the peer: %w", err)
@@ -64,6 +78,20 @@
 	return batch, nil
 }
 
+func readPacked(response *http.Response) (feed.Batch, error) {
+	batch, err := feed.Unpack(io.LimitReader(response.Body, maxPeerAnswerBytes))
+	if err != nil {
+		return feed.Batch{}, fmt.Errorf("decode the answer of the peer: %w", err)
+	}
+	confirmed, confirmedErr := strconv.ParseInt(response.Header.Get(headerConfirmedAgo), 10, 64)
+	failed, failedErr := strconv.ParseInt(response.Header.Get(headerFailedAgo), 10, 64)
+	if confirmedErr != nil || failedErr != nil {
+		return feed.Batch{}, errors.New("the answer of the peer does not tell the age of its copy")
+	}
+	batch.ConfirmedAgo, batch.FailedAgo = time.Duration(confirmed), time.Duration(failed)
+	return batch, nil
+}
+
 // feedHandler serves this node's copies of the feeds to peers.
 func feedHandler(followers map[feed.Topic]*feed.Follower) http.Handler {
 	mux := http.NewServeMux()
@@ -73,12 +101,19 @@
 			http.Error(w, "unknown topic", http.StatusNotFound)
 			return
 		}
-		batch, loaded := follower.Snapshot()
-		if !loaded {
+		snapshot, write := follower.PlainSnapshot, writePlain
+		if acceptsPacked(r) {
+			snapshot, write = follower.PackedSnapshot, writePacked
+		}
+		table, loaded, err := snapshot()
+		switch {
+		case !loaded:
 			http.Error(w, "nothing was read yet", http.StatusServiceUnavailable)
-			return
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		default:
+			write(w, table)
 		}
-		writeBatch(w, batch)
 	})
 	mux.HandleFunc("GET "+pathChanges, func(w http.ResponseWriter, r *http.Request) {
 		query := r.URL.Query()
@@ -89,12 +124,21 @@
 			http.Error(w, "send a known topic, since and wait", http.StatusBadRequest)
 			return
 		}
-		batch, err := follower.Changes(r.Context(), since, wait)
+		var batch feed.Batch
+		var packed feed.Packed
+		var err error
+		if acceptsPacked(r) {
+			packed, err = follower.PackedChanges(r.Context(), since, wait)
+		} else {
+			batch, err = follower.Changes(r.Context(), since, wait)
+		}
 		switch {
 		case errors.Is(err, feed.ErrCompacted):
 			http.Error(w, err.Error(), http.StatusGone)
 		case err != nil:
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		case acceptsPacked(r):
+			writePacked(w, packed)
 		default:
 			writeBatch(w, batch)
 		}
@@ -102,6 +146,9 @@
 	return mux
 }
 
+// acceptsPacked reports whether the reader understands the packed form.
+func acceptsPacked(r *http.Request) bool { return r.Header.Get("Accept") == typePacked }
+
 // parsePosition decodes the parameters since and era. A node of an earlier version
 // sends no era, which is that of a store that never came back from a copy.
 func parsePosition(query url.Values) (position.Position, error) {
@@ -118,3 +165,20 @@
 	// A failed write means that the peer has closed the connection.
 	_ = json.NewEncoder(w).Encode(batch)
 }
+
+// writePlain writes a batch that is encoded as JSON without its ages.
+func writePlain(w http.ResponseWriter, plain feed.Packed) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the peer has closed the connection.
+	_, _ = fmt.Fprintf(w, `{"confirmedAgo":%d,"failedAgo":%d,`, int64(plain.ConfirmedAgo), int64(plain.FailedAgo))
+	_, _ = w.Write(bytes.TrimPrefix(plain.Body, []byte("{")))
+}
+
+func writePacked(w http.ResponseWriter, packed feed.Packed) {
+	w.Header().Set("Content-Type", typePacked)
+	w.Header().Set("Content-Length", strconv.Itoa(len(packed.Body)))
+	w.Header().Set(headerConfirmedAgo, strconv.FormatInt(int64(packed.ConfirmedAgo), 10))
+	w.Header().Set(headerFailedAgo, strconv.FormatInt(int64(packed.FailedAgo), 10))
+	// A failed write means that the peer has closed the connection.
+	_, _ = w.Write(packed.Body)
+}
--- /dev/null
+++ b/internal/process/gateway/peerfeed_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"currantladder.example/currantladder/internal/connection/feed"
+	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/position"
+)
+
+// TestNodesOfThePreviousVersionReadFeeds verifies that a rolling restart may mix versions:
+// a reader that does not name the packed form gets JSON with the ages, and a reader that
+// does understands a node that ignores this.
+func TestNodesOfThePreviousVersionReadFeeds(t *testing.T) {
+	follower := feed.NewFollower(feed.TopicHosts, nil, nil, eventlog.Discard(), func([]feed.Record, bool) {})
+	follower.Table().Apply(feed.Batch{Records: []feed.Record{{Key: "a", Version: 1, Value: []byte("x")}}, Version: 1, Complete: true})
+	follower.Table().Apply(feed.Batch{Records: []feed.Record{{Key: "a", Version: 2, Value: []byte("x")}}, Version: 2})
+	handler := feedHandler(map[feed.Topic]*feed.Follower{feed.TopicHosts: follower})
+	want := []feed.Record{{Key: "a", Version: 2, Value: []byte("x")}}
+	for _, path := range []string{pathTable + "?topic=hosts", pathChanges + "?topic=hosts&since=1&wait=0s"} {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+		var batch feed.Batch
+		err := json.Unmarshal(recorder.Body.Bytes(), &batch)
+		if diff := cmp.Diff(want, batch.Records); err != nil || diff != "" || batch.ConfirmedAgo <= 0 || batch.Version != 2 {
+			t.Errorf("a reader of the previous version got %s and error %v from %s, want record a at version 2 and an age", recorder.Body, err, path)
+		}
+	}
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del("Accept")
+		handler.ServeHTTP(w, r)
+	}))
+	defer old.Close()
+	source := &peerSource{old.URL, old.Client()}
+	if batch, err := source.Changes(context.Background(), feed.TopicHosts, position.Position{Version: 1}, 0); err != nil || cmp.Diff(want, batch.Records) != "" {
+		t.Errorf("got %+v and error %v from a node of the previous version, want record a", batch, err)
+	}
+	if batch, err := source.Snapshot(context.Background(), feed.TopicHosts); err != nil || !batch.Complete || batch.ConfirmedAgo <= 0 {
+		t.Errorf("got %+v and error %v from a node of the previous version, want the whole table", batch, err)
+	}
+}
--- a/internal/process/gateway/traffic_test.go
+++ b/internal/process/gateway/traffic_test.go
@@ -29,7 +29,9 @@
 	// registration again every 20 s, and a group is formed again every 0.1 s.
 	tracedRenewals = 150
 	tracedChanges  = 100
-	tracedSeconds  = 4
+	tracedSeconds  = 2
+	// startSeconds is the time in which all hosts become ready.
+	startSeconds = 4
 	// tracedRequests is the number of requests in flight at each node.
 	tracedRequests = 15
 	// headerBytes is the size of the headers of one call, as docs/CAPACITY.md counts it.
@@ -39,8 +41,8 @@
 // hubTraffic counts what one hub sends and receives.
 type hubTraffic struct{ sent, received, calls int }
 
-func (c hubTraffic) perSecond() string {
-	return fmt.Sprintf("%6d kB/s sent, %4d kB/s received, %5d calls/s", c.sent/tracedSeconds/1000, c.received/tracedSeconds/1000, c.calls/tracedSeconds)
+func (c hubTraffic) over(seconds int) string {
+	return fmt.Sprintf("%6d kB/s sent, %4d kB/s received, %5d calls/s", c.sent/seconds/1000, c.received/seconds/1000, c.calls/seconds)
 }
 
 // handlerTransport sends requests to a handler without a network.
@@ -130,7 +132,9 @@
 	for _, member := range h.members {
 		batch, err := feed.Batch{}, feed.ErrCompacted
 		if _, loaded := member.Version(); loaded {
-			batch, err = h.source.Changes(context.Background(), feed.TopicHosts, member.Position(), 0)
+			if batch, err = h.source.Changes(context.Background(), feed.TopicHosts, member.Position(), 0); err == nil {
+				batch, err = member.Complete(batch)
+			}
 		}
 		if errors.Is(err, feed.ErrCompacted) {
 			batch, err = h.source.Snapshot(context.Background(), feed.TopicHosts)
@@ -157,11 +161,11 @@
 }
 
 // steady plays some seconds of a fleet, in which ticks return what the hub reads.
-func (h *tracedHub) steady(t *testing.T, tick func() []feed.Record) hubTraffic {
+func (h *tracedHub) steady(t *testing.T, seconds int, tick func() []feed.Record) hubTraffic {
 	t.Helper()
 	const ticksPerSecond = 5 // of hubPollInterval in package feed
 	h.traffic = hubTraffic{}
-	for range tracedSeconds * ticksPerSecond {
+	for range seconds * ticksPerSecond {
 		h.apply(tick())
 		h.readAll(t)
 		time.Sleep(time.Second / ticksPerSecond)
@@ -237,30 +241,30 @@
 		t.Logf("first read of the whole table:      %6d kB sent", hub.traffic.sent/1000)
 
 		group := 0
-		start := hub.steady(t, func() (changed []feed.Record) {
-			for range 2 * tracedHosts / tracedGroupSize / tracedSeconds / 5 {
+		start := hub.steady(t, startSeconds, func() (changed []feed.Record) {
+			for range 2 * tracedHosts / tracedGroupSize / startSeconds / 5 {
 				changed = append(changed, hub.change(group%len(hub.states), []string{"ready", "open"}[group/len(hub.states)%2])...)
 				group++
 			}
 			return changed
 		})
-		t.Logf("start, hosts join and become ready: %s", start.perSecond())
+		t.Logf("start, hosts join and become ready: %s", start.over(startSeconds))
 
-		changes := hub.steady(t, func() (changed []feed.Record) {
+		changes := hub.steady(t, tracedSeconds, func() (changed []feed.Record) {
 			for range tracedChanges / tracedGroupSize / 5 {
 				changed = append(changed, hub.change(hub.random.IntN(len(hub.states)), "open")...)
 			}
 			return changed
 		})
-		t.Logf("(a) changes:                        %s", changes.perSecond())
+		t.Logf("(a) changes:                        %s", changes.over(tracedSeconds))
 
-		renewals := hub.steady(t, func() (changed []feed.Record) {
+		renewals := hub.steady(t, tracedSeconds, func() (changed []feed.Record) {
 			for range tracedRenewals / 5 {
 				changed = append(changed, hub.registration(hub.random.IntN(tracedHosts)))
 			}
 			return changed
 		})
-		t.Logf("(b) renewals:                       %s", renewals.perSecond())
+		t.Logf("(b) renewals:                       %s", renewals.over(tracedSeconds))
 
 		hub.traffic = hubTraffic{}
 		whole := hub.wholeTable() // read after the hub's history had a gap
@@ -273,6 +277,6 @@
 		t.Logf("(c) whole table after a gap:        %6d kB sent", hub.traffic.sent/1000)
 
 		digests := digestTraffic()
-		t.Logf("(d) digests:                        %s", digests.perSecond())
+		t.Logf("(d) digests:                        %s", digests.over(tracedSeconds))
 	})
 }
