Send members of a hub one packed digest of all nodes

Cause: a hub encoded for each member the sum of all other nodes as JSON, five times a second. Above about 2,500 busy hosts the JSON was larger than a datagram and was not sent, so that members took their hub for failed.

Changes: nodes tell in their digests that they understand packed ones, which are compressed and hold the counts in order of the hosts. The digest to members counts all nodes, is encoded once, and names the member's own digest that is part of it; the member takes those counts off. Digests to hubs and between hubs are packed, too. A node that does not tell it gets what it got before.

Ruled out: only counts that changed, since at 0.2 s nearly every busy group's count has changed; a shared list of hosts by number, since nodes are at different versions of the host list and a lost datagram would need a repair.

FuzzDigest takes whole datagrams now, packed ones included, instead of JSON only; its former seeds stay.

--- a/internal/process/gateway/digest.go
+++ b/internal/process/gateway/digest.go
@@ -1,15 +1,12 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"net"
-	"slices"
 	"time"
 
-	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/leader"
 	"currantladder.example/currantladder/internal/request/forward"
 	"currantladder.example/currantladder/internal/request/place"
@@ -70,6 +67,9 @@
 	digestSum digestKind = "sum"
 	// digestOthers counts the requests of all nodes except the receiver.
 	digestOthers digestKind = "rest"
+	// digestAll counts the requests of all nodes. The receiver takes off its own ones,
+	// those of its digest Ack.
+	digestAll digestKind = "all"
 )
 
 // digest is the periodic report of a node to other nodes. It is soft state: a
@@ -96,6 +96,12 @@
 	// Leader is the sender's notice of the running leader's lease, its own or one
 	// from another node. It is nil if there is none.
 	Leader *leader.LeaseNotice `json:"leader,omitempty"`
+	// Packed is true if the sender understands packed digests and those of kind
+	// digestAll. Seq is the number of a member's digest to its hub, and Ack that of the
+	// receiver's digest that is part of this one, or 0.
+	Packed bool   `json:"packed,omitempty"`
+	Seq    uint32 `json:"seq,omitempty"`
+	Ack    uint32 `json:"-"`
 }
 
 // isFullMesh reports whether every node sends its digest to every other one. The
@@ -106,73 +112,20 @@
 // caller must hold mu.
 func (p *peers) forwards() bool { return !p.isFullMesh() && p.chosenHub == p.node }
 
-// chooseHub returns the hub of this node's failure domain, which may be this
-// node, or "" if the fleet is small enough that every node follows the store. The
-// caller must hold mu.
-func (p *peers) chooseHub(now time.Time) string {
-	if len(p.byName)+1 <= maxStoreReaders {
-		p.chosenHub = ""
-		return ""
-	}
-	if p.chosenHub != "" && p.chosenHub != p.node {
-		if other := p.byName[p.chosenHub]; other != nil && now.Sub(other.heardAsHub) > hubTimeout && now.Sub(p.hubChosenAt) > hubTimeout {
-			other.quarantinedUntil = now.Add(hubQuarantine)
-		}
-	}
-	// A node without fresh feeds prefers any other node to itself.
-	best, bestUnfit := p.node, !p.hasFreshFeeds()
-	for _, name := range p.hubCandidates(p.self.Domain) {
-		if !now.Before(p.byName[name].quarantinedUntil) && (bestUnfit || p.preferredAsHub(name, best)) {
-			best, bestUnfit = name, false
-		}
-	}
-	if best != p.chosenHub {
-		p.log.Log(eventlog.HubChosen, eventlog.Fields{"hub": best, "former": p.chosenHub, "nodes": len(p.byName) + 1})
-		p.chosenHub, p.hubChosenAt = best, now
-	}
-	return best
-}
-
-// row returns the row of another node or of this one. The caller must hold mu.
-func (p *peers) row(name string) nodeRow {
-	if name == p.node {
-		return p.self
-	}
-	return p.byName[name].nodeRow
-}
-
-// preferredAsHub reports whether node a is preferred to b as hub: the node with
-// the larger share of a processor core, then the first by name. The caller must
-// hold mu.
-func (p *peers) preferredAsHub(a, b string) bool {
-	if x, y := p.row(a).Share, p.row(b).Share; x != y {
-		return x > y
-	}
-	return a < b
-}
-
-// hubCandidates returns the known other nodes of a domain, the preferred first.
-// The caller must hold mu.
-func (p *peers) hubCandidates(domain string) []string {
-	var names []string
-	for name, other := range p.byName {
-		if other.Domain == domain {
-			names = append(names, name)
-		}
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		if p.preferredAsHub(a, b) {
-			return -1
-		}
-		return cmp.Compare(a, b)
-	})
-	return names
-}
-
-// outgoingDigest is a digest with the address of its receiver.
+// outgoingDigest is a digest with the address of its receiver. It is sent packed if
+// packed, which receivers of the same digest share, is not nil.
 type outgoingDigest struct {
 	address string
 	digest  digest
+	packed  *packedDigest
+}
+
+// outgoing returns the digest to a peer, in a form that the peer understands.
+func (p *packedDigest) outgoing(to *peer) outgoingDigest {
+	if to.packed {
+		return outgoingDigest{to.Address, p.digest, p}
+	}
+	return outgoingDigest{address: to.Address, digest: p.digest}
 }
 
 // runSender sends digests to other nodes until ctx ends.
@@ -200,7 +153,13 @@
 }
 
 func (p *peers) sendDigest(d outgoingDigest) {
-	content, err := json.Marshal(d.digest)
+	var content []byte
+	var err error
+	if d.packed != nil {
+		content, err = d.packed.datagram(d.digest.Ack)
+	} else {
+		content, err = json.Marshal(d.digest)
+	}
 	if err != nil || len(content) > maxDigestBytes {
 		return // a digest without its counts is useless; a later one is smaller
 	}
@@ -220,29 +179,39 @@
 		HadTraffic: p.hadTraffic(), HasFreshFeeds: p.hasFreshFeeds(), Leader: p.candidate.Notice(),
 		Poison: p.poison.Digest(now), Sent: p.board.SentToLimited(now),
 	}
-	reported := p.board.Reported(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	own.HadTraffic = own.HadTraffic || p.trafficElsewhere
+	reported := p.board.Reported(now) // with the numbers of the members' digests
+	own.HadTraffic, own.Packed = own.HadTraffic || p.trafficElsewhere, !p.isFullMesh()
 	hub := p.chooseHub(now)
 	own.RateLimits = p.board.RateLimits(p.forwards(), now)
 	var out []outgoingDigest
 	if p.isFullMesh() {
 		for _, other := range p.byName {
-			out = append(out, outgoingDigest{other.Address, own})
+			out = append(out, outgoingDigest{address: other.Address, digest: own})
 		}
 		return out, 0
 	}
 	if hub != p.node {
-		out = append(out, outgoingDigest{p.byName[hub].Address, own})
+		toHub := &packedDigest{digest: own}
+		p.ownDigests.number(&toHub.digest, now)
+		out = append(out, toHub.outgoing(p.byName[hub]))
 	}
 	members := p.members(reported)
 	if hub == p.node || len(members) > 0 {
 		out = append(out, p.domainDigests(own, members, reported, tick, now)...)
 	}
 	if tick%ticksPerMemberDigest == 0 {
+		all := &packedDigest{digest: allDigest(own, reported)}
 		for _, name := range members {
-			out = append(out, outgoingDigest{p.byName[name].Address, memberDigest(own, name, reported)})
+			member := p.byName[name]
+			if !member.packed {
+				out = append(out, outgoingDigest{address: member.Address, digest: memberDigest(own, name, reported)})
+				continue
+			}
+			toMember := all.outgoing(member)
+			toMember.digest.Ack = member.seq
+			out = append(out, toMember)
 		}
 	}
 	return out, len(members)
@@ -260,72 +229,6 @@
 	return names
 }
 
-// domainDigests returns the digests to the hubs of the other failure domains. The
-// caller must hold mu.
-func (p *peers) domainDigests(own digest, members []string, reported map[string]place.Report, tick int, now time.Time) []outgoingDigest {
-	sum := own
-	sum.Kind, sum.Nodes = digestSum, 1+len(members)
-	sum.InFlight, sum.Sent = addCounts(nil, own.InFlight), addCounts(nil, own.Sent)
-	for _, name := range members {
-		sum.InFlight = addCounts(sum.InFlight, reported[name].InFlight)
-		sum.Sent = addCounts(sum.Sent, reported[name].Sent)
-	}
-	domains := map[string]bool{}
-	for _, other := range p.byName {
-		if other.Domain != "" && other.Domain != p.self.Domain {
-			domains[other.Domain] = true
-		}
-	}
-	var out []outgoingDigest
-	for domain := range domains {
-		candidates := p.hubCandidates(domain)
-		heardHub := false
-		for _, name := range candidates {
-			if now.Sub(p.byName[name].heardAsHub) < hubTimeout {
-				out = append(out, outgoingDigest{p.byName[name].Address, sum})
-				heardHub = true
-			}
-		}
-		if heardHub {
-			continue
-		}
-		likelyCount := min(len(candidates), maxLikelyHubs)
-		unlikelyHubs := candidates[likelyCount:]
-		for _, name := range candidates[:likelyCount] {
-			out = append(out, outgoingDigest{p.byName[name].Address, sum})
-		}
-		if len(unlikelyHubs) > 0 {
-			out = append(out, outgoingDigest{p.byName[unlikelyHubs[tick/ticksPerProbe%len(unlikelyHubs)]].Address, sum})
-		}
-	}
-	return out
-}
-
-// memberDigest returns the digest to a member: the sum of all other nodes.
-func memberDigest(own digest, member string, reported map[string]place.Report) digest {
-	out := own
-	out.Kind, out.Nodes, out.InFlight, out.Sent = digestOthers, 1, addCounts(nil, own.InFlight), addCounts(nil, own.Sent)
-	for name, report := range reported {
-		if name != member && name != hubReportName {
-			out.InFlight = addCounts(out.InFlight, report.InFlight)
-			out.Sent = addCounts(out.Sent, report.Sent)
-			out.Nodes += report.Nodes
-		}
-	}
-	return out
-}
-
-// addCounts adds counts to sum and returns it. A nil sum starts from zero.
-func addCounts(sum, counts map[string]int) map[string]int {
-	if sum == nil {
-		sum = make(map[string]int, len(counts))
-	}
-	for id, n := range counts {
-		sum[id] += n
-	}
-	return sum
-}
-
 // runReceiver reads digests until the socket is closed.
 func (p *peers) runReceiver() {
 	buffer := make([]byte, maxDigestBytes)
@@ -344,7 +247,13 @@
 // receive applies a datagram if it contains a digest.
 func (p *peers) receive(datagram []byte, now time.Time) {
 	var d digest
-	if json.Unmarshal(datagram, &d) != nil || d.Node == "" || d.Node == p.node {
+	var err error
+	if len(datagram) > 0 && datagram[0] == packedMark {
+		d, err = unpackDigest(datagram)
+	} else {
+		err = json.Unmarshal(datagram, &d)
+	}
+	if err != nil || d.Node == "" || d.Node == p.node {
 		return // not a digest of this version
 	}
 	p.handleDigest(d, now)
@@ -361,16 +270,9 @@
 	}
 	p.trafficElsewhere = p.trafficElsewhere || d.HadTraffic
 	forwards := p.forwards()
+	other.packed = d.Packed
+	p.mergeCounts(d, other, now)
 	p.mu.Unlock()
-	name := d.Node
-	switch d.Kind {
-	case digestSum:
-		name = sumReportPrefix + d.Node
-	case digestOthers:
-		name = hubReportName
-	}
-	p.board.Merge(name, d.InFlight, d.Nodes, d.Suspects, now)
-	p.board.MergeRateLimits(name, d.RateLimits, d.Sent, now)
 	if d.Leader != nil {
 		p.candidate.ObserveLease(*d.Leader)
 	}
@@ -383,6 +285,26 @@
 	}
 }
 
+// mergeCounts gives the counts of a digest to the board. The caller must hold mu.
+func (p *peers) mergeCounts(d digest, from *peer, now time.Time) {
+	name, known := d.Node, true
+	switch d.Kind {
+	case digestSum:
+		name = sumReportPrefix + d.Node
+	case digestOthers:
+		name = hubReportName
+	case digestAll:
+		name = hubReportName
+		d, known = p.ownDigests.takeOff(d)
+	default:
+		from.seq = d.Seq
+	}
+	if known {
+		p.board.Merge(name, d.InFlight, d.Nodes, d.Suspects, now)
+		p.board.MergeRateLimits(name, d.RateLimits, d.Sent, now)
+	}
+}
+
 // applyFindings logs verdicts on requests that crash hosts, and tells the other nodes.
 func (p *peers) applyFindings(findings []poison.Finding) {
 	for _, f := range findings {
--- a/internal/process/gateway/digest_test.go
+++ b/internal/process/gateway/digest_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -9,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"currantladder.example/currantladder/internal/connection/table"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/leader"
@@ -22,8 +23,10 @@
 	// byAddress finds the receiver of a digest.
 	byAddress map[string]*peers
 	failed    map[string]bool
-	digests   int
-	tick      int
+	// previous contains the nodes of the version that knows no packed digests.
+	previous map[string]bool
+	digests  int
+	tick     int
 }
 
 // newTestFleet returns count nodes in three failure domains. The first node of
@@ -61,9 +64,14 @@
 		digests, _ := node.outgoingDigests(f.tick, time.Now())
 		f.digests += len(digests)
 		for _, d := range digests {
-			if receiver := f.byAddress[d.address]; !f.failed[receiver.node] {
-				receiver.handleDigest(d.digest, time.Now())
+			receiver := f.byAddress[d.address]
+			if f.previous[name] {
+				d.digest.Packed, d.digest.Seq = false, 0
+			}
+			if f.failed[receiver.node] || f.previous[receiver.node] && (d.packed != nil || d.digest.Kind == digestAll) {
+				continue
 			}
+			receiver.handleDigest(d.digest, time.Now())
 		}
 	}
 	f.tick++
@@ -114,6 +122,83 @@
 	}
 }
 
+// TestNodesOfTwoVersionsCountEachRequestOnce guards against a rolling restart in which
+// nodes of the previous version cannot read the digests, or are counted twice.
+func TestNodesOfTwoVersionsCountEachRequestOnce(t *testing.T) {
+	for name, isPrevious := range map[string]func(i int) bool{
+		"hubs first": func(i int) bool { return i >= 3 }, "hubs last": func(i int) bool { return i < 3 }, "every second": func(i int) bool { return i%2 == 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const count = 60
+				f := newTestFleet(count)
+				f.previous = map[string]bool{}
+				for i := range count {
+					node := fmt.Sprintf("n%03d", i)
+					f.previous[node] = isPrevious(i)
+					f.nodes[node].board.Started("h")
+				}
+				for range 20 {
+					f.round()
+				}
+				for node, requests := range f.requestsAt("h") {
+					if live := f.nodes[node].board.LiveNodes(time.Now()); requests != count || live != count {
+						t.Errorf("%s, previous version %t, counts %d requests at %d nodes, want %d at %d", node, f.previous[node], requests, live, count, count)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestMemberTakesOffItsOwnRequests verifies that a member counts what other nodes have in
+// flight while its own requests come and go, and that it does not use a digest that
+// contains one of its former process.
+func TestMemberTakesOffItsOwnRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(30)
+		member := f.nodes["n010"]
+		for _, node := range f.nodes {
+			node.board.Started("h")
+		}
+		for range 40 { // some sums of the first ticks reach members
+			f.round()
+			member.board.Started("h")
+			if others := member.board.Load("h", time.Now()) - member.board.InFlight()["h"]; f.tick > 20 && others != 29 {
+				t.Fatalf("got %d requests of other nodes, want 29", others)
+			}
+		}
+		before := member.board.Load("h", time.Now())
+		member.handleDigest(digest{Kind: digestAll, Node: "n001", Row: f.nodes["n001"].self, Nodes: 30, InFlight: map[string]int{"h": 500}, Ack: member.ownDigests.last + 1}, time.Now())
+		if after := member.board.Load("h", time.Now()); after != before {
+			t.Errorf("a digest with unknown counts of this node changed the load from %d to %d", before, after)
+		}
+	})
+}
+
+// TestDigestsOfManyHostsAreSent guards against a past failure: the JSON of a digest that
+// counts some thousand hosts is larger than a datagram. It was not sent, and the members
+// took their hub for failed.
+func TestDigestsOfManyHostsAreSent(t *testing.T) {
+	want := digest{Kind: digestAll, Node: "n000", Row: nodeRow{Address: "10.0.0.1:1", Domain: "d"}, Nodes: 300, InFlight: map[string]int{}, Sent: map[string]int{"x": 1}, Ack: 7}
+	for i := range 4000 {
+		want.InFlight[fmt.Sprintf("host-%04d.%d", i, i*7919%1000)] = i % 40
+	}
+	datagram, err := (&packedDigest{digest: want}).datagram(want.Ack)
+	if err != nil || len(datagram) > maxDigestBytes {
+		t.Fatalf("got a datagram of %d bytes and error %v, want at most %d", len(datagram), err, maxDigestBytes)
+	}
+	got, err := unpackDigest(datagram)
+	if diff := cmp.Diff(want, got); err != nil || diff != "" {
+		t.Errorf("got error %v and a digest that differs (-want +got):\n%s", err, diff)
+	}
+	for length := 1; length < len(datagram); length += 50 {
+		if _, err := unpackDigest(datagram[:length]); err == nil {
+			t.Errorf("the first %d of %d bytes were decoded, want an error", length, len(datagram))
+		}
+	}
+}
+
 // TestMeshNodesReadFeedsFromHub verifies that in a fleet with a full mesh of
 // digests but more than maxStoreReaders nodes, only one node of each failure domain
 // follows the store, and the others read from it.
@@ -284,14 +369,19 @@
 	} {
 		f.Add([]byte(seed))
 	}
+	packed, err := (&packedDigest{digest: digest{Kind: digestAll, Node: "n001", InFlight: map[string]int{"ha": 1, "hb": 2}}}).datagram(3)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		node := newTestFleet(30).nodes["n000"]
-		var d digest
-		if json.Unmarshal(datagram, &d) != nil || d.Node == "" || d.Node == node.node {
-			return
-		}
 		now := time.Now()
-		node.handleDigest(d, now)
+		node.receive(datagram, now)
+		if len(datagram) > 0 {
+			datagram[0] = packedMark
+			node.receive(datagram, now)
+		}
 		node.outgoingDigests(0, now.Add(time.Second))
 		node.upstream()
 	})
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -9,14 +9,12 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
 
-	"currantladder.example/currantladder/internal/connection/feed"
 	"currantladder.example/currantladder/internal/connection/table"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/leader"
@@ -111,6 +109,10 @@
 	heardAsHub time.Time
 	// quarantinedUntil is the time until which it is not chosen as hub.
 	quarantinedUntil time.Time
+	// packed is true if it understands packed digests, and seq is the number of its last
+	// digest to this node as its hub.
+	packed bool
+	seq    uint32
 }
 
 // peersOptions are the dependencies of peers.
@@ -159,6 +161,7 @@
 	trafficElsewhere bool
 	// heardDigest is true once a digest of another node has arrived.
 	heardDigest bool
+	ownDigests  ownDigests
 	// wake has room for one signal to send a digest before its time.
 	wake chan struct{}
 }
@@ -166,7 +169,7 @@
 func newPeers(s *Settings, o peersOptions) *peers {
 	p := &peers{
 		peersOptions: o, node: s.Node, self: nodeRow{Address: s.Peers, Domain: s.FailureDomain, Share: s.ProcessorShare},
-		http: &http.Client{Transport: newTransport(storeIdleTimeout, storeUserTimeout)}, byName: map[string]*peer{}, started: time.Now(),
+		http: &http.Client{Transport: newTransport(storeIdleTimeout, storeUserTimeout)}, byName: map[string]*peer{}, started: time.Now(), ownDigests: newOwnDigests(),
 		wake: make(chan struct{}, 1),
 	}
 	for _, seed := range s.Seeds {
@@ -350,74 +353,3 @@
 	defer p.mu.Unlock()
 	return p.trafficElsewhere
 }
-
-// upstream returns the nodes that this node may read the feeds from.
-func (p *peers) upstream() feed.Upstream {
-	now := time.Now()
-	p.mu.Lock()
-	hub := p.chooseHub(now)
-	var live []string
-	liveMembers := 0
-	for name, other := range p.byName {
-		if now.Sub(other.lastHeard) >= peerTimeout {
-			continue
-		}
-		isMember := other.Domain == p.self.Domain
-		if isMember {
-			liveMembers++
-		}
-		// A copy that comes from this node, or from the hub that has failed, is no
-		// newer than the own one.
-		if name == hub || isMember && hub == p.node {
-			continue
-		}
-		live = append(live, other.Address)
-	}
-	var hubAddress string
-	if other := p.liveHub(hub, now); other != nil {
-		hubAddress = other.Address
-	}
-	deputies := p.deputies(hub)
-	awaitsHub := p.isStarting(now) && (!p.rosterRead || hub != "" && hub != p.node && hubAddress == "")
-	p.mu.Unlock()
-	slices.Sort(live)
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	up := feed.Upstream{AwaitsHub: awaitsHub, ServesOthers: hub == p.node && liveMembers > 0}
-	if hubAddress != "" {
-		up.Hub = p.source(hubAddress)
-	}
-	for _, address := range deputies {
-		up.Deputies = append(up.Deputies, p.source(address))
-	}
-	for _, address := range live[:min(len(live), maxFeedPeers)] {
-		up.Peers = append(up.Peers, p.source(address))
-	}
-	return up
-}
-
-// deputies returns the addresses of the nodes that this one reads the feeds from
-// while the hub fails: the preferred nodes of the failure domain besides the hub. It
-// returns none if this node is the hub or among them. The caller must hold mu.
-func (p *peers) deputies(hub string) []string {
-	if hub == "" || hub == p.node {
-		return nil
-	}
-	var addresses []string
-	for _, name := range p.hubCandidates(p.self.Domain) {
-		if len(addresses) == maxDeputies {
-			break
-		}
-		if name == hub {
-			continue
-		}
-		if p.preferredAsHub(p.node, name) {
-			return nil
-		}
-		addresses = append(addresses, p.byName[name].Address)
-	}
-	return addresses
-}
-
-func (p *peers) source(address string) feed.Source {
-	return &peerSource{"http://" + address, p.http}
-}
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// reportTTL is how long another node's counts are used. It covers several
+	// ReportTTL is how long another node's counts are used. It covers several
 	// exchange intervals.
-	reportTTL = 1500 * time.Millisecond
+	ReportTTL = 1500 * time.Millisecond
 	// suspicionTTL is how long a stalled group gets no request. By then its
 	// controller has checked the members.
 	suspicionTTL = 1500 * time.Millisecond
@@ -251,7 +251,7 @@
 func (b *Board) liveNodes(now time.Time) int {
 	live := 1
 	for _, r := range b.reports {
-		if now.Sub(r.receivedAt) <= reportTTL {
+		if now.Sub(r.receivedAt) <= ReportTTL {
 			live += r.nodes
 		}
 	}
@@ -276,7 +276,7 @@
 	defer b.mu.Unlock()
 	reported := make(map[string]Report, len(b.reports))
 	for name, r := range b.reports {
-		if now.Sub(r.receivedAt) > reportTTL {
+		if now.Sub(r.receivedAt) > ReportTTL {
 			delete(b.reports, name)
 			continue
 		}
@@ -314,7 +314,7 @@
 		total = r.inFlight
 	}
 	for _, r := range b.reports {
-		if now.Sub(r.receivedAt) <= reportTTL {
+		if now.Sub(r.receivedAt) <= ReportTTL {
 			total += r.inFlight[id]
 		}
 	}
--- a/internal/request/place/board_test.go
+++ b/internal/request/place/board_test.go
@@ -161,8 +161,8 @@
 	if _, refused := b.Choose(v, q, start); refused == nil {
 		t.Error("a request was placed at a full group, want a refusal")
 	}
-	mustPlace(t, b, v, q, start.Add(reportTTL+time.Millisecond))
-	if got := b.LiveNodes(start.Add(reportTTL + time.Millisecond)); got != 1 {
+	mustPlace(t, b, v, q, start.Add(ReportTTL+time.Millisecond))
+	if got := b.LiveNodes(start.Add(ReportTTL + time.Millisecond)); got != 1 {
 		t.Errorf("got %d live nodes, want 1", got)
 	}
 }
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -53,7 +53,7 @@
 	for _, c := range candidates {
 		sentElsewhere := 0
 		for _, r := range b.reports {
-			if now.Sub(r.receivedAt) <= reportTTL {
+			if now.Sub(r.receivedAt) <= ReportTTL {
 				sentElsewhere += r.sent[c.host.ID]
 			}
 		}
