Read first copies from hubs when a large fleet starts again

Cause: nodes that start again read the whole host list from the store at once, each within one second for the whole table. With 3,000 hosts the rows take 1.3 MB on the wire, most of a second on the smallest links; a read that took longer began anew. Each node wrote its row again as well, two calls and a conflict.

Changes: a node that starts again reads the rows of the nodes first (at most 250 ms) and does not write its own if it is there. In a fleet of more than 16 nodes a node that is neither hub nor deputy then asks these for its first copy, for 3 to 5 s, and only then the store. A whole table is given up after a second without data, and after 4 s in all, instead of after one second.

Ruled out: waiting for a digest of the hub, which cost a second of service (docs/PLATFORM.md); smaller pages by a limit in the call, which no read of the host list has used before.

Not measured: the time until a fleet of 300 nodes serves again.

--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -26,8 +26,10 @@
 	// storeReplyMargin is added to the timeout of a long poll; a call without an
 	// answer by then has failed.
 	storeReplyMargin = 400 * time.Millisecond
-	// snapshotTimeout limits a read of a whole table.
-	snapshotTimeout = time.Second
+	// snapshotTimeout limits a read of a whole table. Sources give up earlier when one
+	// is silent for SilenceTimeout; the smallest nodes take a second for the data of
+	// some thousand hosts.
+	snapshotTimeout = 4 * time.Second
 	// retryBackoff plus a random part of maxRetryJitter separates calls after a
 	// failure. While peers supply a fresh copy, the backoff of the store doubles
 	// with each failure up to maxStoreBackoff.
@@ -48,6 +50,9 @@
 	// is longer than a hub's long poll, and short enough to switch to the store
 	// in time.
 	maxCopyAge = 1400 * time.Millisecond
+	// firstCopyBackoff plus a random part of the same length separates the rounds in
+	// which a node that has started again asks others for its first copy.
+	firstCopyBackoff = 150 * time.Millisecond
 	// hubAwaitInterval is the time between two checks for a hub after the start.
 	hubAwaitInterval = 20 * time.Millisecond
 	// hubQuarantine is how long a node reads from the deputies after its hub failed
@@ -72,6 +77,10 @@
 	// its hub has been found. The node then does not read from the store, since all
 	// nodes may have started together.
 	AwaitsHub bool
+	// AvoidsStore is true shortly after a node of a large fleet has started again, since
+	// all nodes may have. As long as the node has no copy it reads from the deputies,
+	// which include its hub then, and not from the store.
+	AvoidsStore bool
 	// ServesOthers is true if other nodes read from this one.
 	ServesOthers bool
 	// Peers are read from, in this order, while the store does not answer.
@@ -119,22 +128,6 @@
 // Table returns the node's copy.
 func (f *Follower) Table() *Table { return f.table }
 
-// LastContact returns when the store last confirmed the copy and when a call to
-// the store last failed; the zero time means never.
-func (f *Follower) LastContact() (lastConfirmed, lastFailure time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lastConfirmed, f.lastFailure
-}
-
-// LastOutage returns when a call to the store last failed while no other node was
-// known to have a fresh copy; the zero time means never.
-func (f *Follower) LastOutage() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lastOutage
-}
-
 // Snapshot returns the whole copy for another node, and whether it was ever
 // loaded.
 func (f *Follower) Snapshot() (Batch, bool) {
@@ -171,10 +164,15 @@
 			f.readFromHub(ctx, up.Hub)
 			continue
 		}
-		if f.readFromDeputies(ctx, up.Deputies) || len(up.Deputies) > 0 && f.hubFailedLately() {
+		avoidsStore := up.AvoidsStore && !f.isLoaded()
+		if f.readFromDeputies(ctx, up.Deputies, avoidsStore) || len(up.Deputies) > 0 && f.hubFailedLately() {
 			sleep(ctx, minPollInterval)
 			continue
 		}
+		if avoidsStore {
+			sleep(ctx, firstCopyBackoff+rand.N(firstCopyBackoff))
+			continue
+		}
 		wait, interval := longPollTimeout, minPollInterval
 		if up.ServesOthers {
 			wait, interval = hubLongPollTimeout, hubPollInterval
@@ -195,6 +193,11 @@
 	}
 }
 
+func (f *Follower) isLoaded() bool {
+	_, loaded := f.table.Version()
+	return loaded
+}
+
 func (f *Follower) storeIsDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -268,8 +271,9 @@
 }
 
 // readFromDeputies makes one call to the first deputy with a fresh copy and reports
-// whether there was one.
-func (f *Follower) readFromDeputies(ctx context.Context, deputies []Source) bool {
+// whether there was one. Without one the deputies are quarantined, unless they may be
+// starting like this node.
+func (f *Follower) readFromDeputies(ctx context.Context, deputies []Source, starting bool) bool {
 	f.mu.Lock()
 	quarantined := time.Now().Before(f.deputiesQuarantinedUntil)
 	f.mu.Unlock()
@@ -289,7 +293,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.hubFailedLatelyLocked() {
+	if !starting && !f.hubFailedLatelyLocked() {
 		f.deputiesQuarantinedUntil = time.Now().Add(hubQuarantine)
 	}
 	return false
@@ -361,66 +365,6 @@
 	return false
 }
 
-// recordPeerCopy records the age of a peer's copy. The store still counts as
-// lost, but a fresh copy shows whether that is an outage for all nodes.
-func (f *Follower) recordPeerCopy(b Batch) {
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if at := now.Add(-b.ConfirmedAgo); at.After(f.lastConfirmed) {
-		f.lastConfirmed = at
-	}
-	if b.ConfirmedAgo > maxCopyAge {
-		return
-	}
-	f.lastOutage = time.Time{}
-	if b.FailedAgo > 0 {
-		f.lastOutage = now.Add(-b.FailedAgo)
-	}
-}
-
-func (f *Follower) recordStoreFailure(err error) {
-	f.mu.Lock()
-	f.lastFailure = time.Now()
-	f.lastOutage = f.lastFailure
-	first := !f.storeLost
-	f.storeLost = true
-	f.mu.Unlock()
-	if first {
-		version, _ := f.table.Version()
-		f.log.Log(eventlog.FeedLost, eventlog.Fields{"topic": f.topic, "version": version, "error": err.Error()})
-	}
-}
-
-// recordAnswer records an answer of the store, or of a hub with the age of its
-// copy in b.
-func (f *Follower) recordAnswer(b Batch) {
-	now := time.Now()
-	f.mu.Lock()
-	if at := now.Add(-b.ConfirmedAgo); at.After(f.lastConfirmed) {
-		f.lastConfirmed = at
-	}
-	if at := now.Add(-b.FailedAgo); b.FailedAgo > 0 {
-		f.lastFailure = latest(f.lastFailure, at)
-		f.lastOutage = latest(f.lastOutage, at)
-	}
-	regained := f.storeLost && b.ConfirmedAgo <= maxCopyAge
-	f.storeLost = f.storeLost && !regained
-	f.storeBackoff, f.nextStoreCall = 0, time.Time{}
-	f.mu.Unlock()
-	if regained {
-		version, _ := f.table.Version()
-		f.log.Log(eventlog.FeedRegained, eventlog.Fields{"topic": f.topic, "version": version})
-	}
-}
-
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/connection/feed/start_test.go
@@ -0,0 +1,79 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"currantladder.example/currantladder/internal/process/eventlog"
+)
+
+// TestNodeThatAvoidsTheStoreReadsFromDeputies guards against a start of all nodes in
+// which each reads the whole table from the store: a node without a copy waits for that
+// of a deputy, which starts too, and goes on as usual with one or when the time is over.
+func TestNodeThatAvoidsTheStoreReadsFromDeputies(t *testing.T) {
+	for name, deputyStarts := range map[string]bool{"deputy starts": true, "deputy is lost": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				origin := NewTable()
+				origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
+				store := &countingSource{fakeSource: fakeSource{table: origin}}
+				deputy := &fakeSource{table: origin, down: true}
+				begin := time.Now()
+				follower := NewFollower(TopicHosts, store, func() Upstream {
+					return Upstream{Deputies: []Source{deputy}, AvoidsStore: time.Since(begin) < 3*time.Second}
+				}, eventlog.Discard(), func([]Record, bool) {})
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go follower.Run(ctx)
+				time.Sleep(time.Second)
+				if follower.isLoaded() {
+					t.Fatal("the node has a copy while only the store answers, want none yet")
+				}
+				deputy.set(!deputyStarts, false)
+				time.Sleep(500 * time.Millisecond)
+				if got := follower.isLoaded(); got != deputyStarts {
+					t.Errorf("the node has a copy: %t, want %t", got, deputyStarts)
+				}
+				time.Sleep(2 * time.Second)
+				if got := store.count() > 0; got == deputyStarts || !follower.isLoaded() {
+					t.Errorf("the node reads the store: %t, and has a copy: %t; want %t and true", got, follower.isLoaded(), !deputyStarts)
+				}
+			})
+		})
+	}
+}
+
+// slowReader returns a byte at each interval.
+type slowReader struct {
+	ctx      context.Context
+	interval time.Duration
+}
+
+func (r slowReader) Read(b []byte) (int, error) {
+	select {
+	case <-r.ctx.Done():
+		return 0, context.Cause(r.ctx)
+	case <-time.After(r.interval):
+		return copy(b, "x"), nil
+	}
+}
+
+// TestSilenceLimit verifies that a whole table may take long on a slow link, and that a
+// read from a source that is silent fails as early as before.
+func TestSilenceLimit(t *testing.T) {
+	for interval, want := range map[time.Duration]error{SilenceTimeout / 2: nil, SilenceTimeout + 1: errSilent} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, limit := WithSilenceLimit(context.Background())
+			defer limit.Stop()
+			begin := time.Now()
+			_, err := io.ReadFull(limit.Reader(slowReader{ctx, interval}), make([]byte, 6))
+			if !errors.Is(err, want) || want != nil && time.Since(begin) != SilenceTimeout {
+				t.Errorf("a byte each %v: got error %v after %v, want %v", interval, err, time.Since(begin), want)
+			}
+		})
+	}
+}
--- a/internal/process/gateway/hub.go
+++ b/internal/process/gateway/hub.go
@@ -100,11 +100,15 @@
 		hubAddress = other.Address
 	}
 	deputies := p.deputies(hub)
-	awaitsHub := p.isStarting(now) && (!p.rosterRead || hub != "" && hub != p.node && hubAddress == "")
+	awaitsHub := p.isStarting(now) && (!p.rosterRead || hub != "" && hub != p.node && hubAddress == "") || p.awaitsRoster(now)
+	avoidsStore := len(deputies) > 0 && p.isRestarting(now)
+	if avoidsStore && hubAddress == "" {
+		deputies = append([]string{p.byName[hub].Address}, deputies...)
+	}
 	p.mu.Unlock()
 	slices.Sort(live)
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	up := feed.Upstream{AwaitsHub: awaitsHub, ServesOthers: hub == p.node && liveMembers > 0}
+	up := feed.Upstream{AwaitsHub: awaitsHub, AvoidsStore: avoidsStore, ServesOthers: hub == p.node && liveMembers > 0}
 	if hubAddress != "" {
 		up.Hub = p.source(hubAddress)
 	}
@@ -117,6 +121,20 @@
 	return up
 }
 
+// isRestarting reports whether the node has just started again in a large fleet. All
+// nodes may have: after a kill of all nodes the table of some thousand hosts, read from
+// the store by each of some hundred nodes, takes longer than the fleet may be without
+// service. The caller must hold mu.
+func (p *peers) isRestarting(now time.Time) bool {
+	return !p.firstStart && !p.isFullMesh() && now.Sub(p.started) < p.restartWait
+}
+
+// awaitsRoster reports whether the node has started again and does not know yet whether
+// the fleet is large, because its first read of the rows goes on. The caller must hold mu.
+func (p *peers) awaitsRoster(now time.Time) bool {
+	return !p.firstStart && !p.rosterTried && now.Sub(p.started) < firstRosterTimeout
+}
+
 // deputies returns the addresses of the nodes that this one reads the feeds from
 // while the hub fails: the preferred nodes of the failure domain besides the hub. It
 // returns none if this node is the hub or among them. The caller must hold mu.
--- a/internal/process/gateway/peerfeed.go
+++ b/internal/process/gateway/peerfeed.go
@@ -42,16 +42,18 @@
 
 // Snapshot implements feed.Source.
 func (s *peerSource) Snapshot(ctx context.Context, topic feed.Topic) (feed.Batch, error) {
-	return s.get(ctx, pathTable+"?topic="+url.QueryEscape(string(topic)))
+	ctx, limit := feed.WithSilenceLimit(ctx)
+	defer limit.Stop()
+	return s.get(ctx, pathTable+"?topic="+url.QueryEscape(string(topic)), limit)
 }
 
 // Changes implements feed.Source.
 func (s *peerSource) Changes(ctx context.Context, topic feed.Topic, since position.Position, wait time.Duration) (feed.Batch, error) {
 	query := url.Values{"topic": {string(topic)}, "since": {strconv.FormatInt(since.Version, 10)}, "era": {strconv.FormatInt(since.Era, 10)}, "wait": {wait.String()}}
-	return s.get(ctx, pathChanges+"?"+query.Encode())
+	return s.get(ctx, pathChanges+"?"+query.Encode(), nil)
 }
 
-func (s *peerSource) get(ctx context.Context, path string) (feed.Batch, error) {
+func (s *peerSource) get(ctx context.Context, path string, silence *feed.SilenceLimit) (feed.Batch, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+path, nil)
 	if err != nil {
 		return feed.Batch{}, fmt.Errorf("build the request to the peer: %w", err)
@@ -68,18 +70,19 @@
 	if response.StatusCode != http.StatusOK {
 		return feed.Batch{}, fmt.Errorf("peer returned HTTP status %d", response.StatusCode)
 	}
+	body := io.LimitReader(silence.Reader(response.Body), maxPeerAnswerBytes)
 	if response.Header.Get("Content-Type") == typePacked {
-		return readPacked(response)
+		return readPacked(response, body)
 	}
 	var batch feed.Batch
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxPeerAnswerBytes)).Decode(&batch); err != nil {
+	if err := json.NewDecoder(body).Decode(&batch); err != nil {
 		return feed.Batch{}, fmt.Errorf("decode the answer of the peer: %w", err)
 	}
 	return batch, nil
 }
 
-func readPacked(response *http.Response) (feed.Batch, error) {
-	batch, err := feed.Unpack(io.LimitReader(response.Body, maxPeerAnswerBytes))
+func readPacked(response *http.Response, body io.Reader) (feed.Batch, error) {
+	batch, err := feed.Unpack(body)
 	if err != nil {
 		return feed.Batch{}, fmt.Errorf("decode the answer of the peer: %w", err)
 	}
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -52,6 +52,15 @@
 	// whole fleet starts for the first time. Callers arrive seconds later. A node
 	// that starts again follows the store at once.
 	firstStartWait = 3 * time.Second
+	// firstRosterTimeout is how long a node that starts again waits for its first read
+	// of all rows before it reads the feeds from the store.
+	firstRosterTimeout = 250 * time.Millisecond
+	// restartWait plus a random part of restartWaitSpread is how long a node that starts
+	// again in a fleet of more than maxFullMeshNodes asks the hub and the deputies of its
+	// failure domain for its first copy before it asks the store. They read the store
+	// at once; the others take their copies within the second after it.
+	restartWait       = 3 * time.Second
+	restartWaitSpread = 2 * time.Second
 	// maxDeputies is the number of nodes of a failure domain that replace its hub
 	// while it fails.
 	maxDeputies = 2
@@ -154,6 +163,10 @@
 	hubChosenAt time.Time
 	// rosterRead is true once the rows of all nodes were read.
 	rosterRead bool
+	// rosterTried is true once the first read of the rows has ended.
+	rosterTried bool
+	// restartWait is how long this node avoids the store after it started again.
+	restartWait time.Duration
 	// unusableRows contains the versions of the rows that could not be used when the
 	// rows were last read.
 	unusableRows map[string]table.Version
@@ -170,7 +183,8 @@
 	p := &peers{
 		peersOptions: o, node: s.Node, self: nodeRow{Address: s.Peers, Domain: s.FailureDomain, Share: s.ProcessorShare},
 		http: &http.Client{Transport: newTransport(storeIdleTimeout, storeUserTimeout)}, byName: map[string]*peer{}, started: time.Now(), ownDigests: newOwnDigests(),
-		wake: make(chan struct{}, 1),
+		restartWait: restartWait + rand.N(restartWaitSpread),
+		wake:        make(chan struct{}, 1),
 	}
 	for _, seed := range s.Seeds {
 		if seed != s.Peers {
@@ -183,7 +197,10 @@
 // runRoster registers the node and reads the rows of all nodes until ctx ends. A
 // node that has a hub does not read them again, because the hub knows the nodes.
 func (p *peers) runRoster(ctx context.Context) {
-	registered := false
+	registered := !p.firstStart && p.readFirstRoster(ctx)
+	if registered {
+		sleep(ctx, p.jitteredRosterInterval())
+	}
 	eraKnown, lastEra := false, int64(0)
 	for ctx.Err() == nil {
 		if era, known := p.storeEra(); known {
@@ -212,6 +229,16 @@
 	}
 }
 
+// readFirstRoster reads the rows of all nodes once when the node starts again, and
+// reports whether the row of this node is still the one that it would write.
+func (p *peers) readFirstRoster(ctx context.Context) bool {
+	ownRow, err := p.readRoster(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rosterTried = true
+	return err == nil && ownRow
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -284,8 +311,8 @@
 	return p.store.Commit(callCtx, table.Txn{Nonce: uuid.NewString(), Writes: []table.Write{write}})
 }
 
-// readRoster reads the rows of all nodes, and reports whether there is a usable one of
-// this node.
+// readRoster reads the rows of all nodes, and reports whether that of this node is as it
+// would write it.
 func (p *peers) readRoster(ctx context.Context) (ownRow bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
@@ -307,7 +334,7 @@
 			}
 			continue
 		}
-		ownRow = ownRow || name == p.node
+		ownRow = ownRow || name == p.node && row == p.self
 		p.updatePeer(name, row)
 	}
 	p.unusableRows = unusable
