Bound the calls of a failure domain to a failing store

Operators of fleets with hubs see fewer calls to a store that refuses nodes or is down: those of a failure domain's members no longer grow with their number, and nodes read the rows of all nodes less often during an outage.

Cause: when its hub and deputies had no fresh copy, each member called the store at once and then every 1.5 s for each feed. While the store is down no node has a live hub, and each read the rows of all nodes twice a second.

Changes: with more than 10 live nodes in the failure domain a member's interval grows in proportion, and its first call is spread over what is added. In between it follows other nodes as before. A node that hears no other node is not slowed down. A failed read of the rows doubles its delay up to 10 s in fleets of more than 8 nodes.

Ruled out: no calls by members while a stale hub answers, since in a failure domain that is cut from the others and whose hub and deputies the store refuses the members are the only ones that get changes.

TestRosterCallsDuringAnOutage: a node of 30 reads the rows 2 to 8 times in 20 s, a node of 8 about 40 times as before.

--- a/internal/connection/feed/contact.go
+++ b/internal/connection/feed/contact.go
@@ -75,6 +75,12 @@
 	}
 }
 
+func (f *Follower) setReadsStore(reads bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readsStore = reads
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -62,8 +62,11 @@
 	// fresh copy from the deputies, which notice the failure at the same time.
 	deputyGracePeriod = 700 * time.Millisecond
 	// memberStoreInterval is the minimum time between two calls of a node to a
-	// failing store if it has deputies. They learn earlier that the store is back.
-	memberStoreInterval = 1500 * time.Millisecond
+	// failing store if it has deputies. They learn earlier that the store is back. With
+	// more than membersPerStoreInterval nodes in a failure domain it grows, so that the
+	// calls of a domain do not grow with its nodes.
+	memberStoreInterval     = 1500 * time.Millisecond
+	membersPerStoreInterval = 10
 )
 
 // Upstream lists the other nodes that a node may read from.
@@ -83,6 +86,8 @@
 	AvoidsStore bool
 	// ServesOthers is true if other nodes read from this one.
 	ServesOthers bool
+	// DomainNodes is the number of live nodes of the failure domain.
+	DomainNodes int
 	// Peers are read from, in this order, while the store does not answer.
 	Peers []Source
 }
@@ -116,6 +121,8 @@
 	// nextStoreCall is when the next one is due.
 	storeBackoff  time.Duration
 	nextStoreCall time.Time
+	// readsStore is true if the last answer came from the store.
+	readsStore bool
 
 	shared sharedAnswers
 }
@@ -173,6 +180,8 @@
 			sleep(ctx, firstCopyBackoff+rand.N(firstCopyBackoff))
 			continue
 		}
+		minDelay := up.memberStoreDelay()
+		f.spreadStoreCalls(minDelay - memberStoreInterval)
 		wait, interval := longPollTimeout, minPollInterval
 		if up.ServesOthers {
 			wait, interval = hubLongPollTimeout, hubPollInterval
@@ -184,10 +193,6 @@
 			sleep(ctx, interval)
 			continue
 		}
-		minDelay := time.Duration(0)
-		if len(up.Deputies) > 0 {
-			minDelay = memberStoreInterval
-		}
 		f.scheduleStoreCall(f.readFromPeers(ctx, up.Peers), minDelay)
 		sleep(ctx, retryBackoff+rand.N(maxRetryJitter))
 	}
@@ -204,6 +209,28 @@
 	return !time.Now().Before(f.nextStoreCall)
 }
 
+// memberStoreDelay returns the minimum time between two calls of a node with deputies to
+// a failing store, and 0 for others. A node without peers has no other source.
+func (up Upstream) memberStoreDelay() time.Duration {
+	switch {
+	case len(up.Deputies) == 0:
+		return 0
+	case len(up.Peers) == 0:
+		return memberStoreInterval
+	}
+	return max(memberStoreInterval, memberStoreInterval*time.Duration(up.DomainNodes)/membersPerStoreInterval)
+}
+
+// spreadStoreCalls delays the first call to the store after the hub and the deputies have
+// failed by a random part of spread, as all members notice it at once.
+func (f *Follower) spreadStoreCalls(spread time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if spread > 0 && !f.readsStore && f.nextStoreCall.IsZero() {
+		f.nextStoreCall = time.Now().Add(rand.N(spread))
+	}
+}
+
 // scheduleStoreCall sets the time of the next call to a failing store, at least
 // minDelay after this one. The delay grows while peers supply a fresh copy.
 func (f *Follower) scheduleStoreCall(peersAreFresh bool, minDelay time.Duration) {
@@ -254,6 +281,7 @@
 	}
 	if err == nil {
 		f.recordAnswer(batch)
+		f.setReadsStore(false)
 		f.apply(batch)
 		if batch.ConfirmedAgo <= maxCopyAge {
 			sleep(ctx, minPollInterval)
@@ -287,6 +315,7 @@
 		}
 		if err == nil && batch.ConfirmedAgo <= maxCopyAge {
 			f.recordAnswer(batch)
+			f.setReadsStore(false)
 			f.apply(batch)
 			return true
 		}
@@ -310,6 +339,7 @@
 		return false
 	}
 	f.recordAnswer(Batch{})
+	f.setReadsStore(true)
 	f.apply(batch)
 	return true
 }
--- a/internal/connection/feed/start_test.go
+++ b/internal/connection/feed/start_test.go
@@ -47,6 +47,53 @@
 	}
 }
 
+// TestStoreCallsOfADomainAreBounded guards against store calls that grow with the nodes of
+// a failure domain: its hub and deputies have failed, and the store refuses all nodes.
+// Each node follows another one. A node without any follows the store as soon as it
+// answers.
+func TestStoreCallsOfADomainAreBounded(t *testing.T) {
+	calls := func(t *testing.T, nodes int) (calls, lagging int) {
+		synctest.Test(t, func(t *testing.T) {
+			origin := NewTable()
+			origin.Apply(Batch{Records: []Record{record("a", 1)}, Version: 1, Complete: true})
+			store := &countingSource{fakeSource: fakeSource{table: origin}}
+			hub, peer := &fakeSource{table: origin}, &fakeSource{table: origin}
+			ctx, cancel := context.WithCancel(context.Background())
+			var members []*Follower
+			for range nodes {
+				f := NewFollower(TopicHosts, store, func() Upstream {
+					return Upstream{Hub: hub, Deputies: []Source{hub}, Peers: []Source{peer}, DomainNodes: nodes}
+				}, eventlog.Discard(), func([]Record, bool) {})
+				members = append(members, f)
+				go f.Run(ctx)
+			}
+			time.Sleep(time.Second)
+			hub.set(true, false)
+			store.set(true, false)
+			time.Sleep(15 * time.Second)
+			calls = store.count()
+			origin.Apply(Batch{Records: []Record{record("b", 2)}, Version: 2})
+			time.Sleep(time.Second)
+			for _, f := range members {
+				if version, _ := f.table.Version(); version != 2 {
+					lagging++
+				}
+			}
+			cancel()
+			synctest.Wait()
+		})
+		return calls, lagging
+	}
+	const rounds = int(15 * time.Second / memberStoreInterval)
+	for _, nodes := range []int{10, 100} {
+		got, lagging := calls(t, nodes)
+		t.Logf("%d nodes made %d calls in 15 s", nodes, got)
+		if got > (rounds+2)*membersPerStoreInterval || lagging > 0 {
+			t.Errorf("%d nodes made %d calls in 15 s, and %d lack a change; want at most %d and none", nodes, got, lagging, (rounds+2)*membersPerStoreInterval)
+		}
+	}
+}
+
 // slowReader returns a byte at each interval.
 type slowReader struct {
 	ctx      context.Context
--- a/internal/process/gateway/hub.go
+++ b/internal/process/gateway/hub.go
@@ -108,7 +108,7 @@
 	p.mu.Unlock()
 	slices.Sort(live)
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	up := feed.Upstream{AwaitsHub: awaitsHub, AvoidsStore: avoidsStore, ServesOthers: hub == p.node && liveMembers > 0}
+	up := feed.Upstream{AwaitsHub: awaitsHub, AvoidsStore: avoidsStore, ServesOthers: hub == p.node && liveMembers > 0, DomainNodes: liveMembers + 1}
 	if hubAddress != "" {
 		up.Hub = p.source(hubAddress)
 	}
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -33,8 +33,11 @@
 	// largeFleetRosterInterval replaces rosterInterval in a fleet with hubs,
 	// where the hubs track the nodes.
 	largeFleetRosterInterval = 30 * time.Second
-	// rosterBackoff is the delay after a failed read or registration.
-	rosterBackoff = 500 * time.Millisecond
+	// rosterBackoff is the delay after a failed read or registration. In a fleet with
+	// hubs it doubles with each failure up to maxRosterBackoff: while the store is down,
+	// no node has a live hub.
+	rosterBackoff    = 500 * time.Millisecond
+	maxRosterBackoff = 10 * time.Second
 	// rosterTimeout limits one read of the rows, and one registration.
 	rosterTimeout = time.Second
 	// smallNodeDeference is how much longer than the largest nodes a smaller one
@@ -202,6 +205,7 @@
 		sleep(ctx, p.jitteredRosterInterval())
 	}
 	eraKnown, lastEra := false, int64(0)
+	failures := 0
 	for ctx.Err() == nil {
 		if era, known := p.storeEra(); known {
 			// A copy that the store came back from may lack the node's row.
@@ -214,13 +218,15 @@
 				sleep(ctx, firstRosterDelay)
 			}
 		}
-		delay := rosterBackoff // the feed followers log the failure of the store
+		delay := p.failedRosterDelay(failures) // the feed followers log the failure of the store
+		failures++
 		if p.hasLiveHub() {
 			if registered {
 				delay = p.jitteredRosterInterval()
 			}
 		} else if ownRow, err := p.readRoster(ctx); err == nil {
 			// Another writer may have replaced or removed the node's row.
+			failures = 0
 			if registered = registered && ownRow; registered {
 				delay = p.jitteredRosterInterval()
 			}
@@ -246,6 +252,17 @@
 	}
 }
 
+// failedRosterDelay returns the delay after a number of failures and one more.
+func (p *peers) failedRosterDelay(failures int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.byName)+1 <= maxStoreReaders || failures == 0 {
+		return rosterBackoff
+	}
+	delay := min(rosterBackoff<<min(failures, 8), maxRosterBackoff)
+	return delay/2 + rand.N(delay/2)
+}
+
 func (p *peers) jitteredRosterInterval() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/process/gateway/start_test.go
+++ b/internal/process/gateway/start_test.go
@@ -118,3 +118,25 @@
 	s.row = string(txn.Writes[0].Value)
 	return nil
 }
+
+// TestRosterCallsDuringAnOutage guards against calls that grow with the nodes while the
+// store is down: no node has a live hub then, and each read the rows twice a second.
+// Nodes of small fleets go on as before.
+func TestRosterCallsDuringAnOutage(t *testing.T) {
+	for nodes, want := range map[int][2]int{maxStoreReaders: {38, 42}, 30: {2, 8}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(nodes)
+			node := f.nodes["n000"]
+			store := &oneRowStore{fails: true}
+			node.store, node.hasFreshFeeds = store, func() bool { return false }
+			ctx, cancel := context.WithCancel(context.Background())
+			go node.runRoster(ctx)
+			time.Sleep(20 * time.Second)
+			cancel()
+			synctest.Wait()
+			if store.reads < want[0] || store.reads > want[1] {
+				t.Errorf("a node of %d read the rows %d times in 20 s, want %d to %d", nodes, store.reads, want[0], want[1])
+			}
+		})
+	}
+}
