--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -26,8 +26,10 @@
 	// storeReplyMargin is added to the timeout of a long poll; a call without an
 	// answer by then has failed.
 	storeReplyMargin = 400 * time.Millisecond
-	// snapshotTimeout limits a read of a whole table.
-	snapshotTimeout = time.Second
+	// snapshotTimeout limits a read of a whole table. Sources give up earlier when one
+	// is silent for SilenceTimeout; the smallest nodes take a second for the data of
+	// some thousand hosts.
+	snapshotTimeout = 4 * time.Second
 	// retryBackoff plus a random part of maxRetryJitter separates calls after a
 	// failure. While peers supply a fresh copy, the backoff of the store doubles
 	// with each failure up to maxStoreBackoff.
@@ -48,6 +50,9 @@
 	// is longer than a hub's long poll, and short enough to switch to the store
 	// in time.
 	maxCopyAge = 1400 * time.Millisecond
+	// firstCopyBackoff plus a random part of the same length separates the rounds in
+	// which a node that has started again asks others for its first copy.
+	firstCopyBackoff = 150 * time.Millisecond
 	// hubAwaitInterval is the time between two checks for a hub after the start.
 	hubAwaitInterval = 20 * time.Millisecond
 	// hubQuarantine is how long a node reads from the deputies after its hub failed
@@ -57,8 +62,11 @@
 	// fresh copy from the deputies, which notice the failure at the same time.
 	deputyGracePeriod = 700 * time.Millisecond
 	// memberStoreInterval is the minimum time between two calls of a node to a
-	// failing store if it has deputies. They learn earlier that the store is back.
-	memberStoreInterval = 1500 * time.Millisecond
+	// failing store if it has deputies. They learn earlier that the store is back. With
+	// more than membersPerStoreInterval nodes in a failure domain it grows, so that the
+	// calls of a domain do not grow with its nodes.
+	memberStoreInterval     = 1500 * time.Millisecond
+	membersPerStoreInterval = 10
 )
 
 // Upstream lists the other nodes that a node may read from.
@@ -72,8 +80,14 @@
 	// its hub has been found. The node then does not read from the store, since all
 	// nodes may have started together.
 	AwaitsHub bool
+	// AvoidsStore is true shortly after a node of a large fleet has started again, since
+	// all nodes may have. As long as the node has no copy it reads from the deputies,
+	// which include its hub then, and not from the store.
+	AvoidsStore bool
 	// ServesOthers is true if other nodes read from this one.
 	ServesOthers bool
+	// DomainNodes is the number of live nodes of the failure domain.
+	DomainNodes int
 	// Peers are read from, in this order, while the store does not answer.
 	Peers []Source
 }
@@ -107,6 +121,10 @@
 	// nextStoreCall is when the next one is due.
 	storeBackoff  time.Duration
 	nextStoreCall time.Time
+	// readsStore is true if the last answer came from the store.
+	readsStore bool
+
+	shared sharedAnswers
 }
 
 // NewFollower returns a follower that does nothing until Run.
@@ -117,22 +135,6 @@
 // Table returns the node's copy.
 func (f *Follower) Table() *Table { return f.table }
 
-// LastContact returns when the store last confirmed the copy and when a call to
-// the store last failed; the zero time means never.
-func (f *Follower) LastContact() (lastConfirmed, lastFailure time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lastConfirmed, f.lastFailure
-}
-
-// LastOutage returns when a call to the store last failed while no other node was
-// known to have a fresh copy; the zero time means never.
-func (f *Follower) LastOutage() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lastOutage
-}
-
 // Snapshot returns the whole copy for another node, and whether it was ever
 // loaded.
 func (f *Follower) Snapshot() (Batch, bool) {
@@ -169,10 +171,17 @@
 			f.readFromHub(ctx, up.Hub)
 			continue
 		}
-		if f.readFromDeputies(ctx, up.Deputies) || len(up.Deputies) > 0 && f.hubFailedLately() {
+		avoidsStore := up.AvoidsStore && !f.isLoaded()
+		if f.readFromDeputies(ctx, up.Deputies, avoidsStore) || len(up.Deputies) > 0 && f.hubFailedLately() {
 			sleep(ctx, minPollInterval)
 			continue
 		}
+		if avoidsStore {
+			sleep(ctx, firstCopyBackoff+rand.N(firstCopyBackoff))
+			continue
+		}
+		minDelay := up.memberStoreDelay()
+		f.spreadStoreCalls(minDelay - memberStoreInterval)
 		wait, interval := longPollTimeout, minPollInterval
 		if up.ServesOthers {
 			wait, interval = hubLongPollTimeout, hubPollInterval
@@ -184,21 +193,44 @@
 			sleep(ctx, interval)
 			continue
 		}
-		minDelay := time.Duration(0)
-		if len(up.Deputies) > 0 {
-			minDelay = memberStoreInterval
-		}
 		f.scheduleStoreCall(f.readFromPeers(ctx, up.Peers), minDelay)
 		sleep(ctx, retryBackoff+rand.N(maxRetryJitter))
 	}
 }
 
+func (f *Follower) isLoaded() bool {
+	_, loaded := f.table.Version()
+	return loaded
+}
+
 func (f *Follower) storeIsDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return !time.Now().Before(f.nextStoreCall)
 }
 
+// memberStoreDelay returns the minimum time between two calls of a node with deputies to
+// a failing store, and 0 for others. A node without peers has no other source.
+func (up Upstream) memberStoreDelay() time.Duration {
+	switch {
+	case len(up.Deputies) == 0:
+		return 0
+	case len(up.Peers) == 0:
+		return memberStoreInterval
+	}
+	return max(memberStoreInterval, memberStoreInterval*time.Duration(up.DomainNodes)/membersPerStoreInterval)
+}
+
+// spreadStoreCalls delays the first call to the store after the hub and the deputies have
+// failed by a random part of spread, as all members notice it at once.
+func (f *Follower) spreadStoreCalls(spread time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if spread > 0 && !f.readsStore && f.nextStoreCall.IsZero() {
+		f.nextStoreCall = time.Now().Add(rand.N(spread))
+	}
+}
+
 // scheduleStoreCall sets the time of the next call to a failing store, at least
 // minDelay after this one. The delay grows while peers supply a fresh copy.
 func (f *Follower) scheduleStoreCall(peersAreFresh bool, minDelay time.Duration) {
@@ -249,6 +281,7 @@
 	}
 	if err == nil {
 		f.recordAnswer(batch)
+		f.setReadsStore(false)
 		f.apply(batch)
 		if batch.ConfirmedAgo <= maxCopyAge {
 			sleep(ctx, minPollInterval)
@@ -266,8 +299,9 @@
 }
 
 // readFromDeputies makes one call to the first deputy with a fresh copy and reports
-// whether there was one.
-func (f *Follower) readFromDeputies(ctx context.Context, deputies []Source) bool {
+// whether there was one. Without one the deputies are quarantined, unless they may be
+// starting like this node.
+func (f *Follower) readFromDeputies(ctx context.Context, deputies []Source, starting bool) bool {
 	f.mu.Lock()
 	quarantined := time.Now().Before(f.deputiesQuarantinedUntil)
 	f.mu.Unlock()
@@ -281,13 +315,14 @@
 		}
 		if err == nil && batch.ConfirmedAgo <= maxCopyAge {
 			f.recordAnswer(batch)
+			f.setReadsStore(false)
 			f.apply(batch)
 			return true
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.hubFailedLatelyLocked() {
+	if !starting && !f.hubFailedLatelyLocked() {
 		f.deputiesQuarantinedUntil = time.Now().Add(hubQuarantine)
 	}
 	return false
@@ -304,6 +339,7 @@
 		return false
 	}
 	f.recordAnswer(Batch{})
+	f.setReadsStore(true)
 	f.apply(batch)
 	return true
 }
@@ -315,7 +351,10 @@
 		callCtx, cancel := context.WithTimeout(ctx, wait+replyMargin)
 		defer cancel()
 		batch, err := source.Changes(callCtx, f.topic, f.table.Position(), wait)
-		if !errors.Is(err, ErrCompacted) {
+		if err == nil {
+			batch, err = f.table.Complete(batch)
+		}
+		if !errors.Is(err, ErrCompacted) && !errors.Is(err, errValueMissing) {
 			return batch, err
 		}
 		f.log.Log(eventlog.FeedCompacted, eventlog.Fields{"topic": f.topic, "since": version})
@@ -356,66 +395,6 @@
 	return false
 }
 
-// recordPeerCopy records the age of a peer's copy. The store still counts as
-// lost, but a fresh copy shows whether that is an outage for all nodes.
-func (f *Follower) recordPeerCopy(b Batch) {
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if at := now.Add(-b.ConfirmedAgo); at.After(f.lastConfirmed) {
-		f.lastConfirmed = at
-	}
-	if b.ConfirmedAgo > maxCopyAge {
-		return
-	}
-	f.lastOutage = time.Time{}
-	if b.FailedAgo > 0 {
-		f.lastOutage = now.Add(-b.FailedAgo)
-	}
-}
-
-func (f *Follower) recordStoreFailure(err error) {
-	f.mu.Lock()
-	f.lastFailure = time.Now()
-	f.lastOutage = f.lastFailure
-	first := !f.storeLost
-	f.storeLost = true
-	f.mu.Unlock()
-	if first {
-		version, _ := f.table.Version()
-		f.log.Log(eventlog.FeedLost, eventlog.Fields{"topic": f.topic, "version": version, "error": err.Error()})
-	}
-}
-
-// recordAnswer records an answer of the store, or of a hub with the age of its
-// copy in b.
-func (f *Follower) recordAnswer(b Batch) {
-	now := time.Now()
-	f.mu.Lock()
-	if at := now.Add(-b.ConfirmedAgo); at.After(f.lastConfirmed) {
-		f.lastConfirmed = at
-	}
-	if at := now.Add(-b.FailedAgo); b.FailedAgo > 0 {
-		f.lastFailure = latest(f.lastFailure, at)
-		f.lastOutage = latest(f.lastOutage, at)
-	}
-	regained := f.storeLost && b.ConfirmedAgo <= maxCopyAge
-	f.storeLost = f.storeLost && !regained
-	f.storeBackoff, f.nextStoreCall = 0, time.Time{}
-	f.mu.Unlock()
-	if regained {
-		version, _ := f.table.Version()
-		f.log.Log(eventlog.FeedRegained, eventlog.Fields{"topic": f.topic, "version": version})
-	}
-}
-
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,7 +16,6 @@
 
 	"github.com/google/uuid"
 
-	"currantladder.example/currantladder/internal/connection/feed"
 	"currantladder.example/currantladder/internal/connection/table"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/leader"
@@ -37,8 +35,11 @@
 	// largeFleetRosterInterval replaces rosterInterval in a fleet with hubs,
 	// where the hubs track the nodes.
 	largeFleetRosterInterval = 30 * time.Second
-	// rosterBackoff is the delay after a failed read or registration.
-	rosterBackoff = 500 * time.Millisecond
+	// rosterBackoff is the delay after a failed read or registration. In a fleet with
+	// hubs it doubles with each failure up to maxRosterBackoff: while the store is down,
+	// no node has a live hub.
+	rosterBackoff    = 500 * time.Millisecond
+	maxRosterBackoff = 10 * time.Second
 	// rosterTimeout limits one read of the rows, and one registration.
 	rosterTimeout = time.Second
 	// smallNodeDeference is how much longer than the largest nodes a smaller one
@@ -56,6 +57,15 @@
 	// whole fleet starts for the first time. Callers arrive seconds later. A node
 	// that starts again follows the store at once.
 	firstStartWait = 3 * time.Second
+	// firstRosterTimeout is how long a node that starts again waits for its first read
+	// of all rows before it reads the feeds from the store.
+	firstRosterTimeout = 250 * time.Millisecond
+	// restartWait plus a random part of restartWaitSpread is how long a node that starts
+	// again in a fleet of more than maxFullMeshNodes asks the hub and the deputies of its
+	// failure domain for its first copy before it asks the store. They read the store
+	// at once; the others take their copies within the second after it.
+	restartWait       = 3 * time.Second
+	restartWaitSpread = 2 * time.Second
 	// maxDeputies is the number of nodes of a failure domain that replace its hub
 	// while it fails.
 	maxDeputies = 2
@@ -113,6 +123,10 @@
 	heardAsHub time.Time
 	// quarantinedUntil is the time until which it is not chosen as hub.
 	quarantinedUntil time.Time
+	// packed is true if it understands packed digests, and seq is the number of its last
+	// digest to this node as its hub.
+	packed bool
+	seq    uint32
 }
 
 // peersOptions are the dependencies of peers.
@@ -155,6 +169,10 @@
 	hubChosenAt time.Time
 	// rosterRead is true once the rows of all nodes were read.
 	rosterRead bool
+	// rosterTried is true once the first read of the rows has ended.
+	rosterTried bool
+	// restartWait is how long this node avoids the store after it started again.
+	restartWait time.Duration
 	// unusableRows contains the versions of the rows that could not be used when the
 	// rows were last read.
 	unusableRows map[string]table.Version
@@ -165,6 +183,7 @@
 	// listLacksNodes is true if another node knows many more nodes than this one, which
 	// then reads the rows of all nodes, although it has a hub.
 	listLacksNodes atomic.Bool
+	ownDigests     ownDigests
 	// wake has room for one signal to send a digest before its time.
 	wake chan struct{}
 }
@@ -172,8 +191,9 @@
 func newPeers(s *Settings, o peersOptions) *peers {
 	p := &peers{
 		peersOptions: o, node: s.Node, self: nodeRow{Address: s.Peers, Domain: s.FailureDomain, Share: s.ProcessorShare},
-		http: &http.Client{Transport: newTransport(storeIdleTimeout, storeUserTimeout)}, byName: map[string]*peer{}, started: time.Now(),
-		wake: make(chan struct{}, 1),
+		http: &http.Client{Transport: newTransport(storeIdleTimeout, storeUserTimeout)}, byName: map[string]*peer{}, started: time.Now(), ownDigests: newOwnDigests(),
+		restartWait: restartWait + rand.N(restartWaitSpread),
+		wake:        make(chan struct{}, 1),
 	}
 	for _, seed := range s.Seeds {
 		if seed != s.Peers {
@@ -186,8 +206,12 @@
 // runRoster registers the node and reads the rows of all nodes until ctx ends. A
 // node that has a hub does not read them again, because the hub knows the nodes.
 func (p *peers) runRoster(ctx context.Context) {
-	registered := false
+	registered := !p.firstStart && p.readFirstRoster(ctx)
+	if registered {
+		sleep(ctx, p.jitteredRosterInterval())
+	}
 	eraKnown, lastEra := false, int64(0)
+	failures := 0
 	for ctx.Err() == nil {
 		if era, known := p.storeEra(); known {
 			// A copy that the store came back from may lack the node's row.
@@ -200,13 +224,15 @@
 				sleep(ctx, firstRosterDelay)
 			}
 		}
-		delay := rosterBackoff // the feed followers log the failure of the store
+		delay := p.failedRosterDelay(failures) // the feed followers log the failure of the store
+		failures++
 		if p.hasLiveHub() && !p.listLacksNodes.Load() {
 			if registered {
 				delay = p.jitteredRosterInterval()
 			}
 		} else if ownRow, err := p.readRoster(ctx); err == nil {
 			// Another writer may have replaced or removed the node's row.
+			failures = 0
 			if registered = registered && ownRow; registered {
 				delay = p.jitteredRosterInterval()
 			}
@@ -215,6 +241,16 @@
 	}
 }
 
+// readFirstRoster reads the rows of all nodes once when the node starts again, and
+// reports whether the row of this node is still the one that it would write.
+func (p *peers) readFirstRoster(ctx context.Context) bool {
+	ownRow, err := p.readRoster(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rosterTried = true
+	return err == nil && ownRow
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -222,6 +258,17 @@
 	}
 }
 
+// failedRosterDelay returns the delay after a number of failures and one more.
+func (p *peers) failedRosterDelay(failures int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.byName)+1 <= maxStoreReaders || failures == 0 {
+		return rosterBackoff
+	}
+	delay := min(rosterBackoff<<min(failures, 8), maxRosterBackoff)
+	return delay/2 + rand.N(delay/2)
+}
+
 func (p *peers) jitteredRosterInterval() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -287,8 +334,8 @@
 	return p.store.Commit(callCtx, table.Txn{Nonce: uuid.NewString(), Writes: []table.Write{write}})
 }
 
-// readRoster reads the rows of all nodes, and reports whether there is a usable one of
-// this node.
+// readRoster reads the rows of all nodes, and reports whether that of this node is as it
+// would write it.
 func (p *peers) readRoster(ctx context.Context) (ownRow bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
@@ -310,7 +357,7 @@
 			}
 			continue
 		}
-		ownRow = ownRow || name == p.node
+		ownRow = ownRow || name == p.node && row == p.self
 		p.updatePeer(name, row)
 	}
 	p.unusableRows = unusable
@@ -359,74 +406,3 @@
 	defer p.mu.Unlock()
 	return p.trafficElsewhere
 }
-
-// upstream returns the nodes that this node may read the feeds from.
-func (p *peers) upstream() feed.Upstream {
-	now := time.Now()
-	p.mu.Lock()
-	hub := p.chooseHub(now)
-	var live []string
-	liveMembers := 0
-	for name, other := range p.byName {
-		if now.Sub(other.lastHeard) >= peerTimeout {
-			continue
-		}
-		isMember := other.Domain == p.self.Domain
-		if isMember {
-			liveMembers++
-		}
-		// A copy that comes from this node, or from the hub that has failed, is no
-		// newer than the own one.
-		if name == hub || isMember && hub == p.node {
-			continue
-		}
-		live = append(live, other.Address)
-	}
-	var hubAddress string
-	if other := p.liveHub(hub, now); other != nil {
-		hubAddress = other.Address
-	}
-	deputies := p.deputies(hub)
-	awaitsHub := p.isStarting(now) && (!p.rosterRead || hub != "" && hub != p.node && hubAddress == "")
-	p.mu.Unlock()
-	slices.Sort(live)
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	up := feed.Upstream{AwaitsHub: awaitsHub, ServesOthers: hub == p.node && liveMembers > 0}
-	if hubAddress != "" {
-		up.Hub = p.source(hubAddress)
-	}
-	for _, address := range deputies {
-		up.Deputies = append(up.Deputies, p.source(address))
-	}
-	for _, address := range live[:min(len(live), maxFeedPeers)] {
-		up.Peers = append(up.Peers, p.source(address))
-	}
-	return up
-}
-
-// deputies returns the addresses of the nodes that this one reads the feeds from
-// while the hub fails: the preferred nodes of the failure domain besides the hub. It
-// returns none if this node is the hub or among them. The caller must hold mu.
-func (p *peers) deputies(hub string) []string {
-	if hub == "" || hub == p.node {
-		return nil
-	}
-	var addresses []string
-	for _, name := range p.hubCandidates(p.self.Domain) {
-		if len(addresses) == maxDeputies {
-			break
-		}
-		if name == hub {
-			continue
-		}
-		if p.preferredAsHub(p.node, name) {
-			return nil
-		}
-		addresses = append(addresses, p.byName[name].Address)
-	}
-	return addresses
-}
-
-func (p *peers) source(address string) feed.Source {
-	return &peerSource{"http://" + address, p.http}
-}
--- a/internal/request/place/loadindex_test.go
+++ b/internal/request/place/loadindex_test.go
@@ -67,7 +67,7 @@
 		}
 		last, load, own = e.load, load+e.record.load(), own+e.record.inFlight
 		for _, r := range b.reports {
-			if now.Sub(r.receivedAt) <= reportTTL {
+			if now.Sub(r.receivedAt) <= ReportTTL {
 				byReports += r.inFlight[e.host.ID]
 			}
 		}
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -54,7 +54,7 @@
 	}
 	sentElsewhere := 0
 	for _, r := range b.reports {
-		if now.Sub(r.receivedAt) <= reportTTL {
+		if now.Sub(r.receivedAt) <= ReportTTL {
 			sentElsewhere += r.sent[host.ID]
 		}
 	}
--- a/internal/request/place/reports.go
+++ b/internal/request/place/reports.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// reportTTL is how long another node's counts are used. It covers several
+// ReportTTL is how long another node's counts are used. It covers several
 // exchange intervals.
-const reportTTL = 1500 * time.Millisecond
+const ReportTTL = 1500 * time.Millisecond
 
 // remoteReport is the load reported by another node, for itself or as the sum
 // over several nodes.
@@ -28,7 +28,7 @@
 	b.reports[name] = remoteReport{receivedAt: now, inFlight: inFlight, nodes: nodes}
 	b.nodesElsewhere += nodes - former.nodes
 	b.replaceCounts(former.inFlight, inFlight)
-	if expiry := now.Add(reportTTL); b.nextExpiry.IsZero() || expiry.Before(b.nextExpiry) {
+	if expiry := now.Add(ReportTTL); b.nextExpiry.IsZero() || expiry.Before(b.nextExpiry) {
 		b.nextExpiry = expiry
 	}
 	for _, id := range suspects {
@@ -62,13 +62,13 @@
 	}
 	b.nextExpiry = time.Time{}
 	for name, r := range b.reports {
-		if now.Sub(r.receivedAt) > reportTTL {
+		if now.Sub(r.receivedAt) > ReportTTL {
 			b.replaceCounts(r.inFlight, nil)
 			b.nodesElsewhere -= r.nodes
 			delete(b.reports, name)
 			continue
 		}
-		if expiry := r.receivedAt.Add(reportTTL); b.nextExpiry.IsZero() || expiry.Before(b.nextExpiry) {
+		if expiry := r.receivedAt.Add(ReportTTL); b.nextExpiry.IsZero() || expiry.Before(b.nextExpiry) {
 			b.nextExpiry = expiry
 		}
 	}
@@ -106,7 +106,7 @@
 	b.expireReports(now)
 	reported := make(map[string]Report, len(b.reports))
 	for name, r := range b.reports {
-		if now.Sub(r.receivedAt) <= reportTTL {
+		if now.Sub(r.receivedAt) <= ReportTTL {
 			reported[name] = Report{r.inFlight, r.nodes, r.sent}
 		}
 	}
