Small groups are the spares of large ones

Seen: at the plates 21 of 162 hosts stayed without a group as survivors of groups of eight, as their domain had no eighth host with the weights, and 18 idle spares served nobody.

Cause: a group was completed by free hosts only, and rebalance acts from a quotient of 0.6 of the target ratios.

Ruled out: a lower threshold of rebalance. It moves whole groups and loads the weights first, which takes 16 s.

Change: where hosts keep a staged model (`keeps`), with two models whose groups differ by a factor of four, the first groups use all hosts, members get the other model staged, and regroup forms the groups that are worth most by proportional fairness. Small groups close to complete a large one where its model gains 1.25 times what theirs loses.

--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -56,6 +56,9 @@
 // loadFactor is the current load as a multiple of the kind's rate.
 func (sim *simulation) loadFactor(kind *KindSheet) float64 {
 	factor := 1.0
+	if run := sim.sheet.Run; run.Wave > 0 {
+		factor += run.Wave * math.Sin(2*math.Pi*float64(sim.now-sim.hosts.loadStart)/float64(run.WavePeriod))
+	}
 	for _, phase := range sim.activePhases() {
 		if phase.Kind == "" || phase.Kind == kind.Name {
 			factor *= phase.LoadFactor
--- a/internal/experiment/hosts.go
+++ b/internal/experiment/hosts.go
@@ -81,16 +81,30 @@
 func newHostPool(c *clock, sheet *Sheet, random *rand.Rand, loadStart time.Duration) *hostPool {
 	pool := &hostPool{clock: c, sheet: sheet, random: random, byID: map[string]*simulatedHost{}, loadStart: loadStart}
 	for i := range sheet.Run.Hosts {
-		id := fmt.Sprintf("host%03d", i)
-		pool.ids = append(pool.ids, id)
-		pool.byID[id] = &simulatedHost{alive: true, registered: true, slowdown: 1, host: &fleet.Host{
-			ID: id, Service: serviceName, Slots: sheet.Engine.Slots, Started: startTime,
-			FabricDomain: fmt.Sprintf("fabric%d", i*sheet.Run.FabricDomains/sheet.Run.Hosts),
-		}}
+		pool.addHost(i * sheet.Run.FabricDomains / sheet.Run.Hosts)
 	}
 	return pool
 }
 
+// addHost adds a host without weights to a fabric domain.
+func (pool *hostPool) addHost(domain int) {
+	id := fmt.Sprintf("host%03d", len(pool.ids))
+	pool.ids = append(pool.ids, id)
+	pool.byID[id] = &simulatedHost{alive: true, registered: true, slowdown: 1, host: &fleet.Host{
+		ID: id, Service: serviceName, Slots: pool.sheet.Engine.Slots, Started: pool.time(),
+		FabricDomain: fmt.Sprintf("fabric%d", domain),
+	}}
+}
+
+// add adds hosts to a random fabric domain.
+func (pool *hostPool) add(count int) {
+	domain := pool.random.IntN(pool.sheet.Run.FabricDomains)
+	for range count {
+		pool.addHost(domain)
+	}
+	pool.publish()
+}
+
 // publish publishes the current host list after the report delay.
 func (pool *hostPool) publish() {
 	pool.version++
--- a/internal/experiment/policy_benchmark_test.go
+++ b/internal/experiment/policy_benchmark_test.go
@@ -11,6 +11,12 @@
 type earnedShare struct{ mean, worst float64 }
 
 func runSeeds(t testing.TB, name, policyName string, seeds int) earnedShare {
+	t.Helper()
+	return runChangedSheet(t, name, policyName, seeds, func(*Sheet) {})
+}
+
+// runChangedSheet is runSeeds for a sheet that is changed first.
+func runChangedSheet(t testing.TB, name, policyName string, seeds int, change func(*Sheet)) earnedShare {
 	t.Helper()
 	p := testPolicy(t, policyName)
 	results := make([]*Result, seeds)
@@ -18,6 +24,7 @@
 	for i := range seeds {
 		s := readTestSheet(t, name)
 		s.Run.Seed = uint64(i + 1)
+		change(s)
 		runs.Go(func() {
 			r, err := Run(context.Background(), s, p, nil)
 			if err != nil {
@@ -87,3 +94,18 @@
 		}
 	}
 }
+
+// BenchmarkServingSpares compares the plates, where hosts of small groups are the
+// spares of large ones, with the same fleet whose hosts keep nothing staged beside the
+// model in memory, so that spares stay idle. Callers must earn no less.
+func BenchmarkServingSpares(b *testing.B) {
+	const seeds = 2
+	for b.Loop() {
+		serving := runSeeds(b, "plates", "product", seeds)
+		idle := runChangedSheet(b, "plates", "product", seeds, func(s *Sheet) { s.Engine.StagedModels = 0 })
+		b.Logf("plates: serving spares %.3f, worst seconds %.3f; idle spares %.3f, worst seconds %.3f", serving.mean, serving.worst, idle.mean, idle.worst)
+		if serving.mean < idle.mean {
+			b.Errorf("plates: serving spares earn %.3f, want no less than idle spares with %.3f", serving.mean, idle.mean)
+		}
+	}
+}
--- a/internal/experiment/sheet.go
+++ b/internal/experiment/sheet.go
@@ -48,6 +48,10 @@
 	// RetryRatio and RetrySlack limit retries over all nodes together.
 	RetryRatio float64 `ini:"retry_ratio"`
 	RetrySlack float64 `ini:"retry_slack"`
+	// Wave is the amplitude of a sine wave of the load, as a part of the mean load,
+	// and WavePeriod its period; 0 stands for no wave.
+	Wave       float64       `ini:"wave"`
+	WavePeriod time.Duration `ini:"wave_period"`
 }
 
 // EngineSheet describes how the engine of a group runs requests.
@@ -74,6 +78,8 @@
 	StallTimeout        time.Duration `ini:"stall_time"`
 	LoadStartsPerSecond float64       `ini:"load_starts_per_second"`
 	ConcurrentLoads     int           `ini:"concurrent_loads"`
+	// StagedModels is the number of models that a host keeps staged.
+	StagedModels int `ini:"keeps"`
 }
 
 // ModelSheet describes a model.
@@ -143,6 +149,8 @@
 const (
 	// FailureHostsLost stops hosts, for good where Duration is 0.
 	FailureHostsLost = "hosts_lost"
+	// FailureHostsAdded adds Count hosts without weights to one random fabric domain.
+	FailureHostsAdded = "hosts_added"
 	// FailureDomainLost stops all hosts of a fabric domain.
 	FailureDomainLost = "domain_lost"
 	// FailureHostsSilent makes Count hosts answer nothing for Duration and then go on.
@@ -162,7 +170,7 @@
 	FailureNodesKilled = "nodes_killed"
 )
 
-var failureKinds = []string{FailureHostsLost, FailureDomainLost, FailureHostsSilent, FailureHostsSlow, FailureOrdersLate, FailureNodesKilled, FailureCrashingPart, FailureHostsLimited}
+var failureKinds = []string{FailureHostsLost, FailureHostsAdded, FailureDomainLost, FailureHostsSilent, FailureHostsSlow, FailureOrdersLate, FailureNodesKilled, FailureCrashingPart, FailureHostsLimited}
 
 // FailureSheet describes a failure to inject.
 type FailureSheet struct {
@@ -170,6 +178,9 @@
 	Kind     string        `ini:"kind"`
 	Start    time.Duration `ini:"at"`
 	Duration time.Duration `ini:"for"`
+	// Interval is the time after which the failure is injected again; 0 stands for
+	// once.
+	Interval time.Duration `ini:"every"`
 	// Count is the number of hosts or nodes that fail.
 	Count    int     `ini:"count"`
 	Slowdown float64 `ini:"factor"`
@@ -263,6 +274,7 @@
 	r, e := s.Run, s.Engine
 	reject(r.Length <= 0, "[run] length: give a duration above 0")
 	reject(r.Nodes <= 0 || r.Hosts <= 0 || r.FabricDomains <= 0, "[run] nodes, hosts, fabric_domains: give numbers above 0")
+	reject(r.Wave < 0 || r.Wave > 1 || r.Wave > 0 && r.WavePeriod <= 0, "[run] wave: 0 to 1; wave_period: a duration above 0 for a wave")
 	reject(r.DigestInterval <= 0, "[run] digest_period: give a duration above 0")
 	reject(e.Slots <= 0 || e.StepsPerPass <= 0 || e.ChunkTokens <= 0 || e.MemoryTokens <= 0, "[engine] slots, memory_tokens, steps_per_pass, chunk_tokens: give numbers above 0")
 	reject(e.StepTime <= 0 || e.PrefillTokensPerSecond <= 0, "[engine] step_time, read_tokens_per_second: give values above 0")
@@ -304,7 +316,7 @@
 	engine := &fleet.Engine{
 		Slots: e.Slots, MemoryTokens: e.MemoryTokens, StepsPerPass: e.StepsPerPass, ChunkTokens: e.ChunkTokens,
 		StepTime: e.StepTime, StepTimePerRequest: e.StepTimePerRequest, PrefillTokensPerSecond: e.PrefillTokensPerSecond,
-		LoadsPerSecond: e.LoadStartsPerSecond, ConcurrentLoads: e.ConcurrentLoads, FormTime: e.FormTime,
+		LoadsPerSecond: e.LoadStartsPerSecond, ConcurrentLoads: e.ConcurrentLoads, KeepsStaged: e.StagedModels, FormTime: e.FormTime,
 	}
 	rate := 0.0
 	for _, k := range s.Kinds {
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -102,7 +102,7 @@
 		sim.after(warmUpTime, func() { sim.scheduleArrivals(&sheet.Kinds[i]) })
 	}
 	for _, f := range sheet.Failures {
-		sim.after(warmUpTime+f.Start, func() { sim.injectFailure(f) })
+		sim.after(warmUpTime+f.Start, func() { sim.injectRepeatedly(f) })
 	}
 	return sim
 }
@@ -135,8 +135,19 @@
 	return i >= 0 && sim.nodes[i].board.Load(hostID, sim.time()) > 0
 }
 
+// injectRepeatedly injects a failure, and again after each of its intervals while
+// requests arrive.
+func (sim *simulation) injectRepeatedly(f FailureSheet) {
+	sim.injectFailure(f)
+	if f.Interval > 0 && sim.now+f.Interval < warmUpTime+sim.sheet.Run.Length {
+		sim.after(f.Interval, func() { sim.injectRepeatedly(f) })
+	}
+}
+
 func (sim *simulation) injectFailure(f FailureSheet) {
 	switch f.Kind {
+	case FailureHostsAdded:
+		sim.hosts.add(f.Count)
 	case FailureHostsLost:
 		for _, h := range sim.hosts.pickAlive(f.Count) {
 			sim.hosts.fail(h, f.Duration)
--- a/internal/version/fleet/fleet.go
+++ b/internal/version/fleet/fleet.go
@@ -118,6 +118,9 @@
 	// store start per second and run at once.
 	LoadsPerSecond  float64
 	ConcurrentLoads int
+	// KeepsStaged is the number of models whose weights a host keeps staged, apart
+	// from the model in memory.
+	KeepsStaged int
 	// FormTime is the time from opening a group until it serves requests.
 	FormTime time.Duration
 	// MeanPromptTokens and MeanAnswerTokens are the mean numbers of tokens per
--- a/internal/version/formation/form.go
+++ b/internal/version/formation/form.go
@@ -33,13 +33,18 @@
 	}
 }
 
+// target returns the number of hosts that the model's groups should have.
+func (p *planner) target(m *fleet.Model) float64 {
+	if d, ok := p.Demand[m.Name]; ok && d > 0 {
+		return d
+	}
+	return m.WorkShare * float64(len(p.Hosts))
+}
+
 // targetRatio returns the hosts of the model's wanted groups relative to its
 // target, or 1 if it has no target.
 func (p *planner) targetRatio(m *fleet.Model) float64 {
-	target := m.WorkShare * float64(len(p.Hosts))
-	if d, ok := p.Demand[m.Name]; ok && d > 0 {
-		target = d
-	}
+	target := p.target(m)
 	if target <= 0 {
 		return 1
 	}
@@ -129,7 +134,7 @@
 		for _, domain := range b.domainNames {
 			hosts := b.startable[domain][m.Name]
 			spares := 0
-			if b.UnlimitedLoads {
+			if b.UnlimitedLoads && !b.hasServingSpares() {
 				spares = b.domainSizes[domain] / domainHostsPerSpare
 			}
 			if len(hosts) < m.Size+spares {
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -18,6 +18,10 @@
 	joinTimeout = 4 * time.Second
 	// closeTimeout is how long a head may take to finish its work after close.
 	closeTimeout = 10 * time.Second
+	// takeTimeout is the same for a group whose hosts are needed for another model.
+	// The hosts that wait for them serve nobody, and the streams continue at another
+	// group.
+	takeTimeout = time.Second
 	// stageTimeoutFactor times the model's LoadTime is the timeout of a load.
 	stageTimeoutFactor = 4
 )
@@ -147,24 +151,39 @@
 	reserved map[string]bool
 	// domainGroups counts wanted groups by domain and model.
 	domainGroups map[string]map[string]int
+	// large and small are the models whose small groups serve as spares of the large
+	// ones, or nil.
+	large, small *fleet.Model
+	// kept contains the names of the wanted groups.
+	kept map[string]bool
+	// formedGroups counts the groups that regroup has formed, by model.
+	formedGroups map[string]int
 }
 
 // MakePlan returns the orders that bring the fleet closer to its target.
 func MakePlan(in Input) Plan {
 	p := &planner{
 		Input: in, groups: map[string]*group{}, serving: map[string][]*group{}, free: map[string]*fleet.Host{}, inUse: map[string]bool{}, reserved: map[string]bool{}, ended: map[string]bool{},
-		domainGroups: map[string]map[string]int{},
-		plan:         Plan{NextEpoch: in.FirstEpoch, Serving: map[string]int{}, Forming: map[string]int{}, Spares: map[string]int{}},
+		domainGroups: map[string]map[string]int{}, kept: map[string]bool{}, formedGroups: map[string]int{},
+		plan: Plan{NextEpoch: in.FirstEpoch, Serving: map[string]int{}, Forming: map[string]int{}, Spares: map[string]int{}},
 	}
+	p.findSpareModels()
 	p.collectEnded()
 	p.collectGroups()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		p.planGroup(p.groups[name])
 	}
 	p.collectFreeHosts()
-	p.formGroups()
-	p.rebalance()
+	if p.hasServingSpares() && !p.UnlimitedLoads {
+		p.regroup()
+	} else {
+		p.formGroups()
+		p.rebalance()
+	}
 	p.stageWeights()
+	if p.hasServingSpares() {
+		p.stageBeside()
+	}
 	return p.plan
 }
 
@@ -274,7 +293,9 @@
 	case p.isIncomplete(g):
 		p.dissolveGroup(g)
 	case p.hasLeavingMember(g):
-		p.closeGroup(g)
+		p.closeGroup(g, "a member is leaving", closeTimeout)
+	case p.isTaken(g):
+		p.closeGroup(g, "its hosts are needed for another model", takeTimeout)
 	default:
 		p.openWhenReady(g)
 	}
@@ -308,6 +329,7 @@
 
 // keepGroup counts the group as wanted and marks its members as in use.
 func (p *planner) keepGroup(g *group, serving bool) {
+	p.kept[g.name] = true
 	domain := ""
 	for _, h := range g.members {
 		if h != nil {
@@ -419,23 +441,30 @@
 	}
 }
 
-// closeGroup lets a group with a leaving member finish its work, and ends the
-// group if that takes longer than closeTimeout.
-func (p *planner) closeGroup(g *group) {
+// isTaken reports whether an open group was ordered to close because its hosts are
+// needed for another model.
+func (p *planner) isTaken(g *group) bool {
+	state := g.head().Group.State
+	return p.hasServingSpares() && (state == fleet.MemberClosing || state == fleet.MemberOpen && p.closeOrdered(g))
+}
+
+// closeGroup lets a group finish its work, and ends the group if that takes longer
+// than the timeout.
+func (p *planner) closeGroup(g *group, reason string, timeout time.Duration) {
 	head := g.head()
 	last, ok := p.lastOrderAbout(g, head)
 	closeSent := ok && last.Order.Operation == OpClose
 	switch {
 	case head.Group.State != fleet.MemberOpen && head.Group.State != fleet.MemberClosing:
-		p.endMembershipOfHead(g, "a member is leaving")
+		p.endMembershipOfHead(g, reason)
 	case ok && last.Order.Operation == OpLeave,
-		head.Group.State == fleet.MemberClosing && closeSent && p.Now.Sub(last.Sent) > closeTimeout:
+		head.Group.State == fleet.MemberClosing && closeSent && p.Now.Sub(last.Sent) > timeout:
 		p.endMembershipOfHead(g, "the head did not finish its work in time")
 	case head.Group.State == fleet.MemberClosing || closeSent && p.Now.Sub(last.Sent) < orderEffectTimeout:
 		p.markInUse(g)
 	default:
 		p.markInUse(g)
-		p.addOrder(Order{Operation: OpClose, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "a member is leaving"})
+		p.addOrder(Order{Operation: OpClose, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: reason})
 	}
 }
 
--- a/internal/version/formation/scale_test.go
+++ b/internal/version/formation/scale_test.go
@@ -57,3 +57,21 @@
 		b.Errorf("got %d orders, want %d", len(plan.Orders), wantOrders)
 	}
 }
+
+// BenchmarkServingSparesPlan plans for 166 domains of 18 hosts, in which one large
+// group in ten has lost its head: the survivors leave, and a few
+// small groups close at a time.
+func BenchmarkServingSparesPlan(b *testing.B) {
+	var hosts []*fleet.Host
+	for d := range int64(166) {
+		domain := mixedDomain(fmt.Sprintf("d%03d", d), 10*d+1, 5)
+		if d%10 == 0 {
+			domain = domain[1:]
+		}
+		hosts = append(hosts, domain...)
+	}
+	const survivors, closed = 17 * 7, maxMovesPerPlan
+	for b.Loop() {
+		measurePlan(b, spareInput(hosts...), survivors+closed)
+	}
+}
--- a/internal/version/formation/stage.go
+++ b/internal/version/formation/stage.go
@@ -23,6 +23,10 @@
 			break
 		}
 	}
+	if s.hasServingSpares() {
+		s.stageEmptyHosts()
+		return
+	}
 	slices.SortStableFunc(models, func(a, b *fleet.Model) int { return cmp.Compare(b.Size, a.Size) })
 	for _, m := range models {
 		s.addSpare(m)
@@ -89,6 +93,9 @@
 // those of m, which are harder to complete. The host is not protected if m is
 // much further below its target than the other model.
 func (s *domainStager) isProtectedSpare(h *fleet.Host, m *fleet.Model) bool {
+	if s.hasServingSpares() {
+		return false
+	}
 	for i := range s.Engine.Models {
 		other := &s.Engine.Models[i]
 		if other.Size > m.Size && hasWeights(h, other.Name) && s.domainGroups[s.domain][other.Name] > 0 &&
