Let one node choose the groups for a model in the model of the served system

Callers of long prompts at the plates got their first event after up to 1.26 s (target 0.5 s). Cause: digests over hubs are 0.4 s old, while a group prefills a prompt in 32 to 128 ms. Nodes that choose alone fill some groups beyond their slots while others have room; prefill adds to that, but is not the main part.

Ruled out on the model: weights and bounds on reported prompt tokens, groups that prefer long prompts, order by size within a rank, no load shedding. None of them changes what a node can know in time.

The load sheets of both deployments have digests as old as hubs deliver them (digest_delay). Results count the longest tenth of the prompts of a kind.

--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -221,6 +221,23 @@
 	r.sim.result.recordOutcome(r, o)
 }
 
+// onTime reports whether the answer so far meets the targets of its kind.
+func (r *request) onTime() bool {
+	return r.firstEventDelay <= r.kind.FirstEventTarget && (r.kind.EventGapTarget == 0 || r.longestEventGap <= r.kind.EventGapTarget)
+}
+
+// largePrompt is the number of prompt tokens that a tenth of the kind's requests reach.
+func (k *KindSheet) largePrompt() float64 {
+	tokens := k.MeanPromptTokens
+	if k.PromptSigma > 0 {
+		tokens = distuv.LogNormal{Mu: math.Log(k.MeanPromptTokens) - k.PromptSigma*k.PromptSigma/2, Sigma: k.PromptSigma}.Quantile(0.9)
+	}
+	if k.MaxPromptTokens > 0 {
+		tokens = min(tokens, k.MaxPromptTokens)
+	}
+	return math.Round(tokens)
+}
+
 // sizeWorth is the factor on the worth of the kind. It grows with the size of the
 // request and is 1 for one of mean size.
 func (r *request) sizeWorth() float64 {
--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -3,12 +3,15 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
+	"currantladder.example/currantladder/internal/request/coordinate"
 	"currantladder.example/currantladder/internal/request/forward"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
+	"currantladder.example/currantladder/internal/request/ratelimit"
 	"currantladder.example/currantladder/internal/request/retry"
 	"currantladder.example/currantladder/internal/version/fleet"
 )
@@ -25,6 +28,7 @@
 	// poisonTracker finds prompt parts that crash hosts.
 	poisonTracker *poison.Tracker
 	calls         map[*call]bool
+	coordination  *coordination
 	// queue holds calls for which no group has room, under policies that queue.
 	queue []*call
 }
@@ -40,8 +44,10 @@
 	deadline        time.Duration
 	queuedAt        time.Duration
 	triedHosts      []string
-	attempt         *attempt
-	done            bool
+	// preferredHost is the choice of the coordinator for the first attempt.
+	preferredHost string
+	attempt       *attempt
+	done          bool
 	// mayHaveRun is true once an engine may have started the call.
 	mayHaveRun bool
 	nextMoveAt time.Duration
@@ -71,6 +77,8 @@
 	// working after it.
 	beganAt   time.Duration
 	beganWell bool
+	// use counts the attempt for the coordinators; it may be nil.
+	use *coordinate.Use
 }
 
 // hostDelay is the one-way delay between the node and a host. Under a shared
@@ -92,6 +100,23 @@
 		return
 	}
 	n.retries.RecordFirstAttempt(serviceName, n.time())
+	if !n.coordinated {
+		n.startOrRefuse(c)
+		return
+	}
+	n.askCoordinator(c, func(preferred string, full bool) {
+		if full {
+			n.refuse(c, n.board.RetryAfter(n.view, c.query(n.service), n.time()))
+			return
+		}
+		c.preferredHost = preferred
+		n.startOrRefuse(c)
+		c.preferredHost = ""
+	})
+}
+
+// startOrRefuse starts the first attempt of a call, or queues or refuses the call.
+func (n *node) startOrRefuse(c *call) {
 	refusal := n.startAttempt(c)
 	if refusal == nil {
 		return
@@ -122,10 +147,13 @@
 	n.after(n.sheet.Run.CallerDelay, notify)
 }
 
+func (c *call) query(service *fleet.Service) place.Query {
+	return place.Query{Service: service, Model: c.kind.Model, Rank: c.kind.Rank, Exclude: c.triedHosts, Preferred: c.preferredHost}
+}
+
 // startAttempt chooses a group for a call and sends the call to it.
 func (n *node) startAttempt(c *call) *place.Refusal {
-	q := place.Query{Service: n.service, Model: c.kind.Model, Rank: c.kind.Rank, Exclude: c.triedHosts}
-	choice, refusal := n.policy.choose(n, q)
+	choice, refusal := n.policy.choose(n, c.query(n.service))
 	if refusal != nil {
 		return refusal
 	}
@@ -134,7 +162,7 @@
 	if n.policy.sendsRank {
 		priority = c.kind.Rank
 	}
-	a := &attempt{host: choice.Host, startedAt: n.now, lastEventAt: n.now}
+	a := &attempt{host: choice.Host, startedAt: n.now, lastEventAt: n.now, use: n.begin(c, choice.Host)}
 	c.attempt = a
 	a.task = &task{promptTokens: c.promptTokens, answerTokens: c.answerTokens, generatedTokens: c.deliveredTokens, priority: priority, crashes: c.crashes}
 	a.task.onTokens = func(generatedTokens int) { n.after(n.hostDelay(), func() { n.deliverEvent(c, a, generatedTokens) }) }
@@ -170,6 +198,7 @@
 	a.lastEventAt = n.now
 	a.events++
 	if a.events == 1 {
+		a.use.Prefilled()
 		n.observeRateLimit(a)
 		a.beganAt = n.now
 	}
@@ -185,6 +214,7 @@
 func (n *node) endAttempt(c *call, outcome place.Outcome) {
 	if a := c.attempt; a != nil {
 		n.board.Ended(a.host.ID, outcome, n.now-a.startedAt, n.time())
+		a.use.End()
 		a.task.done = true
 		c.attempt = nil
 	}
@@ -280,6 +310,7 @@
 	}
 	old.task.done = true
 	n.board.Ended(old.host.ID, place.OutcomeAbandoned, n.now-old.startedAt, n.time())
+	old.use.End()
 	n.result.Moves++
 }
 
@@ -336,14 +367,64 @@
 	}
 	n.queue = nil
 	n.board, n.poisonTracker = n.simulation.newBoard(), poison.New()
+	n.coordination = newCoordination(n)
 	if restartAfter > 0 {
 		n.after(restartAfter, func() { n.alive = true })
 	}
 }
 
+// hubReportName names the sum that a node gets over its hub.
+const hubReportName = "hub"
+
+// exchangeSums sends each live node the sum of the loads of all others, as old as
+// hubs deliver it, and serves its queue.
+func (sim *simulation) exchangeSums() {
+	total, totalSent, suspects, live := map[string]int{}, map[string]int{}, []string(nil), 0
+	add := func(sum, counts map[string]int, sign int) {
+		for id, n := range counts {
+			sum[id] += sign * n
+		}
+	}
+	type ownCounts struct{ inFlight, sent map[string]int }
+	own := make([]ownCounts, len(sim.nodes))
+	var limits []ratelimit.Report
+	for i, n := range sim.nodes {
+		if !n.alive {
+			continue
+		}
+		live++
+		own[i] = ownCounts{n.board.InFlight(), n.board.SentToLimited(sim.time())}
+		add(total, own[i].inFlight, 1)
+		add(totalSent, own[i].sent, 1)
+		suspects = append(suspects, n.board.Suspects(sim.time())...)
+		limits = append(limits, n.board.RateLimits(false, sim.time())...)
+	}
+	slices.Sort(suspects)
+	suspects = slices.Compact(suspects)
+	for i, to := range sim.nodes {
+		if !to.alive {
+			continue
+		}
+		board, counts, sent := to.board, maps.Clone(total), maps.Clone(totalSent)
+		add(counts, own[i].inFlight, -1)
+		add(sent, own[i].sent, -1)
+		if !sim.policy.sharedBoard {
+			sim.after(sim.sheet.Run.DigestDelay, func() {
+				board.Merge(hubReportName, counts, live-1, suspects, sim.time())
+				board.MergeRateLimits(hubReportName, limits, sent, sim.time())
+			})
+		}
+		to.serveQueue()
+	}
+}
+
 // exchangeLoads sends the loads and suspected heads of each live node to the others,
 // and serves the queue of each.
 func (sim *simulation) exchangeLoads() {
+	if sim.sheet.Run.DigestDelay > 0 {
+		sim.exchangeSums()
+		return
+	}
 	for _, from := range sim.nodes {
 		if !from.alive {
 			continue
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -26,6 +26,9 @@
 	// sharedBoard counts the requests of all nodes on one board, at the price of
 	// a hop between nodes.
 	sharedBoard bool
+	// coordinates lets nodes of a large fleet ask one of them for the group, where long
+	// prompts delay streams.
+	coordinates bool
 	// queueTimeout is how long a node queues a request for which no group has room.
 	queueTimeout time.Duration
 }
@@ -36,17 +39,19 @@
 // Policies returns all policies. The first one is the product's; the others are
 // variants of it and simple baselines.
 func Policies() []Policy {
-	product := Policy{Name: "product", Description: "what the nodes do", choose: chooseByBoard, sendsRank: true, movesStalledStreams: true, reformsGroups: true, findsPoison: true}
-	home := product
+	product := Policy{Name: "product", Description: "what the nodes do", choose: chooseByBoard, sendsRank: true, movesStalledStreams: true, reformsGroups: true, findsPoison: true, coordinates: true}
+	alone := product
+	alone.Name, alone.Description, alone.coordinates = "alone", "each node chooses by itself", false
+	home := alone
 	home.Name, home.Description, home.sharedBoard = "home", "exact counts at home nodes, one hop more", true
-	queued := product
+	queued := alone
 	queued.Name, queued.Description, queued.queueTimeout = "node-queue", "refuse only after a wait at the node", 400*time.Millisecond
 	static := product
 	static.Name, static.Description, static.reformsGroups = "static", "groups are not formed again", false
 	trusting := product
 	trusting.Name, trusting.Description, trusting.findsPoison = "trusting", "requests that crash hosts are not found", false
 	return []Policy{
-		product, home, queued, static, trusting,
+		product, alone, home, queued, static, trusting,
 		{Name: "reported", Description: "the group with the fewest reported requests, refuse when all are full, no ranks", choose: chooseReported, movesStalledStreams: true, reformsGroups: true},
 		{Name: "random", Description: "the rule before: fewest reported requests and a random part that grows with the nodes, limits by rank", choose: chooseRandom, sendsRank: true, movesStalledStreams: true, reformsGroups: true},
 		{Name: "fifo", Description: "the group with the fewest own requests, never refuse, no ranks, streams stay", choose: chooseFIFO, reformsGroups: true},
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -41,11 +41,28 @@
 	Kind                                     KindSheet
 	OnTime, Late, Refused, Failed, Abandoned int
 	OfferedWorth, EarnedWorth                float64
+	// Large counts the requests with the longest tenth of the prompts.
+	Large LargeResult
 	// FirstEventMicros holds the times to the first event in microseconds.
 	FirstEventMicros *hdrhistogram.Histogram
 	Seconds          []SecondResult
 }
 
+// LargeResult counts requests with long prompts: all, those that were answered, and
+// those that were answered on time.
+type LargeResult struct{ Total, Served, OnTime int }
+
+// record counts a request that earned its worth or a late one.
+func (l *LargeResult) record(o outcome, onTime bool) {
+	l.Total++
+	if o == outcomeServed {
+		l.Served++
+	}
+	if onTime {
+		l.OnTime++
+	}
+}
+
 // Total is the number of requests that have ended.
 func (k *KindResult) Total() int { return k.OnTime + k.Late + k.Refused + k.Failed + k.Abandoned }
 
@@ -110,10 +127,14 @@
 		// A longer time is counted as the maximum.
 		_ = kind.FirstEventMicros.RecordValue(min(int64(req.firstEventDelay/time.Microsecond), maxLatencyMicros))
 	}
+	onTime := o == outcomeServed && req.onTime()
+	if float64(req.promptTokens) >= req.kind.largePrompt() {
+		kind.Large.record(o, onTime)
+	}
 	switch o {
 	case outcomeServed:
 		worth := req.kind.Worth
-		if req.firstEventDelay <= req.kind.FirstEventTarget && (req.kind.EventGapTarget == 0 || req.longestEventGap <= req.kind.EventGapTarget) {
+		if onTime {
 			kind.OnTime++
 		} else {
 			kind.Late++
--- a/internal/experiment/sheet.go
+++ b/internal/experiment/sheet.go
@@ -41,6 +41,10 @@
 	LapseDelay  time.Duration `ini:"lapse_delay"`
 	// DigestInterval is the time between two exchanges of load digests.
 	DigestInterval time.Duration `ini:"digest_period"`
+	// DigestDelay is the age of a load digest on its arrival. Above 0, each node gets
+	// the sum over all others, as from its hub; otherwise nodes send each other their
+	// own counts.
+	DigestDelay time.Duration `ini:"digest_delay"`
 	// LinkDelay is the one-way delay between node and host, CallerDelay the
 	// one-way delay between caller and node.
 	LinkDelay   time.Duration `ini:"link_delay"`
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"currantladder.example/currantladder/internal/request/coordinate"
 	"currantladder.example/currantladder/internal/request/forward"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
@@ -42,6 +43,10 @@
 	result       *Result
 	poison       poisonState
 	limits       []*hostLimit
+	// coordinated is true if nodes ask each other for groups. orders are the nodes that
+	// may coordinate each key.
+	coordinated bool
+	orders      map[coordinate.Key][]string
 }
 
 // ErrStopped is returned by Run when its context ends before the simulation does.
@@ -84,12 +89,14 @@
 		sim.poison.crashes = append(sim.poison.crashes, sim.now)
 		sim.result.Poison.CrashedHosts++
 	}
+	sim.coordinated, sim.orders = sim.coordinates(), map[coordinate.Key][]string{}
 	sharedBoard := sim.newBoard()
 	for i := range sheet.Run.Nodes {
 		n := &node{simulation: sim, name: nodeName(i), board: sharedBoard, retries: retry.NewBudget(), poisonTracker: poison.New(), view: fleet.NewView(nil, nil, 0, startTime, false), alive: true, calls: map[*call]bool{}}
 		if !policy.sharedBoard {
 			n.board = sim.newBoard()
 		}
+		n.coordination = newCoordination(n)
 		sim.nodes = append(sim.nodes, n)
 	}
 	sim.leader = &leader{clock: sim.clock, sheet: sheet, service: sim.service, hosts: sim.hosts, view: func() *fleet.View { return sim.nodes[0].view }, suspectedHeads: sim.suspectedHeads, isBusy: sim.isBusy}
@@ -98,6 +105,9 @@
 	sim.hosts.publish()
 	sim.every(sheet.Run.DigestInterval, sim.exchangeLoads)
 	sim.every(sheet.Run.DigestInterval, sim.checkPoison)
+	if sim.coordinated {
+		sim.every(coordinate.UsageInterval, sim.reportUsages)
+	}
 	for i := range sheet.Kinds {
 		sim.after(warmUpTime, func() { sim.scheduleArrivals(&sheet.Kinds[i]) })
 	}
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -27,6 +27,11 @@
 	Exclude []string
 	// FailureDomain is the failure domain of this node.
 	FailureDomain string
+	// Preferred is the host that a node with newer counts has chosen, or "". That node
+	// knows whether its group is stalled.
+	Preferred string
+	// TrustsGroups is true if the caller knows by itself which groups are stalled.
+	TrustsGroups bool
 }
 
 // Choice is the endpoint chosen for a request, with the load that was seen there.
@@ -87,6 +92,9 @@
 	if chosen, found := s.cold.cheapest(b, candidates, now); found {
 		return b.started(chosen, q, true, now), nil
 	}
+	if chosen, found := b.preferred(view, q, now); found {
+		return b.started(chosen, q, false, now), nil
+	}
 	if s.count == 0 && s.cold.found > 0 {
 		refusal.Candidates, refusal.RetryAfter = s.cold.found, s.cold.retryAfter(b)
 		return Choice{}, refusal
--- a/internal/request/place/room.go
+++ b/internal/request/place/room.go
@@ -39,7 +39,7 @@
 	if slices.Contains(q.Exclude, host.ID) {
 		return ReasonTried
 	}
-	if now.Before(r.suspectedUntil) {
+	if now.Before(r.suspectedUntil) && !q.TrustsGroups && host.ID != q.Preferred {
 		return ReasonSuspected
 	}
 	// A quarantined endpoint of a plain service stays a candidate, because there
