Gateway: nodes ask one of them for the group of a request

Callers of services with long prompts, in fleets that exchange loads over hubs, are placed by package coordinate. A node asks over the UDP socket of the digests and waits 20 ms at most for the first attempt of a stream; without an answer it chooses alone as before. Nodes of earlier versions ignore the messages.

[placing] coordinate = auto, on or off. auto needs more than 16 nodes and an engine whose longest pass exceeds the longest pause target of the service's routes. Events 1390 and 1391; counters placing_asks, placing_full and placing_timeouts.

--- a/internal/process/eventlog/catalogue.go
+++ b/internal/process/eventlog/catalogue.go
@@ -101,6 +101,8 @@
 	StreamAwaitsRoom       = Event{1372, logrus.WarnLevel, "attempt of a stream that has begun failed and no group has room; the stream waits"}
 	HostWaits              = Event{1380, logrus.InfoLevel, "host refused a request and wants no others for a time"}
 	HostFilledAgain        = Event{1381, logrus.InfoLevel, "time without requests that a host asked for has ended; it is filled again"}
+	CoordinatorChosen      = Event{1390, logrus.InfoLevel, "another node chooses the groups for requests of a model"}
+	CoordinatorSilent      = Event{1391, logrus.WarnLevel, "node that chooses groups does not answer; another one is asked for a time"}
 	RequestPanicked        = Event{1361, logrus.ErrorLevel, "handling of a request panicked; the request was ended"}
 )
 
@@ -205,6 +207,8 @@
 	StreamAwaitsRoom,
 	HostWaits,
 	HostFilledAgain,
+	CoordinatorChosen,
+	CoordinatorSilent,
 	LeaderElected,
 	LeaderLost,
 	LeaderUnknown,
--- a/internal/process/gateway/digest.go
+++ b/internal/process/gateway/digest.go
@@ -236,13 +236,17 @@
 func (p *peers) runReceiver() {
 	buffer := make([]byte, maxDigestBytes)
 	for {
-		n, _, err := p.conn.ReadFrom(buffer)
+		n, from, err := p.conn.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue // the error concerns one datagram, such as a refused one
 		}
+		if isPlacing(buffer[:n]) {
+			p.receivePlacing(buffer[:n], from)
+			continue
+		}
 		p.receive(buffer[:n], time.Now())
 	}
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -101,6 +101,7 @@
 	peers      *peers
 	candidate  *leader.Candidate
 	controller *formation.Controller
+	placing    *coordinator
 
 	inFlight   atomic.Int64
 	hadTraffic atomic.Bool
@@ -123,9 +124,10 @@
 	g.warmup = newWarmupGuard(s, time.Now())
 	g.board.LimitColdHosts(g.warmup)
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
+	g.placing = newCoordinator(s, g.board, g.view, log, g.metrics.Scope())
 	g.core = forward.New(forward.Options{
 		View: g.view, Board: g.board, Endpoint: p.Endpoint, Budget: forward.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack},
-		Refuse: g.refuse, Admit: g.admit, RequestsEnd: g.stops.requestsEnd, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain,
+		Refuse: g.refuse, Admit: g.admit, RequestsEnd: g.stops.requestsEnd, Log: log, Metrics: g.metrics.Scope(), FailureDomain: s.FailureDomain, Coordinator: g.placing,
 		AnswerMemoryBytes: int64(answerMemoryShare * float64(s.MemoryMB) * (1 << 20)),
 		Poison:            g.poison, MayTryPoison: g.leads, ShareEvidence: g.sendDigestNow,
 		HostLeaves: func(host *fleet.Host, requestID string) { g.builder.hostSaysLeaving(host, requestID, time.Now()) },
@@ -217,7 +219,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w; choose a free port", g.settings.Peers, err)
 	}
-	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, warmup: g.warmup, poison: g.poison, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, firstStart: g.settings.FirstStart, hasFreshFeeds: g.hasFreshFeeds, storeEra: g.storeEra, log: g.log})
+	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, warmup: g.warmup, poison: g.poison, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, firstStart: g.settings.FirstStart, hasFreshFeeds: g.hasFreshFeeds, storeEra: g.storeEra, receivePlacing: g.placing.receive, log: g.log})
+	g.placing.peers = g.peers
 	servers, err := g.listen(ctx)
 	if err != nil {
 		return err
@@ -225,7 +228,7 @@
 	backgroundCtx, cancelBackground := context.WithCancel(context.Background())
 	defer cancelBackground()
 	for _, run := range []func(context.Context){
-		g.configs.Run, g.hosts.Run, g.peers.runRoster, g.peers.runSender, g.controller.Run, g.housekeep, g.core.RunCrashChecks,
+		g.configs.Run, g.hosts.Run, g.peers.runRoster, g.peers.runSender, g.placing.runReports, g.controller.Run, g.housekeep, g.core.RunCrashChecks,
 		func(ctx context.Context) {
 			g.candidate.Run(ctx, leader.Eligibility{MayLead: g.ready, Deference: g.peers.electionDeference, HighestTerm: g.highestTerm})
 		},
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -147,7 +147,9 @@
 	// storeEra returns the era of the store as this node has last read it, or false
 	// if it has read nothing yet.
 	storeEra func() (era int64, known bool)
-	log      *eventlog.Logger
+	// receivePlacing handles a datagram of placing. It must not block.
+	receivePlacing func(content []byte, from net.Addr)
+	log            *eventlog.Logger
 }
 
 // peers tracks the other nodes and exchanges digests with them.
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -49,6 +49,8 @@
 	ProcessorShare float64
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int
+	// Coordinate is whether nodes ask one of them for the group of a request.
+	Coordinate placingMode
 	// LogLevel is a logrus level name.
 	LogLevel string
 }
@@ -128,6 +130,13 @@
 		{"retry", "slack", false, "20", "retries of all nodes within 10 s in addition", number(func(s *Settings) *float64 { return &s.RetrySlack })},
 		{"cold", "over", false, "", "requests of all nodes to a cold host in any second, as a multiple of the service's rate for cold hosts; no limit without it", number(func(s *Settings) *float64 { return &s.ColdOver })},
 		{"cold", "slack", false, "0", "requests of all nodes to a cold host in any second in addition", number(func(s *Settings) *float64 { return &s.ColdSlack })},
+		{"placing", "coordinate", false, string(placingAuto), "whether nodes ask one of them for the group of a request: `on`, `off`, or `auto` for fleets over 16 nodes whose long prompts can delay streams beyond every pause target", func(s *Settings, v string) error {
+			s.Coordinate = placingMode(v)
+			if s.Coordinate != placingAuto && s.Coordinate != placingOn && s.Coordinate != placingOff {
+				return fmt.Errorf("write auto, on or off")
+			}
+			return nil
+		}},
 		{"log", "level", false, "info", "lowest level that is logged", text(func(s *Settings) *string { return &s.LogLevel })},
 	}
 }
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -84,6 +84,9 @@
 	HostLeaves func(host *fleet.Host, requestID string)
 	// FailureDomain is the failure domain of this node.
 	FailureDomain string
+	// Coordinator chooses groups together with the other nodes; nil lets this node
+	// choose alone.
+	Coordinator Coordinator
 	// AnswerMemoryBytes limits what the node holds of the answers of all hosts, besides
 	// one answer and a few KB of each. 0 means defaultAnswerMemoryBytes.
 	AnswerMemoryBytes int64
@@ -142,6 +145,8 @@
 	deadline time.Time
 	// triedHosts lists the IDs of the hosts chosen so far.
 	triedHosts []string
+	// preferredHost is the choice of the coordinating node for the first attempt, or "".
+	preferredHost string
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// identity is what the request may share with others that crash endpoints.
@@ -272,7 +277,7 @@
 
 // query describes the next attempt.
 func (s *requestState) query() place.Query {
-	query := place.Query{Service: s.service, Rank: s.rank, Exclude: s.triedHosts, FailureDomain: s.FailureDomain}
+	query := place.Query{Service: s.service, Rank: s.rank, Exclude: s.triedHosts, FailureDomain: s.FailureDomain, Preferred: s.preferredHost}
 	if s.service.Engine != nil {
 		query.Model = s.request.Model
 	}
@@ -295,6 +300,11 @@
 		s.logPlaced(view, choice)
 		return choice, nil
 	}
+	return place.Choice{}, s.notPlaced(view, query, none)
+}
+
+// notPlaced logs and returns the refusal of a request without an endpoint.
+func (s *requestState) notPlaced(view *fleet.View, query place.Query, none *place.Refusal) *refusal.Error {
 	s.Log.LogLimited(eventlog.RequestNotPlaced, eventlog.Fields{
 		"request": s.request.ID, "service": s.service.Name, "model": query.Model, "rank": s.rank,
 		"candidates": none.Candidates, "waiting": none.Waiting, "cold": none.Cold, "load": none.Load, "limit": none.Limit, "hosts_version": view.HostsVersion,
@@ -305,15 +315,15 @@
 	}
 	if none.Candidates == 0 && none.Waiting > 0 {
 		s.Metrics.Counter("place_refused_by_waits").Inc(1)
-		return place.Choice{}, refusal.New(refusal.KindOverloaded, http.StatusServiceUnavailable, "all endpoints ask for no requests at present; send the request again after the given time").WithRetryAfter(none.RetryAfter)
+		return refusal.New(refusal.KindOverloaded, http.StatusServiceUnavailable, "all endpoints ask for no requests at present; send the request again after the given time").WithRetryAfter(none.RetryAfter)
 	}
 	if none.Candidates == 0 {
-		return place.Choice{}, refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "no endpoint can run the request at present; send it again").WithRetryAfter(NoEndpointRetryAfter)
+		return refusal.New(refusal.KindNoEndpoint, http.StatusServiceUnavailable, "no endpoint can run the request at present; send it again").WithRetryAfter(NoEndpointRetryAfter)
 	}
 	if none.RateLimited {
-		return place.Choice{}, refusal.New(refusal.KindOverloaded, http.StatusTooManyRequests, "the endpoints take no more requests a second; send the request again after the given time").WithRetryAfter(none.RetryAfter)
+		return refusal.New(refusal.KindOverloaded, http.StatusTooManyRequests, "the endpoints take no more requests a second; send the request again after the given time").WithRetryAfter(none.RetryAfter)
 	}
-	return place.Choice{}, refusal.New(refusal.KindOverloaded, http.StatusTooManyRequests, "all endpoints are full; send the request again after the given time").WithRetryAfter(none.RetryAfter)
+	return refusal.New(refusal.KindOverloaded, http.StatusTooManyRequests, "all endpoints are full; send the request again after the given time").WithRetryAfter(none.RetryAfter)
 }
 
 func (s *requestState) logPlaced(view *fleet.View, choice place.Choice) {
--- a/internal/request/forward/stream_attempt.go
+++ b/internal/request/forward/stream_attempt.go
@@ -11,6 +11,7 @@
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/request/answermemory"
+	"currantladder.example/currantladder/internal/request/coordinate"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -56,12 +57,19 @@
 	// working after it.
 	beganAt   time.Time
 	beganWell bool
+	// use counts the attempt for the coordinators; it may be nil.
+	use *coordinate.Use
 	// held are events that wait until it is known whether a later attempt begins.
 	held []*event
 }
 
 // begin chooses an endpoint and begins an attempt there.
 func (s *streamState) begin(ctx context.Context) (*streamAttempt, *refusal.Error) {
+	release, refused := s.coordinate(ctx)
+	defer release()
+	if refused != nil {
+		return nil, refused
+	}
 	choice, refused := s.chooseEndpoint()
 	if refused != nil {
 		return nil, refused
@@ -71,6 +79,7 @@
 	now := time.Now()
 	attempt := &streamAttempt{
 		host: choice.Host, updates: make(chan attemptUpdate, updateBufferSize), cancel: cancel, memory: memory, started: now, lastProgress: now,
+		use: s.beginUse(choice),
 	}
 	go s.runAttempt(attemptCtx, memoryCtx, attempt, s.newAttempt(choice.Host, s.lastID))
 	return attempt, nil
@@ -82,6 +91,7 @@
 	attempt.memory.Close()
 	now := time.Now()
 	s.Board.Ended(attempt.host.ID, outcome, now.Sub(attempt.started), now)
+	attempt.use.End()
 	if attempt != s.current {
 		s.others = slices.DeleteFunc(s.others, func(other *streamAttempt) bool { return other == attempt })
 		return
@@ -113,6 +123,7 @@
 	a.events++
 	if a.events == 1 {
 		a.beganAt = now
+		a.use.Prefilled()
 	}
 }
 
