Coordinated placing: events refute suspicion, full groups come last

Cause: a node suspects a group when its own streams there are silent for longer than most passes, which long prompts exceed; the suspicion spread and left the group unused for 1.5 s. Reports now say when a node had the last event of a group, and the choosing node uses a suspected group with a later event. The asking node follows the choice against its own suspicion, not against quarantine, waits and limits.

A choice looks at 12 groups; full ones now come after all with room, since more than 12 with little work could be full.

--- a/internal/experiment/coordinate.go
+++ b/internal/experiment/coordinate.go
@@ -85,7 +85,7 @@
 	}
 	id := own.tracker.OpenAsk(key)
 	ask := coordinate.Ask{ID: id, Rank: c.kind.Rank, PromptTokens: c.promptTokens, Tokens: c.expectedTokens()}
-	usage, open := own.tracker.Usage(key), true
+	usage, open := own.tracker.Usage(key, now), true
 	finish := func(preferred string, full bool) {
 		if open && n.alive && !c.done {
 			start(preferred, full)
--- a/internal/process/gateway/placing.go
+++ b/internal/process/gateway/placing.go
@@ -132,7 +132,7 @@
 	c.metrics.Counter("placing_asks").Inc(1)
 	ask.ID = c.tracker.OpenAsk(key)
 	release := func() { c.tracker.CloseAsk(key, ask.ID) }
-	usage := c.tracker.Usage(key)
+	usage := c.tracker.Usage(key, time.Now())
 	if asked == c.node {
 		return c.answer(usage, ask, time.Now()), release
 	}
@@ -219,9 +219,14 @@
 
 // validUsage reports whether a report can be one of a node.
 func validUsage(u coordinate.Usage) bool {
-	if u.Node == "" || len(u.Node) > maxNodeNameBytes || len(u.Groups) > maxUsageGroups {
+	if u.Node == "" || len(u.Node) > maxNodeNameBytes || len(u.Groups) > maxUsageGroups || len(u.Quiet) > maxUsageGroups {
 		return false
 	}
+	for _, quiet := range u.Quiet {
+		if quiet < 0 {
+			return false
+		}
+	}
 	for _, load := range u.Groups {
 		if load.Requests <= 0 || load.PrefillTokens < 0 || load.Tokens < 0 {
 			return false
--- a/internal/request/coordinate/coordinate.go
+++ b/internal/request/coordinate/coordinate.go
@@ -27,6 +27,8 @@
 	// usageTTL the time for which one is used.
 	refreshInterval = 500 * time.Millisecond
 	usageTTL        = 2 * time.Second
+	// maxQuiet is the time after which an event says nothing about a group any more.
+	maxQuiet = time.Second
 	// maxCandidates is the number of nodes, those with the largest share of a processor
 	// core, among which the coordinators of all models are found.
 	maxCandidates = 8
@@ -61,6 +63,9 @@
 	Sequence uint64 `json:"seq"`
 	// Groups is the load by head host.
 	Groups map[string]Load `json:"groups,omitempty"`
+	// Quiet is the time in ms since the node's last event from each group that sent one
+	// lately.
+	Quiet map[string]int64 `json:"quiet,omitempty"`
 	// Open are the asks whose answer the node awaits.
 	Open []uint64 `json:"open,omitempty"`
 }
@@ -144,5 +149,5 @@
 
 // query is the query of the ask, for the rules of package place.
 func (a Ask) query(service *fleet.Service, model string) place.Query {
-	return place.Query{Service: service, Model: model, Rank: a.Rank, Exclude: a.Exclude, FailureDomain: a.FailureDomain}
+	return place.Query{Service: service, Model: model, Rank: a.Rank, Exclude: a.Exclude, FailureDomain: a.FailureDomain, TrustsGroups: true}
 }
--- a/internal/request/coordinate/ledger.go
+++ b/internal/request/coordinate/ledger.go
@@ -22,6 +22,8 @@
 	// this node must cover. Otherwise others do not report to it, and it does not choose.
 	minCoverage      = 0.8
 	coverageInterval = 100 * time.Millisecond
+	// fullCost is more than any work that a group has before it, in seconds.
+	fullCost = 1e6
 	// coverageSlack is the difference in requests that is always allowed, since digests
 	// are old.
 	coverageSlack = 8
@@ -73,6 +75,8 @@
 	id   string
 	load Load
 	cost float64
+	// lastEvent is when a node had the last event from the group.
+	lastEvent time.Time
 	// index is the position in order, or -1 while the group is not open.
 	index int
 }
@@ -124,6 +128,9 @@
 // choose returns the group with the lowest cost among those with room. Without one,
 // full is true if the groups that were looked at have no room for the request.
 func (l *Ledger) choose(k *keyLedger, ask Ask, q place.Query, engine *fleet.Engine, now time.Time) (chosen *group, full bool) {
+	// A node suspects a group when its own streams there are silent for longer than most
+	// passes. Events at other nodes show that the pass has ended.
+	suspect := place.EngineStallThresholds(engine, engine.Model(q.Model), 0).Suspect
 	var examined []*group
 	best, bonus := 0.0, domainBonus*float64(engine.Slots)*requestCost(engine)
 	for len(k.order) > 0 && len(examined) < maxExamined {
@@ -132,6 +139,9 @@
 		if chosen != nil && g.cost-bonus >= best {
 			break
 		}
+		if now.Sub(g.lastEvent) >= suspect && l.board.Suspected(g.id, now) {
+			continue
+		}
 		limit := l.board.HostLimit(g.host, q, now)
 		if limit <= 0 {
 			continue
@@ -186,6 +196,13 @@
 	for id, load := range r.groups {
 		k.add(id, load, 1, engine)
 	}
+	for id, quiet := range u.Quiet {
+		if g := k.groups[id]; g != nil {
+			if at := now.Add(-time.Duration(quiet) * time.Millisecond); at.After(g.lastEvent) {
+				g.lastEvent = at
+			}
+		}
+	}
 	for id, reserved := range r.reserved {
 		if !slices.Contains(u.Open, id) {
 			k.add(reserved.host, reserved.load, -1, engine)
@@ -267,13 +284,19 @@
 }
 
 // cost is the work that a group has before it: the prompts that it has to prefill,
-// and half of a mean answer for each request.
+// and half of a mean answer for each request. Groups that are full for the urgent ranks
+// come last, so that a choice among a few finds those with room.
 func cost(load Load, engine *fleet.Engine) float64 {
-	prefill := 0.0
+	work := 0.0
+	for rank := range 2 {
+		if load.Requests >= place.RankLimit(engine, rank) {
+			work += fullCost
+		}
+	}
 	if engine.PrefillTokensPerSecond > 0 {
-		prefill = float64(load.PrefillTokens) / engine.PrefillTokensPerSecond
+		work += float64(load.PrefillTokens) / engine.PrefillTokensPerSecond
 	}
-	return float64(load.Requests)*requestCost(engine) + prefill
+	return work + float64(load.Requests)*requestCost(engine)
 }
 
 // requestCost is the time of a full group, in seconds, that half of a mean answer
--- a/internal/request/coordinate/tracker.go
+++ b/internal/request/coordinate/tracker.go
@@ -20,8 +20,10 @@
 type trackedUsage struct {
 	sequence uint64
 	groups   map[string]Load
-	lastAsk  uint64
-	open     map[uint64]bool
+	// lastEvent is the time of the last event by head host.
+	lastEvent map[string]time.Time
+	lastAsk   uint64
+	open      map[uint64]bool
 	// changed is true if the usage has changed since it was last due.
 	changed bool
 	dueAt   time.Time
@@ -36,7 +38,7 @@
 func (t *Tracker) usage(key Key) *trackedUsage {
 	u := t.usages[key]
 	if u == nil {
-		u = &trackedUsage{groups: map[string]Load{}, open: map[uint64]bool{}}
+		u = &trackedUsage{groups: map[string]Load{}, lastEvent: map[string]time.Time{}, open: map[uint64]bool{}}
 		t.usages[key] = u
 	}
 	return u
@@ -71,13 +73,14 @@
 	}
 }
 
-// Prefilled records the first event of an attempt: its prompt has been prefilled.
-func (u *Use) Prefilled() {
+// Event records an event of an attempt. By the first one its prompt has been prefilled.
+func (u *Use) Event(now time.Time) {
 	if u == nil {
 		return
 	}
 	u.tracker.mu.Lock()
 	defer u.tracker.mu.Unlock()
+	u.tracker.usage(u.key).lastEvent[u.host] = now
 	if prefill := u.load.PrefillTokens; prefill > 0 && !u.ended {
 		u.load.PrefillTokens = 0
 		u.tracker.add(u, Load{PrefillTokens: prefill}, -1)
@@ -118,16 +121,24 @@
 }
 
 // Usage returns the report of a key.
-func (t *Tracker) Usage(key Key) Usage {
+func (t *Tracker) Usage(key Key, now time.Time) Usage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.report(key, t.usage(key))
+	return t.report(key, t.usage(key), now)
 }
 
 // report returns the next report. The caller holds mu.
-func (t *Tracker) report(key Key, u *trackedUsage) Usage {
+func (t *Tracker) report(key Key, u *trackedUsage, now time.Time) Usage {
 	u.sequence++
-	return Usage{Key: key, Node: t.node, Life: t.life, Sequence: u.sequence, Groups: maps.Clone(u.groups), Open: slices.Sorted(maps.Keys(u.open))}
+	quiet := make(map[string]int64, len(u.lastEvent))
+	for host, at := range u.lastEvent {
+		if since := now.Sub(at); since < maxQuiet {
+			quiet[host] = since.Milliseconds()
+		} else {
+			delete(u.lastEvent, host)
+		}
+	}
+	return Usage{Key: key, Node: t.node, Life: t.life, Sequence: u.sequence, Groups: maps.Clone(u.groups), Quiet: quiet, Open: slices.Sorted(maps.Keys(u.open))}
 }
 
 // Due returns the reports that the coordinators need: those that have changed, and
@@ -141,7 +152,7 @@
 			continue
 		}
 		u.changed, u.dueAt = false, now.Add(refreshInterval)
-		due = append(due, t.report(key, u))
+		due = append(due, t.report(key, u, now))
 	}
 	slices.SortFunc(due, func(a, b Usage) int { return compareKeys(a.Key, b.Key) })
 	return due
--- a/internal/request/forward/stream_attempt.go
+++ b/internal/request/forward/stream_attempt.go
@@ -121,9 +121,9 @@
 func (a *streamAttempt) recordEvent(now time.Time) {
 	a.lastProgress = now
 	a.events++
+	a.use.Event(now)
 	if a.events == 1 {
 		a.beganAt = now
-		a.use.Prefilled()
 	}
 }
 
