--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -108,7 +108,7 @@
 	sim.every(sheet.Run.DigestInterval, sim.exchangeLoads)
 	sim.every(sheet.Run.DigestInterval, sim.checkPoison)
 	if sim.coordinated {
-		sim.every(coordinate.UsageInterval, sim.reportUsages)
+		sim.every(coordinate.ReportInterval(sheet.Run.Nodes), sim.reportUsages)
 	}
 	for i, kind := range sheet.Kinds {
 		sim.arrivals[kind.Name] = rand.NewPCG(sheet.Run.Seed, sequence+2+uint64(i))
--- a/internal/process/gateway/placing.go
+++ b/internal/process/gateway/placing.go
@@ -182,7 +182,7 @@
 				c.send(name, message)
 			}
 		}
-		sleep(ctx, coordinate.UsageInterval)
+		sleep(ctx, coordinate.ReportInterval(len(c.peers.nodes())))
 	}
 }
 
--- a/internal/process/gateway/placing_test.go
+++ b/internal/process/gateway/placing_test.go
@@ -138,7 +138,7 @@
 		asking := nodes[len(nodes)-1] // not among the first by name, which may coordinate
 		first := asking.placeOne(t, 1000)
 		go asking.runReports(ctx)
-		time.Sleep(coordinate.UsageInterval)
+		time.Sleep(coordinate.ReportInterval(63))
 		synctest.Wait()
 		network.failed[order[0]] = true
 		start, waits := time.Now(), 0
--- a/internal/request/coordinate/coordinate.go
+++ b/internal/request/coordinate/coordinate.go
@@ -21,8 +21,11 @@
 	// AskTimeout is how long a request waits for the choice of the coordinator. It is
 	// a tenth of the strictest latency target for which passes matter.
 	AskTimeout = 20 * time.Millisecond
-	// UsageInterval is the least time between two reports of a node to a coordinator.
-	UsageInterval = 20 * time.Millisecond
+	// minReportInterval is the least time between two reports of a node. With n nodes it
+	// is n/nodesPerInterval times that, rounded down, so that what the reports cost a
+	// coordinator does not grow with the nodes.
+	minReportInterval = 20 * time.Millisecond
+	nodesPerInterval  = 50
 	// refreshInterval is the time after which a report without changes is repeated, and
 	// usageTTL the time for which one is used.
 	refreshInterval = 500 * time.Millisecond
@@ -34,6 +37,11 @@
 	maxCandidates = 8
 )
 
+// ReportInterval is the time between two reports of a node in a fleet of the given size.
+func ReportInterval(nodes int) time.Duration {
+	return minReportInterval * time.Duration(max(nodes/nodesPerInterval, 1))
+}
+
 // Key names the requests that one coordinator places.
 type Key struct {
 	Service string `json:"service"`
--- a/internal/request/coordinate/tracker.go
+++ b/internal/request/coordinate/tracker.go
@@ -142,7 +142,7 @@
 }
 
 // Due returns the reports that the coordinators need: those that have changed, and
-// those that would lapse. It is called every UsageInterval.
+// those that would lapse. It is called every ReportInterval.
 func (t *Tracker) Due(now time.Time) []Usage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/request/forward/coordinated.go
+++ b/internal/request/forward/coordinated.go
@@ -32,14 +32,20 @@
 }
 
 // tokenCounts returns the prompt tokens of the request and those with its answer, as
-// far as the caller says; otherwise the mean ones.
+// far as the caller says; otherwise the mean ones. An answer counts as no longer than
+// a slot's part of the group's memory: hints are often far off, and a wrong one must not
+// keep others out of a group.
 func (s *requestState) tokenCounts() (prompt, all int) {
-	prompt, answer := s.request.PromptTokens, s.request.MaxOutputTokens
+	engine := s.service.Engine
+	prompt, answer, mean := s.request.PromptTokens, s.request.MaxOutputTokens, int(engine.MeanAnswerTokens)
 	if prompt <= 0 {
-		prompt = int(s.service.Engine.MeanPromptTokens)
+		prompt = int(engine.MeanPromptTokens)
 	}
 	if answer <= 0 {
-		answer = int(s.service.Engine.MeanAnswerTokens)
+		answer = mean
+	}
+	if engine.MemoryTokens > 0 {
+		answer = min(answer, max(mean, engine.MemoryTokens/max(engine.Slots, 1)))
 	}
 	return prompt, prompt + answer
 }
