Gateway: a node without processor time does not blame the coordinator

A wait for an answer that ends over 5 ms late shows that this node was not running. It then looks for the answer once more and counts no silence of the other node. Nodes with a tenth of a core wait up to a tenth of a second for it.

--- a/internal/process/gateway/placing.go
+++ b/internal/process/gateway/placing.go
@@ -33,6 +33,10 @@
 	placingPrefix = `{"placing":`
 	// maxUsageGroups limits the groups of one report.
 	maxUsageGroups = 4096
+	// maxTimerLateness is how much later than due a wait may end. Later means that this
+	// node got no processor time, as one with a small share of a core may for up to a
+	// tenth of a second; then nothing is known of the coordinator.
+	maxTimerLateness = 5 * time.Millisecond
 	// coordinatorsTTL is how long the order of the coordinators is kept.
 	coordinatorsTTL = time.Second
 )
@@ -147,24 +151,40 @@
 	}()
 	var message placingMessage
 	message.Placing.Usage, message.Placing.Ask = &usage, &ask
+	started := time.Now()
 	c.send(asked, message)
-	timer := time.NewTimer(coordinate.AskTimeout)
-	defer timer.Stop()
-	select {
-	case answer := <-answers:
+	answer, answered := awaitAnswer(ctx, answers, coordinate.AskTimeout)
+	lateness := time.Since(started) - coordinate.AskTimeout
+	if !answered && lateness > maxTimerLateness {
+		// This node was not running, and the answer may be in its socket.
+		answer, answered = awaitAnswer(ctx, answers, maxTimerLateness)
+	}
+	switch {
+	case answered:
 		c.targets.Answered(asked)
 		if answer.Full {
 			c.metrics.Counter("placing_full").Inc(1)
 		}
-		return answer, release
-	case <-timer.C:
+	case ctx.Err() == nil:
 		c.metrics.Counter("placing_timeouts").Inc(1)
-		if c.targets.TimedOut(asked, time.Now()) {
+		if lateness <= maxTimerLateness && c.targets.TimedOut(asked, time.Now()) {
 			c.log.LogLimited(eventlog.CoordinatorSilent, eventlog.Fields{"coordinator": asked, "service": key.Service, "model": key.Model})
 		}
+	}
+	return answer, release
+}
+
+// awaitAnswer waits for an answer, for the given time at most.
+func awaitAnswer(ctx context.Context, answers <-chan coordinate.Answer, timeout time.Duration) (coordinate.Answer, bool) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case answer := <-answers:
+		return answer, true
+	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return coordinate.Answer{}, release
+	return coordinate.Answer{}, false
 }
 
 // runReports reports what is in flight until ctx ends.
--- a/internal/process/gateway/placing_test.go
+++ b/internal/process/gateway/placing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 // that have failed.
 type placingNet struct {
 	byAddress map[string]*coordinator
+	mu        sync.Mutex
 	failed    map[string]bool
 	received  map[string]int
 }
@@ -34,17 +36,34 @@
 // WriteTo implements net.PacketConn.
 func (c placingConn) WriteTo(content []byte, to net.Addr) (int, error) {
 	receiver := c.network.byAddress[to.String()]
-	if receiver == nil || c.network.failed[receiver.node] || c.network.failed[c.network.byAddress[c.address.String()].node] {
-		return len(content), nil
-	}
 	if !isPlacing(content) {
 		return 0, fmt.Errorf("datagram does not start with %s", placingPrefix)
 	}
-	c.network.received[receiver.node]++
+	if receiver == nil || !c.network.passes(c.network.byAddress[c.address.String()].node, receiver.node) {
+		return len(content), nil
+	}
 	receiver.receive(content, c.address)
 	return len(content), nil
 }
 
+// passes counts a datagram, unless one of its nodes has failed.
+func (n *placingNet) passes(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed[from] || n.failed[to] {
+		return false
+	}
+	n.received[to]++
+	return true
+}
+
+// fail lets a node fail.
+func (n *placingNet) fail(node string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.failed[node] = true
+}
+
 // placingView has one service with two groups and the engine and pause target of the
 // plates.
 func placingView(pause time.Duration) *fleet.View {
@@ -140,7 +159,7 @@
 		go asking.runReports(ctx)
 		time.Sleep(coordinate.ReportInterval(63))
 		synctest.Wait()
-		network.failed[order[0]] = true
+		network.fail(order[0])
 		start, waits := time.Now(), 0
 		var answer coordinate.Answer
 		for answer.Host == "" && waits < 10 {
