--- a/internal/request/place/preferred_test.go
+++ b/internal/request/place/preferred_test.go
@@ -5,13 +5,15 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/request/ratelimit"
+	"currantladder.example/currantladder/internal/request/warmup"
 	"currantladder.example/currantladder/internal/version/fleet"
 )
 
 // TestPreferredHost verifies that the choice of a node with newer counts stands against
 // old reports and suspicion, and that it falls back to the own choice where the host
 // must get nothing: after a failure, while it asks for no requests, beyond the limit that
-// it names, when it was tried, and when it is not open.
+// it names, while it is cold and others may send to it, when it was tried, and when it is
+// not open.
 func TestPreferredHost(t *testing.T) {
 	now := start
 	for _, c := range []struct {
@@ -29,6 +31,10 @@
 				b.limiter.Sent(h.ID, now)
 			}
 		}, "h0"},
+		{"cold", func(b *Board, h *fleet.Host, q *Query) {
+			h.WarmAt, q.Service.ColdPerSecond = now.Add(5*time.Second), 14
+			b.LimitColdHosts(warmup.New("n", warmup.Bounds{Over: 1.5, Slack: 5}, now.Add(time.Second)))
+		}, "h0"},
 		{"tried before", func(_ *Board, h *fleet.Host, q *Query) { q.Exclude = []string{h.ID} }, "h0"},
 		{"closing", func(_ *Board, h *fleet.Host, _ *Query) { h.Group.State = fleet.MemberClosing }, "h0"},
 	} {
