--- a/internal/experiment/longprompts_test.go
+++ b/internal/experiment/longprompts_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"currantladder.example/currantladder/internal/request/coordinate"
 )
 
 var longPromptSheets = []string{"prompts-giftcards", "prompts-plates"}
@@ -145,3 +147,28 @@
 		}
 	}
 }
+
+// TestKilledCoordinators guards against requests that depend on the coordinator of their
+// model: while the first ones of both models are killed together, for good or for some
+// seconds, callers earn no less than with nodes that choose alone.
+func TestKilledCoordinators(t *testing.T) {
+	sheet := readTestSheet(t, "prompts-plates")
+	sheet.Run.Length = 12 * time.Second
+	earned := func(policyName string, restartAfter time.Duration) *Result {
+		sim := newSimulation(sheet, testPolicy(t, policyName))
+		for _, m := range sheet.Models {
+			first := sim.nodeNamed(sim.coordinators(coordinate.Key{Service: serviceName, Model: m.Name})[0])
+			sim.after(warmUpTime+3*time.Second, func() { first.kill(restartAfter) })
+		}
+		sim.runUntil(warmUpTime + sheet.Run.Length + drainTime)
+		return sim.result
+	}
+	for _, restartAfter := range []time.Duration{0, 3 * time.Second} {
+		product, alone := earned("product", restartAfter), earned("alone", restartAfter)
+		t.Logf("killed for %v: product %.3f, worst 3 s %.3f; alone %.3f, worst 3 s %.3f", restartAfter, product.EarnedShare(), product.WorstSpanShare(worstSpanSeconds), alone.EarnedShare(), alone.WorstSpanShare(worstSpanSeconds))
+		if product.EarnedShare() < alone.EarnedShare() || product.WorstSpanShare(worstSpanSeconds) < alone.WorstSpanShare(worstSpanSeconds) {
+			t.Errorf("killed for %v: earns %.3f and %.3f in the worst seconds, want no less than alone with %.3f and %.3f", restartAfter,
+				product.EarnedShare(), product.WorstSpanShare(worstSpanSeconds), alone.EarnedShare(), alone.WorstSpanShare(worstSpanSeconds))
+		}
+	}
+}
