Groups with a slow member are formed again without it

Seen: a group of the plates runs at the pace of its slowest member, and hosts slow down by a factor of up to 12 for seconds. A slow host joined no new group, but its old one stayed.

If one host in eight is slow, the groups stay. The experiment's leader finds slow members as well.

--- a/internal/experiment/leader.go
+++ b/internal/experiment/leader.go
@@ -132,6 +132,8 @@
 func (l *leader) recordProbe(id string, started time.Time) {
 	known := l.conditions[id]
 	switch h := l.hosts.byID[id]; {
+	case h.alive && h.silentUntil <= l.now && h.slowdown >= formation.SlowTimeFactor:
+		l.conditions[id] = formation.Condition{Slow: true, Since: l.time()}
 	case h.alive && h.silentUntil <= l.now:
 		delete(l.conditions, id)
 	case known.Lost:
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -59,10 +59,10 @@
 	suspectReprobeInterval = time.Second
 	// silentReprobeInterval is the same for a host that is silent but not lost.
 	silentReprobeInterval = 300 * time.Millisecond
-	// slowTimeFactor is the time factor, a multiple of the usual time, from which
+	// SlowTimeFactor is the time factor, a multiple of the usual time, from which
 	// a host counts as slow and joins no new group. A group with such a host
 	// exceeds the pauses that callers accept.
-	slowTimeFactor = 2.5
+	SlowTimeFactor = 2.5
 	// epochsPerTerm is the number of epochs reserved for each term, so that epochs
 	// of a later term are higher.
 	epochsPerTerm = 1_000_000
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -301,6 +301,8 @@
 		p.closeGroup(g, "a member is leaving", closeTimeout)
 	case p.isTaken(g):
 		p.closeGroup(g, "its hosts are needed for another model", takeTimeout)
+	case p.replacesSlowMember(g):
+		p.closeGroup(g, "a member is slow", takeTimeout)
 	default:
 		p.openWhenReady(g)
 	}
--- a/internal/version/formation/probe.go
+++ b/internal/version/formation/probe.go
@@ -178,7 +178,7 @@
 // recordProbeReply updates the condition of a host that answered a probe and
 // logs a change.
 func (c *Controller) recordProbeReply(host *fleet.Host, timeFactor float64) {
-	slow := timeFactor >= slowTimeFactor
+	slow := timeFactor >= SlowTimeFactor
 	c.mu.Lock()
 	previous, known := c.conditions[host.ID]
 	if slow {
--- a/internal/version/formation/regroup.go
+++ b/internal/version/formation/regroup.go
@@ -46,6 +46,22 @@
 // ones.
 func (p *planner) hasServingSpares() bool { return p.large != nil }
 
+// replacesSlowMember reports whether the group has to close because a member works
+// several times slower than usual. The group runs at that pace, and its other hosts
+// can serve with others. If many hosts are slow, slow groups are better than none.
+func (p *planner) replacesSlowMember(g *group) bool {
+	if !p.hasServingSpares() || !slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return p.Conditions[h.ID].Slow }) {
+		return false
+	}
+	slow := 0
+	for _, c := range p.Conditions {
+		if c.Slow {
+			slow++
+		}
+	}
+	return slow*domainHostsPerSpare <= len(p.Hosts)
+}
+
 // domainPool holds the hosts of a fabric domain from which groups can be formed.
 type domainPool struct {
 	name string
--- a/internal/version/formation/regroup_test.go
+++ b/internal/version/formation/regroup_test.go
@@ -178,3 +178,27 @@
 		}
 	}
 }
+
+// TestGroupWithSlowMemberIsFormedAgain guards against a group that runs at the pace of
+// a slow member although others could serve in its place: the group closes, and the
+// others start a group without the slow host. If one host in eight or more is slow,
+// the groups stay.
+func TestGroupWithSlowMemberIsFormedAgain(t *testing.T) {
+	hosts := append(mixedDomain("d", 1, 5), mixedDomain("e", 20, 5)...)
+	in := spareInput(hosts...)
+	in.Conditions[hosts[9].ID] = Condition{Slow: true, Since: now}
+	if got := orders(MakePlan(in), OpClose); !slices.Equal(got, []string{hosts[8].ID}) {
+		t.Errorf("got close orders to %v, want one to the head of the group with the slow member", got)
+	}
+	hosts[8].Group, hosts[9].Group = fleet.Membership{}, fleet.Membership{}
+	in.Hosts = append(in.Hosts, spare("s", "d", "small"))
+	if got := orders(MakePlan(in), OpJoin); !slices.Equal(got, []string{hosts[8].ID, "s"}) {
+		t.Errorf("got joins to %v, want the other member and the free host", got)
+	}
+	for i := range 6 {
+		in.Conditions[hosts[10+i].ID] = Condition{Slow: true, Since: now}
+	}
+	if got := orders(MakePlan(in), OpClose); len(got) != 0 {
+		t.Errorf("got close orders to %v while many hosts are slow, want none", got)
+	}
+}
