Exchange groups only for three times the loss

Cause: an exchange costs seconds of the hosts and moves streams; a factor of 1.25 allowed exchanges that gained little, and four staged hosts for each large group used loads that new hosts needed.

Change: factor 3, two serving spares for each large group.

--- a/internal/version/formation/regroup.go
+++ b/internal/version/formation/regroup.go
@@ -17,13 +17,13 @@
 	// exchangeFactor is how many times larger the gain of the model that gets hosts
 	// must be than the loss of the model that gives them up. The hosts serve nobody
 	// for the seconds of the exchange, and the way back must not be worthwhile.
-	exchangeFactor = 1.25
+	exchangeFactor = 3
 	// dualLoadReserve is the divisor of the weight store's concurrent loads that gives
 	// the part left for hosts that cannot serve without a load.
 	dualLoadReserve = 3
 	// sparesPerLargeGroup is the number of members of small groups that can start the
 	// large model, for each large group of their domain.
-	sparesPerLargeGroup = 4
+	sparesPerLargeGroup = 2
 )
 
 // findSpareModels sets large and small if hosts of small groups are the spares of
