--- a/internal/version/formation/regroup.go
+++ b/internal/version/formation/regroup.go
@@ -17,13 +17,13 @@
 	// exchangeFactor is how many times larger the gain of the model that gets hosts
 	// must be than the loss of the model that gives them up. The hosts serve nobody
 	// for the seconds of the exchange, and the way back must not be worthwhile.
-	exchangeFactor = 1.25
+	exchangeFactor = 3
 	// dualLoadReserve is the divisor of the weight store's concurrent loads that gives
 	// the part left for hosts that cannot serve without a load.
 	dualLoadReserve = 3
 	// sparesPerLargeGroup is the number of members of small groups that can start the
 	// large model, for each large group of their domain.
-	sparesPerLargeGroup = 4
+	sparesPerLargeGroup = 2
 )
 
 // findSpareModels sets large and small if hosts of small groups are the spares of
@@ -46,6 +46,22 @@
 // ones.
 func (p *planner) hasServingSpares() bool { return p.large != nil }
 
+// replacesSlowMember reports whether the group has to close because a member works
+// several times slower than usual. The group runs at that pace, and its other hosts
+// can serve with others. If many hosts are slow, slow groups are better than none.
+func (p *planner) replacesSlowMember(g *group) bool {
+	if !p.hasServingSpares() || !slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return p.Conditions[h.ID].Slow }) {
+		return false
+	}
+	slow := 0
+	for _, c := range p.Conditions {
+		if c.Slow {
+			slow++
+		}
+	}
+	return slow*domainHostsPerSpare <= len(p.Hosts)
+}
+
 // domainPool holds the hosts of a fabric domain from which groups can be formed.
 type domainPool struct {
 	name string
