Build no new view for registrations that are only renewed

Callers and operators see no change.

Cause: each batch with a record made a new view, which costs time in proportion to all hosts, and woke the planner.

Change: the records are applied as before, with all that is derived from them; a view is published only if a host differs. Records of a packed batch get their memory at once.

--- a/internal/connection/feed/packed.go
+++ b/internal/connection/feed/packed.go
@@ -16,6 +16,8 @@
 	MaxPackedBytes = 64 << 20
 	// maxPackedRecords limits the records of a packed batch.
 	maxPackedRecords = 1 << 20
+	// maxPreallocatedRecords limits the memory for a batch of which nothing was read yet.
+	maxPreallocatedRecords = 1 << 13
 )
 
 // packedHead is the first JSON value of a packed batch. As many packedRecords follow as
@@ -95,6 +97,9 @@
 		return Batch{}, fmt.Errorf("unpack a batch: it tells %d records, want 0 to %d", head.Records, maxPackedRecords)
 	}
 	b := Batch{Version: head.Version, Era: head.Era, Complete: head.Complete, Gaps: head.Gaps}
+	if head.Records > 0 {
+		b.Records = make([]Record, 0, min(head.Records, maxPreallocatedRecords))
+	}
 	for range head.Records {
 		var packed packedRecord
 		if err := decoder.Decode(&packed); err != nil {
--- a/internal/process/gateway/view.go
+++ b/internal/process/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"sync"
 	"time"
 
@@ -120,10 +121,14 @@
 // is when a call to the store last failed; the zero time means never.
 func (b *viewBuilder) applyHosts(changed []feed.Record, version int64, lastStoreFailure, now time.Time) {
 	b.mu.Lock()
+	viewChanged := !b.hostsKnown
 	for _, r := range changed {
+		former := b.hosts[r.Key]
 		b.applyHost(r, lastStoreFailure, now)
+		// Most registrations are only renewed. A new view costs time in proportion to
+		// all hosts.
+		viewChanged = viewChanged || !reflect.DeepEqual(former, b.hosts[r.Key])
 	}
-	viewChanged := len(changed) > 0 || !b.hostsKnown
 	b.hostsVersion, b.readAt, b.hostsKnown = version, now, true
 	if viewChanged {
 		b.publish()
