Bound the traffic and the memory of a hub in tests

BenchmarkWholeTables fails when 99 readers of the whole table cost more than 20 MB, a third of the target for the process.

--- a/internal/process/gateway/traffic_test.go
+++ b/internal/process/gateway/traffic_test.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/feed"
 	"currantladder.example/currantladder/internal/process/eventlog"
+	"currantladder.example/currantladder/internal/version/fleet"
 )
 
 // The fleet whose traffic is traced: the size at which the goals of a hub's traffic
@@ -34,6 +36,8 @@
 	startSeconds = 4
 	// tracedRequests is the number of requests in flight at each node.
 	tracedRequests = 15
+	// maxTracedTraffic is the target for the busiest node, in kB a second.
+	maxTracedTraffic = 2000
 	// headerBytes is the size of the headers of one call, as docs/CAPACITY.md counts it.
 	headerBytes = 330
 )
@@ -278,5 +282,57 @@
 
 		digests := digestTraffic()
 		t.Logf("(d) digests:                        %s", digests.over(tracedSeconds))
+		total := 0
+		for _, c := range []hubTraffic{changes, renewals, digests} {
+			total += (c.sent + c.received) / tracedSeconds / 1000
+		}
+		t.Logf("(a), (b) and (d):                   %6d kB/s sent and received", total)
+		if total > maxTracedTraffic {
+			t.Errorf("a hub sends and receives %d kB/s, want at most %d", total, maxTracedTraffic)
+		}
 	})
 }
+
+// discardingWriter is a reader that takes an answer.
+type discardingWriter struct{ header http.Header }
+
+func (w discardingWriter) Header() http.Header         { return w.header }
+func (w discardingWriter) Write(b []byte) (int, error) { return len(b), nil }
+func (w discardingWriter) WriteHeader(int)             {}
+
+// BenchmarkWholeTables measures what a hub allocates when all its members read the whole
+// table of 3,000 hosts within a short time, and what it holds afterwards. Without a bound
+// the table was encoded for each of them.
+func BenchmarkWholeTables(b *testing.B) {
+	const maxBytes = 20 << 20 // a third of what the busiest node may hold
+	hub := newTracedHub(0)
+	builder, _ := newTestBuilder()
+	builder.decode.Host = func(r feed.Record) (*fleet.Host, error) { return &fleet.Host{ID: r.Key}, nil }
+	whole := hub.wholeTable()
+	hub.follower.Table().Apply(whole)
+	builder.applyHosts(whole.Records, whole.Version, time.Time{}, time.Now())
+	handler := feedHandler(map[feed.Topic]*feed.Follower{feed.TopicHosts: hub.follower})
+	request := httptest.NewRequest(http.MethodGet, pathTable+"?topic=hosts", nil)
+	request.Header.Set("Accept", typePacked)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	rounds := 0
+	for b.Loop() {
+		hub.apply([]feed.Record{hub.registration(rounds % tracedHosts)})
+		for range tracedMembers {
+			handler.ServeHTTP(discardingWriter{http.Header{}}, request)
+		}
+		rounds++
+	}
+	runtime.ReadMemStats(&after)
+	perRound := float64(after.TotalAlloc-before.TotalAlloc) / float64(rounds)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(perRound/1e6, "MB/round")
+	b.ReportMetric(float64(after.HeapAlloc)/1e6, "MB-live")
+	if perRound > maxBytes || after.HeapAlloc > maxBytes {
+		b.Errorf("%.1f MB were allocated for %d whole tables and %.1f MB are held, want at most %.1f", perRound/1e6, tracedMembers, float64(after.HeapAlloc)/1e6, maxBytes/1e6)
+	}
+	runtime.KeepAlive(builder)
+	runtime.KeepAlive(handler)
+}
