--- a/internal/process/gateway/digest.go
+++ b/internal/process/gateway/digest.go
@@ -170,6 +170,7 @@
 	if err != nil {
 		return // rows contain IP addresses; anything else is no peer
 	}
+	p.traffic.digestsSent.Inc(int64(len(content)))
 	// A lost digest is replaced by the next one.
 	_, _ = p.conn.WriteTo(content, target)
 }
@@ -247,6 +248,7 @@
 			p.receivePlacing(buffer[:n], from)
 			continue
 		}
+		p.traffic.digestsReceived.Inc(int64(n))
 		p.receive(buffer[:n], time.Now())
 	}
 }
--- a/internal/process/gateway/digest_test.go
+++ b/internal/process/gateway/digest_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/uber-go/tally/v4"
 
 	"currantladder.example/currantladder/internal/connection/table"
 	"currantladder.example/currantladder/internal/process/eventlog"
@@ -43,7 +44,7 @@
 		var conn net.PacketConn
 		yes := func() bool { return true }
 		candidate := leader.New(nil, s.Node, func() time.Duration { return time.Second }, eventlog.Discard())
-		f.nodes[s.Node] = newPeers(s, peersOptions{store: store, board: place.NewBoard(), poison: poison.New(), candidate: candidate, conn: conn, hadTraffic: yes, hasFreshFeeds: yes, storeEra: func() (int64, bool) { return 0, true }, log: eventlog.Discard()})
+		f.nodes[s.Node] = newPeers(s, peersOptions{store: store, board: place.NewBoard(), poison: poison.New(), candidate: candidate, conn: conn, hadTraffic: yes, hasFreshFeeds: yes, storeEra: func() (int64, bool) { return 0, true }, log: eventlog.Discard(), traffic: newPeerMetrics(tally.NoopScope)})
 		f.byAddress[s.Peers] = f.nodes[s.Node]
 	}
 	for _, a := range f.nodes {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -219,7 +219,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w; choose a free port", g.settings.Peers, err)
 	}
-	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, warmup: g.warmup, poison: g.poison, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, firstStart: g.settings.FirstStart, hasFreshFeeds: g.hasFreshFeeds, storeEra: g.storeEra, receivePlacing: g.placing.receive, log: g.log})
+	g.peers = newPeers(g.settings, peersOptions{store: g.platform.Store, board: g.board, warmup: g.warmup, poison: g.poison, candidate: g.candidate, conn: conn, hadTraffic: g.hadTraffic.Load, firstStart: g.settings.FirstStart, hasFreshFeeds: g.hasFreshFeeds, storeEra: g.storeEra, receivePlacing: g.placing.receive, log: g.log, traffic: newPeerMetrics(g.metrics.Scope())})
 	g.placing.peers = g.peers
 	servers, err := g.listen(ctx)
 	if err != nil {
@@ -269,7 +269,7 @@
 	}{
 		{callersListener, g.settings.Callers, g.trackRequests(g.platform.Callers(g.core))},
 		{"readiness", g.settings.Ready, ready},
-		{"peers", g.settings.Peers, feedHandler(followers)},
+		{"peers", g.settings.Peers, g.peers.traffic.countAnswers(feedHandler(followers))},
 		{"metrics", g.settings.Metrics, scrape},
 	} {
 		if l.address == "" {
--- a/internal/process/gateway/peerfeed_test.go
+++ b/internal/process/gateway/peerfeed_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/uber-go/tally/v4"
 
 	"currantladder.example/currantladder/internal/connection/feed"
 	"currantladder.example/currantladder/internal/process/eventlog"
@@ -45,3 +46,19 @@
 		t.Errorf("got %+v and error %v from a node of the previous version, want the whole table", batch, err)
 	}
 }
+
+// TestPeerMetricsTellTheCause verifies that the bytes of answers are counted by what the
+// reader asked for.
+func TestPeerMetricsTellTheCause(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	handler := newPeerMetrics(scope).countAnswers(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, len(r.URL.Path)))
+	}))
+	for _, path := range []string{pathTable, pathChanges, pathChanges} {
+		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, path, nil))
+	}
+	counters := scope.Snapshot().Counters()
+	if tables, changes := counters["peer_bytes+cause=tables"].Value(), counters["peer_bytes+cause=changes"].Value(); tables != int64(len(pathTable)) || changes != 2*int64(len(pathChanges)) {
+		t.Errorf("got %d bytes of tables and %d of changes, want %d and %d", tables, changes, len(pathTable), 2*len(pathChanges))
+	}
+}
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -150,6 +150,7 @@
 	// receivePlacing handles a datagram of placing. It must not block.
 	receivePlacing func(content []byte, from net.Addr)
 	log            *eventlog.Logger
+	traffic        peerMetrics
 }
 
 // peers tracks the other nodes and exchanges digests with them.
