Generalize the pool of answers to memory held for others

Answers are bounded as before.

Measured: go test ./internal/request/heldmemory ./internal/request/forward ./internal/process/callerapi pass.

--- a/internal/process/callerapi/server.go
+++ b/internal/process/callerapi/server.go
@@ -20,8 +20,8 @@
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/connection/hostlist"
-	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/request/claim"
+	"currantladder.example/currantladder/internal/request/heldmemory"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/request/relay"
 	"currantladder.example/currantladder/internal/request/share"
@@ -138,12 +138,12 @@
 type Server struct {
 	deps    Deps
 	mux     *http.ServeMux
-	answers *answermemory.Pool
+	answers *heldmemory.Pool
 }
 
 // New returns the handler for callers.
 func New(deps Deps) *Server {
-	s := &Server{deps: deps, mux: http.NewServeMux(), answers: answermemory.NewPool(answerMemoryBytes, answerReserveBytes)}
+	s := &Server{deps: deps, mux: http.NewServeMux(), answers: heldmemory.NewPool(answerMemoryBytes, answerReserveBytes, heldmemory.AnswerPace)}
 	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	s.mux.HandleFunc("GET /readyz", s.readiness)
 	s.mux.HandleFunc("POST /v1/completions", s.wrap(s.completions))
--- a/internal/process/callerapi/services.go
+++ b/internal/process/callerapi/services.go
@@ -11,8 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
-	"currantladder.example/currantladder/internal/request/answermemory"
 	"currantladder.example/currantladder/internal/request/claim"
+	"currantladder.example/currantladder/internal/request/heldmemory"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/object"
 )
@@ -43,7 +43,7 @@
 	request endpoint.ServiceRequest
 	key     string
 	// memory are the accounts of the answers, open until the caller has one.
-	memory []*answermemory.Account
+	memory []*heldmemory.Account
 }
 
 // closeMemory releases the memory of the answers.
--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
-	"currantladder.example/currantladder/internal/request/answermemory"
+	"currantladder.example/currantladder/internal/request/heldmemory"
 )
 
 // body is the body of an answer in chunks.
@@ -21,9 +21,9 @@
 	return size
 }
 
-// readAnswerBody reads the whole body of a reply. It returns answermemory.ErrEvicted
+// readAnswerBody reads the whole body of a reply. It returns heldmemory.ErrEvicted
 // if the answer had to give way. ctx must be the account's.
-func readAnswerBody(ctx context.Context, reply *Reply, memory *answermemory.Account) (body, error) {
+func readAnswerBody(ctx context.Context, reply *Reply, memory *heldmemory.Account) (body, error) {
 	limit := endpoint.MaxAnswerBytes
 	if reply.Status >= http.StatusBadRequest {
 		limit = maxErrorAnswerBytes
@@ -36,10 +36,10 @@
 	return content, nil
 }
 
-// evictionOr returns answermemory.ErrEvicted if it is why the context of an account
+// evictionOr returns heldmemory.ErrEvicted if it is why the context of an account
 // ended, and otherwise the error of the reader.
 func evictionOr(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); errors.Is(cause, answermemory.ErrEvicted) {
+	if cause := context.Cause(ctx); errors.Is(cause, heldmemory.ErrEvicted) {
 		return cause
 	}
 	return err
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -13,7 +13,7 @@
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/process/eventlog"
-	"currantladder.example/currantladder/internal/request/answermemory"
+	"currantladder.example/currantladder/internal/request/heldmemory"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
 	"currantladder.example/currantladder/internal/request/refusal"
@@ -100,7 +100,7 @@
 	retries *retry.Budget
 	// crashChecks passes hosts to RunCrashChecks.
 	crashChecks chan *fleet.Host
-	answers     *answermemory.Pool
+	answers     *heldmemory.Pool
 }
 
 // New returns a core. RunCrashChecks must run beside it.
@@ -116,7 +116,7 @@
 	}
 	return &Core{
 		Options: o, retries: retry.NewBudget(), crashChecks: make(chan *fleet.Host, maxWaitingCrashChecks),
-		answers: answermemory.NewPool(o.AnswerMemoryBytes, answerReserveBytes),
+		answers: heldmemory.NewPool(o.AnswerMemoryBytes, answerReserveBytes, heldmemory.AnswerPace),
 	}
 }
 
--- a/internal/request/forward/events.go
+++ b/internal/request/forward/events.go
@@ -6,7 +6,7 @@
 	"errors"
 	"io"
 
-	"currantladder.example/currantladder/internal/request/answermemory"
+	"currantladder.example/currantladder/internal/request/heldmemory"
 )
 
 // maxEventBytes is the maximum size of one event of a stream, and maxEventIDBytes that of
@@ -38,7 +38,7 @@
 // the capacity of each event to the account, and the receiver of the event releases it.
 type eventReader struct {
 	lines  *bufio.Reader
-	memory *answermemory.Account
+	memory *heldmemory.Account
 }
 
 func newEventReader(r io.Reader) *eventReader { return &eventReader{lines: bufio.NewReader(r)} }
--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -9,7 +9,7 @@
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/process/eventlog"
-	"currantladder.example/currantladder/internal/request/answermemory"
+	"currantladder.example/currantladder/internal/request/heldmemory"
 	"currantladder.example/currantladder/internal/version/fleet"
 )
 
@@ -44,7 +44,7 @@
 
 // sendAndRead sends the request to the host, and reads and verifies the answer. The
 // body of the answer is in memory until the account is closed. ctx must be the account's.
-func (s *requestState) sendAndRead(ctx context.Context, host *fleet.Host, toSend Attempt, memory *answermemory.Account) attemptResult {
+func (s *requestState) sendAndRead(ctx context.Context, host *fleet.Host, toSend Attempt, memory *heldmemory.Account) attemptResult {
 	reply, err := s.Endpoint.Send(ctx, s.request, toSend)
 	if err != nil {
 		return attemptResult{mayHaveRun: endpoint.MayHaveBeenSent(err), err: err}
--- a/internal/request/forward/plain_attempts.go
+++ b/internal/request/forward/plain_attempts.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/process/eventlog"
-	"currantladder.example/currantladder/internal/request/answermemory"
+	"currantladder.example/currantladder/internal/request/heldmemory"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -28,7 +28,7 @@
 type plainAttempt struct {
 	host    *fleet.Host
 	cancel  context.CancelFunc
-	memory  *answermemory.Account
+	memory  *heldmemory.Account
 	started time.Time
 	// charged is true if the attempt was charged to the retry budget.
 	charged bool
@@ -69,7 +69,7 @@
 	// fallback is the last failure or doubtful answer of a host, or nil. The caller gets
 	// it if no attempt ends better. fallbackMemory is what it takes.
 	fallback       *answer
-	fallbackMemory *answermemory.Account
+	fallbackMemory *heldmemory.Account
 	// refused is why no endpoint was found for another attempt after a failed one, or
 	// nil.
 	refused *refusal.Error
--- a/internal/request/forward/poison.go
+++ b/internal/request/forward/poison.go
@@ -9,7 +9,7 @@
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/process/eventlog"
-	"currantladder.example/currantladder/internal/request/answermemory"
+	"currantladder.example/currantladder/internal/request/heldmemory"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
 	"currantladder.example/currantladder/internal/request/refusal"
@@ -50,7 +50,7 @@
 // not by an answer or by this node.
 func connectionBroke(err error) bool {
 	var failure *statusError
-	for _, other := range []error{errUnverifiedAnswer, endpoint.ErrAnswerTooLarge, errEventTooLarge, answermemory.ErrEvicted, errAttemptPanicked, errNotRun, context.DeadlineExceeded, context.Canceled} {
+	for _, other := range []error{errUnverifiedAnswer, endpoint.ErrAnswerTooLarge, errEventTooLarge, heldmemory.ErrEvicted, errAttemptPanicked, errNotRun, context.DeadlineExceeded, context.Canceled} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/internal/request/forward/stream_attempt.go
+++ b/internal/request/forward/stream_attempt.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
-	"currantladder.example/currantladder/internal/request/answermemory"
+	"currantladder.example/currantladder/internal/request/heldmemory"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -43,7 +43,7 @@
 	updates chan attemptUpdate
 	cancel  context.CancelFunc
 	// memory holds the events that the caller has not got.
-	memory  *answermemory.Account
+	memory  *heldmemory.Account
 	started time.Time
 	// lastProgress is when the attempt last delivered something, initially its
 	// start.
--- a/internal/request/answermemory/pool_test.go
+++ b/internal/request/heldmemory/pool_test.go
@@ -1,4 +1,4 @@
-package answermemory
+package heldmemory
 
 import (
 	"context"
@@ -62,7 +62,7 @@
 // all memory for answers.
 func TestSmallAnswersNeverWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		pool := NewPool(testLimit, testReserve)
+		pool := NewPool(testLimit, testReserve, AnswerPace)
 		for _, host := range []string{"a", "b", "c"} {
 			defer stallAnswers(t, pool, host, 20, 3<<20)()
 		}
@@ -87,7 +87,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				pool := NewPool(testLimit, testReserve)
+				pool := NewPool(testLimit, testReserve, AnswerPace)
 				var wait sync.WaitGroup
 				for i := range 40 {
 					wait.Go(func() {
@@ -115,7 +115,7 @@
 // two faulty hosts hold all memory, and that only answers of the faulty ones give way.
 func TestStalledAnswersGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		pool := NewPool(testLimit, testReserve)
+		pool := NewPool(testLimit, testReserve, AnswerPace)
 		endA, endB := stallAnswers(t, pool, "a", 30, 3<<20), stallAnswers(t, pool, "b", 30, 3<<20)
 		time.Sleep(100 * time.Millisecond)
 		ctx, account := pool.Open(context.Background(), "sound")
@@ -138,7 +138,7 @@
 // needs its memory.
 func TestStalledAnswersStayWithoutNeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		pool := NewPool(testLimit, testReserve)
+		pool := NewPool(testLimit, testReserve, AnswerPace)
 		end := stallAnswers(t, pool, "a", 2, 3<<20)
 		time.Sleep(time.Minute)
 		if evicted := countEvicted(end()); evicted != 0 {
@@ -151,7 +151,7 @@
 // event, because it has received little for long.
 func TestLongSmallAnswerIsNotSlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		pool := NewPool(testLimit, testReserve)
+		pool := NewPool(testLimit, testReserve, AnswerPace)
 		ctx, stream := pool.Open(context.Background(), "sound")
 		defer stream.Close()
 		for range 20 {
@@ -165,9 +165,9 @@
 			t.Fatal(err)
 		}
 		defer stallAnswers(t, pool, "sound", 20, 3<<20)()
-		time.Sleep(slowTimeout - time.Millisecond)
+		time.Sleep(AnswerPace.Timeout - time.Millisecond)
 		if err := context.Cause(ctx); err != nil {
-			t.Errorf("the stream ended with %v within %v of its large event", err, slowTimeout)
+			t.Errorf("the stream ended with %v within %v of its large event", err, AnswerPace.Timeout)
 		}
 	})
 }
@@ -177,7 +177,7 @@
 func TestUseIsBounded(t *testing.T) {
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
-			pool := NewPool(testLimit, testReserve)
+			pool := NewPool(testLimit, testReserve, AnswerPace)
 			var wait sync.WaitGroup
 			for i := range 80 {
 				random := rand.New(rand.NewPCG(seed, uint64(i)))
