Limit connections, heads and unread writes of a listener

A tracker may have limits: of connections, of the bytes of all heads together, of the time for each 64 KB of a write, of the kernel's buffers. Beyond the limit of connections one gives way: idle ones first, then those without a request, incomplete heads, slow bodies, writes that nobody takes; a connection on which a request runs never does. A pipelined request no longer counts as idle while its handler runs, so that a planned stop does not end its context.

Nothing uses the limits yet.

--- a/internal/connection/conntrack/conntrack.go
+++ b/internal/connection/conntrack/conntrack.go
@@ -2,6 +2,9 @@
 // close those that carry no request. Unlike http.Server.Shutdown, it drops no request
 // of which a byte has been read: net/http reads requests on new and idle connections
 // even during Shutdown, and closes them without an answer.
+//
+// It also limits the connections of a listener, the heads that are read on them, and how
+// long the other side may leave answers unread (Limits).
 package conntrack
 
 import (
@@ -15,8 +18,14 @@
 // Tracker follows the connections of one server. The server must accept from Listener
 // and call ConnState. A Tracker is safe for concurrent use.
 type Tracker struct {
+	limits Limits
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// ending is the number of conns that were made to give way and are not closed yet.
+	ending int
+	// heads is the sum of the counted bytes of heads.
+	heads int64
 }
 
 // New returns a tracker without connections.
@@ -32,15 +41,19 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			if isOutOfDescriptors(err) {
+				l.tracker.makeRoom(time.Now())
+			}
+			return nil, err
+		}
+		c := &conn{Conn: accepted, tracker: l.tracker, awaitsRequest: true, isNew: true, inHead: true, since: time.Now()}
+		if l.tracker.admit(c) {
+			return c, nil
+		}
 	}
-	c := &conn{Conn: accepted, awaitsRequest: true, isNew: true}
-	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
-	l.tracker.conns[c] = struct{}{}
-	return c, nil
 }
 
 // ConnState is the hook of http.Server of this name.
@@ -53,12 +66,20 @@
 		return
 	}
 	switch state {
+	case http.StateActive: // net/http says so once it has read the head
+		followed.headEnded()
 	case http.StateIdle:
-		followed.requestEnded()
+		if followed.requestEnded() {
+			t.releaseHead(followed)
+		}
 	case http.StateClosed, http.StateHijacked:
+		t.releaseHead(followed)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		delete(t.conns, followed)
+		if followed.evicted { // guarded by t.mu for writes
+			t.ending--
+		}
 	}
 }
 
@@ -83,8 +104,22 @@
 // conn is a followed connection.
 type conn struct {
 	net.Conn
+	tracker *Tracker
 
 	mu sync.Mutex
+	// since is when the connection was accepted, became idle or received the first byte of
+	// a head.
+	since time.Time
+	// inHead is true until the head of a request has been read. headBytes are its bytes so
+	// far, of which headCharge are counted.
+	inHead                bool
+	headBytes, headCharge int64
+	// writingSince is when the write that is under way began, or zero. writeDeadline is
+	// the deadline that the server last set.
+	writingSince, writeDeadline time.Time
+	// evicted is true once the connection has been made to give way. It is set under the
+	// tracker's mu, too. cut is true if that ends a request, too.
+	evicted, cut bool
 	// awaitsRequest is true while no byte of the next request has been read; isNew until
 	// a byte of the first one has.
 	awaitsRequest, isNew bool
@@ -104,7 +139,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.bytesRead(len(p))
+		if charge := c.bytesRead(n, len(p)); charge > 0 && c.tracker != nil {
+			c.tracker.chargeHead(c, charge)
+		}
 	}
 	return n, err
 }
@@ -123,14 +160,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = deadline
-	if c.closing && c.awaitsRequest {
+	if c.closing && c.awaitsRequest || c.cut {
 		deadline = past
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// bytesRead records a successful read into a buffer of the given size.
-func (c *conn) bytesRead(size int) {
+// bytesRead records a successful read of n bytes into a buffer of the given size. It returns
+// the bytes by which a head has grown beyond freeHeadBytes.
+func (c *conn) bytesRead(n, size int) (charge int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// While a handler runs, net/http reads one byte to notice the end of the connection.
@@ -140,13 +178,37 @@
 		// the next read, too.
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
+	if c.awaitsRequest && c.inHead {
+		c.since = time.Now()
+	}
 	c.awaitsRequest, c.isNew = false, false
+	if !c.inHead {
+		return 0
+	}
+	before := max(c.headBytes, freeHeadBytes)
+	c.headBytes += int64(n)
+	return max(c.headBytes-before, 0)
+}
+
+// headEnded records that the head of a request has been read, perhaps with the request
+// before it.
+func (c *conn) headEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaitsRequest && c.closing {
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // as in bytesRead
+	}
+	c.inHead, c.awaitsRequest, c.isNew = false, false, false
 }
 
-func (c *conn) requestEnded() {
+// requestEnded records that the connection waits for its next request. It reports whether
+// bytes of the last head are counted.
+func (c *conn) requestEnded() (charged bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitsRequest = !c.readAhead
+	c.since, c.inHead, c.headBytes = time.Now(), true, 0
+	return c.headCharge > 0
 }
 
 func (c *conn) closeIfIdle(includeNew bool) {
