--- a/internal/process/gateway/memory.go
+++ b/internal/process/gateway/memory.go
@@ -26,8 +26,8 @@
 // Shares of the descriptors that the process may have. The rest is for calls to hosts, the
 // store and peers.
 const (
-	callerDescriptorShare = 0.45
-	peerDescriptorShare   = 0.125
+	callerDescriptorShare = 0.4
+	peerDescriptorShare   = 0.2
 	probeDescriptorShare  = 1.0 / 32
 	// minPeerConns and minProbeConns are the least limits of the peers' listener, and of
 	// those for readiness and metrics.
--- a/internal/process/gateway/settings.go
+++ b/internal/process/gateway/settings.go
@@ -134,7 +134,7 @@
 		{"listen", "ready", true, "", "IP:port of the readiness check, GET /readyz", address(func(s *Settings) *string { return &s.Ready })},
 		{"listen", "peers", true, "", "IP:port for other nodes, TCP and UDP", address(func(s *Settings) *string { return &s.Peers })},
 		{"listen", "metrics", false, "", "IP:port of GET /metrics; none without it", address(func(s *Settings) *string { return &s.Metrics })},
-		{"callers", "max_connections", false, "0", "connections of callers; 0: 45 in 100 descriptors, and at most what an eighth of the memory holds", integer(func(s *Settings) *int { return &s.MaxConnections }, 0)},
+		{"callers", "max_connections", false, "0", "connections of callers; 0: two fifths of the descriptors, and at most what an eighth of the memory holds", integer(func(s *Settings) *int { return &s.MaxConnections }, 0)},
 		{"callers", "max_header_bytes", false, "65536", "largest request header, on every listener", integer(func(s *Settings) *int { return &s.MaxHeaderBytes }, minHeaderBytes)},
 		{"callers", "header_timeout", false, "10s", "time limit for reading a request header, on every listener", duration(func(s *Settings) *time.Duration { return &s.HeaderTimeout })},
 		{"callers", "idle_timeout", false, "2m", "time limit for an idle connection, on every listener", duration(func(s *Settings) *time.Duration { return &s.IdleTimeout })},
