--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -105,5 +105,11 @@
 // writeConfiguration writes the newest revision. The caller holds mu.
 func (s *Soak) writeConfiguration() {
 	s.timeouts = append(s.timeouts, writtenTimeout{time.Now(), s.variation.timeout})
-	s.store.Put("op", "config", s.variation.configuration(s.revision))
+	configuration := s.variation.configuration(s.revision)
+	if s.cold {
+		for _, service := range configuration["services"].([]any) {
+			service.(map[string]any)["cold_s"], service.(map[string]any)["cold_per_s"] = coldTime.Seconds(), coldPerSecond
+		}
+	}
+	s.store.Put("op", "config", configuration)
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -68,24 +68,33 @@
 slack = 130
 `
 
+// coldSettings limit what nodes send to cold hosts.
+const coldSettings = `[cold]
+over = %g
+slack = %g
+`
+
 // newNode writes the settings file of a node, opens its log and starts its
 // relay to the store. It does not start the process.
-func newNode(programPath, dir string, seed int64, index int, storeAddress string) (*node, error) {
+func newNode(o Options, index int, storeAddress string, cold bool) (*node, error) {
 	var addresses [portsPerNode]string
 	for i := range addresses {
-		addresses[i] = portAddress(seed, index, i)
+		addresses[i] = portAddress(o.Seed, index, i)
 	}
 	storeRelay, err := newRelay(storeAddress)
 	if err != nil {
 		return nil, fmt.Errorf("start the relay to the store: %w", err)
 	}
-	n := &node{name: fmt.Sprintf("node%d", index), callerAddress: addresses[0], readyAddress: addresses[1], programPath: programPath, storeRelay: storeRelay}
-	n.settingsPath = filepath.Join(dir, n.name+".ini")
+	n := &node{name: fmt.Sprintf("node%d", index), callerAddress: addresses[0], readyAddress: addresses[1], programPath: o.ProgramPath, storeRelay: storeRelay}
+	n.settingsPath = filepath.Join(o.Dir, n.name+".ini")
 	content := fmt.Sprintf(nodeSettingsFormat, n.name, index%3, true, addresses[0], addresses[1], addresses[2], storeRelay.address())
+	if cold {
+		content += fmt.Sprintf(coldSettings, coldOver, coldSlack)
+	}
 	if err := os.WriteFile(n.settingsPath, []byte(content), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
-	if n.log, err = os.Create(filepath.Join(dir, n.name+".log")); err != nil {
+	if n.log, err = os.Create(filepath.Join(o.Dir, n.name+".log")); err != nil {
 		return nil, fmt.Errorf("open the log: %w", err)
 	}
 	return n, nil
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -101,6 +101,12 @@
 	// modelHostsAdded is the number of model hosts started so far. The IDs of
 	// new ones continue from it.
 	modelHostsAdded int
+	// evacuating holds the failure domains that a fault evacuates, and storeFaults is true
+	// if faults of the store are played beside it. cold is true if hosts are cold after their
+	// start and the nodes limit what they send to them.
+	evacuating  evacuationLock
+	storeFaults bool
+	cold        bool
 	// speaking holds the hosts that a fault makes say something of themselves.
 	speaking map[*standin.Host]bool
 	// revision is the last revision of the configuration in the store.
@@ -153,6 +159,10 @@
 	defer server.Close()
 	s.fleet = standin.NewFleet(s.store, s.ledger, hostTiming, groupSizes)
 	s.fleet.Crashing.OnCrash = s.replaceCrashed
+	s.storeFaults = slices.ContainsFunc(chosen, func(f fault) bool { return strings.Contains(f.name, "store") })
+	if s.cold = slices.ContainsFunc(chosen, func(f fault) bool { return slices.Contains(faultNames(coldFaults), f.name) }); s.cold {
+		s.fleet.ColdTime = coldTime
+	}
 	s.changeConfiguration(defaultVariation)
 	if o.Nodes < 1 || o.Nodes > maxNodes {
 		return Report{}, fmt.Errorf("invalid number of nodes %d: choose 1 to %d", o.Nodes, maxNodes)
@@ -234,7 +244,7 @@
 		s.hosts = append(s.hosts, host)
 	}
 	for i := range s.options.Nodes {
-		n, err := newNode(s.options.ProgramPath, s.options.Dir, s.options.Seed, i, storeAddress)
+		n, err := newNode(s.options, i, storeAddress, s.cold)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,9 @@
 }{
 	{"silent hosts", 241, []string{"host falls silent", "host falls silent again and again", "group falls silent", "service falls silent"}},
 	{"odd registrations", 251, []string{"odd registrations", "nodes start beside odd registrations"}},
+	{"evacuations", 311, []string{evacuations, evacuationsInARow, "kill node", "stop node"}},
+	{"evacuations while the store fails", 312, []string{evacuations, evacuationsInARow, evacuationAndRestore, "cut node from store", "store refuses", "store drops history"}},
+	{"cold hosts", 313, []string{coldHosts, evacuationOfColdHosts, "kill host"}},
 	{"planned work beside silent hosts and odd registrations", 292, []string{
 		"configuration storm", "stop nodes in turn", "stop nodes at once", "reload nodes", "service falls silent", "odd registrations",
 	}},
