place: cold hosts stay out of the index of loads

What callers see: in fleets of more than 64 open heads of a model, cold hosts are used whatever the sample holds, and neither sums, shedding nor samples count them. Nothing changes where no host is cold or the deployment has no limit for cold hosts.

Change: the index holds the warm hosts and, apart, the cold ones to which this node may send. It is built again when one has become warm, at most every 0.1 s. A choice looks at up to 64 of the cold ones.

Tests: TestColdHostsStayOutOfTheSample.

--- a/internal/request/place/candidates.go
+++ b/internal/request/place/candidates.go
@@ -57,8 +57,10 @@
 	// limit take together.
 	notFull     int
 	limitedRate float64
-	// cold are the cold hosts, which are not among the candidates and the sums.
-	cold coldCandidates
+	// coldFound is the number of cold hosts, which the other fields leave out. cold are
+	// those that may get the request.
+	coldFound int
+	cold      []candidate
 	// index holds all hosts if the candidates are a sample, and is nil otherwise. looked
 	// is the number of hosts that were looked at.
 	index  *loadIndex
@@ -72,14 +74,17 @@
 	if len(hosts) == 0 {
 		return survey{}
 	}
-	x := b.index(hosts, q)
-	if len(hosts) > maxCandidates {
-		return b.surveySample(x, q, now)
+	x := b.index(hosts, q, now)
+	if len(x.warm) > maxCandidates {
+		s := b.surveySample(x, q, now)
+		b.addCold(&s, x, q, now)
+		return s
 	}
-	s := survey{part: 1, looked: len(hosts), candidates: make([]candidate, 0, len(hosts))}
-	for i, host := range hosts {
+	s := survey{part: 1, looked: len(x.warm), candidates: make([]candidate, 0, len(x.warm))}
+	for i, host := range x.warm {
 		b.addHost(&s, host, x.records[i], q, now)
 	}
+	b.addCold(&s, x, q, now)
 	return s
 }
 
@@ -89,9 +94,6 @@
 	switch b.blockedBy(host, r, q, now) {
 	case ReasonNone:
 		c := b.candidate(host, r, q, now)
-		if s.cold.add(b, c, q, now) {
-			return
-		}
 		s.candidates = append(s.candidates, c)
 		s.count++
 		s.load += c.reported
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -75,8 +75,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.survey(q.hosts(view), q, now)
-	refusal := &Refusal{Candidates: s.count, Load: s.load, Limit: s.limit, Waiting: s.waiting, Cold: s.cold.closed(), RetryAfter: minRetryAfter}
-	if s.count == 0 && s.cold.found == 0 && s.waiting > 0 {
+	refusal := &Refusal{Candidates: s.count, Load: s.load, Limit: s.limit, Waiting: s.waiting, Cold: s.coldFound - len(s.cold), RetryAfter: minRetryAfter}
+	if s.count == 0 && s.coldFound == 0 && s.waiting > 0 {
 		refusal.RetryAfter = b.waitRetryAfter(s.firstWaitEnd, now)
 		return Choice{}, refusal
 	}
@@ -89,14 +89,14 @@
 	if len(candidates) == 0 && s.index != nil {
 		candidates = b.lookFurther(&s, q, now)
 	}
-	if chosen, found := s.cold.cheapest(b, candidates, now); found {
+	if chosen, found := b.pickCold(&s, candidates, now); found {
 		return b.started(chosen, q, true, now), nil
 	}
 	if chosen, found := b.preferred(view, q, now); found {
 		return b.started(chosen, q, false, now), nil
 	}
-	if s.count == 0 && s.cold.found > 0 {
-		refusal.Candidates, refusal.RetryAfter = s.cold.found, s.cold.retryAfter(b)
+	if s.count == 0 && s.coldFound > 0 {
+		refusal.Candidates, refusal.RetryAfter = s.coldFound, b.coldRetryAfter()
 		return Choice{}, refusal
 	}
 	if s.notFull == 0 || b.random() < b.sheddingProbability(q, refusal, now) {
--- a/internal/request/place/cold.go
+++ b/internal/request/place/cold.go
@@ -7,64 +7,102 @@
 	"currantladder.example/currantladder/internal/version/fleet"
 )
 
+const (
+	// coldRetryTime is the time over which callers are spread that return because only cold
+	// hosts could run their requests. By then each node may send to them again.
+	coldRetryTime = 1250 * time.Millisecond
+	// minColdRebuild is the least time between two builds of an index because hosts have
+	// become warm. After an evacuation many do so one after the other.
+	minColdRebuild = 100 * time.Millisecond
+)
+
 // LimitColdHosts makes the board ask the guard how many requests cold hosts may get. It must
 // be called before the board is used.
 func (b *Board) LimitColdHosts(guard *warmup.Guard) { b.warmup = guard }
 
-// coldCandidates are the cold hosts that could run a request.
-type coldCandidates struct {
-	// found counts them, and open are those that may get the request.
+// coldHosts are the hosts of a service and model that were cold when its index was built.
+type coldHosts struct {
+	// found counts them. own are those to which this node may send.
 	found int
-	open  []candidate
+	own   []coldHost
+	// until is when the index is to be built again; zero if no host is cold.
+	until time.Time
+}
+
+type coldHost struct {
+	host   *fleet.Host
+	record *hostRecord
 }
 
-// add adds the candidate if its host is cold, and reports whether it is. The caller holds
-// mu of the board.
-func (cold *coldCandidates) add(b *Board, c candidate, q Query, now time.Time) bool {
-	room, limited := b.warmup.Room(q.Service, c.host, now)
-	if !limited {
+// add adds the host if it is cold, and reports whether it is.
+func (cold *coldHosts) add(guard *warmup.Guard, host *fleet.Host, r *hostRecord, q Query, now time.Time) bool {
+	until, quota := guard.ColdUntil(q.Service, host, now)
+	if until.IsZero() {
 		return false
 	}
-	cold.found++
-	if room > 0 && c.reported < c.limit {
-		c.load = float64(c.reported)
-		c.cost = c.load + b.penalty(c.host, c.record, q, now)*float64(c.limit)
-		cold.open = append(cold.open, c)
+	if earliest := now.Add(minColdRebuild); until.Before(earliest) {
+		until = earliest
+	}
+	if cold.found++; cold.until.IsZero() || until.Before(cold.until) {
+		cold.until = until
+	}
+	if quota > 0 {
+		cold.own = append(cold.own, coldHost{host, r})
 	}
 	return true
 }
 
-// closed returns the number of cold hosts that may not get the request.
-func (cold *coldCandidates) closed() int { return cold.found - len(cold.open) }
+// isOutdated reports whether a host has become warm.
+func (cold *coldHosts) isOutdated(now time.Time) bool {
+	return !cold.until.IsZero() && !now.Before(cold.until)
+}
 
-// cheapest returns the cold host with the lowest cost, unless a warm one that has room costs
-// no more. No other rule is needed to keep nodes from choosing the same host: few may send
-// to it, and each of them little. The caller holds mu of the board.
-func (cold *coldCandidates) cheapest(b *Board, warm []candidate, now time.Time) (chosen candidate, found bool) {
-	reportAge := b.reportAge(now)
-	for _, c := range cold.open {
-		if found && c.cost >= chosen.cost {
+// addCold adds the cold hosts that may get the request to a survey. Where many are cold, it
+// looks at some of them. The caller holds mu.
+func (b *Board) addCold(s *survey, x *loadIndex, q Query, now time.Time) {
+	s.coldFound = x.cold.found
+	own := x.cold.own
+	if len(own) == 0 {
+		return
+	}
+	first := int(b.random() * float64(len(own)))
+	for i := range min(len(own), maxCandidates) {
+		cold := own[(first+i)%len(own)]
+		s.looked++
+		if b.blockedBy(cold.host, cold.record, q, now) != ReasonNone {
+			continue
+		}
+		if room, limited := b.warmup.Room(q.Service, cold.host, now); !limited || room <= 0 {
 			continue
 		}
-		if reason, _ := b.setRoom(&c, reportAge, now); reason == ReasonNone {
+		c := b.candidate(cold.host, cold.record, q, now)
+		c.load = float64(c.reported)
+		c.cost = c.load + b.penalty(c.host, c.record, q, now)*float64(c.limit)
+		s.cold = append(s.cold, c)
+	}
+}
+
+// pickCold returns the cold host with the lowest cost, unless a warm one that has room costs
+// no more. No other rule is needed to keep nodes from choosing the same host: few may send
+// to it, and each of them little. The caller holds mu.
+func (b *Board) pickCold(s *survey, warm []candidate, now time.Time) (chosen candidate, found bool) {
+	reportAge := b.reportAge(now)
+	for _, c := range s.cold {
+		if reason, _ := b.setRoom(&c, reportAge, now); reason == ReasonNone && (!found || c.cost < chosen.cost) {
 			chosen, found = c, true
 		}
 	}
 	for _, c := range warm {
-		if found && c.cost <= chosen.cost {
+		if c.cost <= chosen.cost {
 			return candidate{}, false
 		}
 	}
 	return chosen, found
 }
 
-// coldRetryTime is the time over which callers are spread that return because only cold
-// hosts could run their requests. By then each node may send to them again.
-const coldRetryTime = 1250 * time.Millisecond
-
-// retryAfter returns when a caller should return that was refused because only cold hosts
-// could run its request. The caller holds mu of the board.
-func (cold *coldCandidates) retryAfter(b *Board) time.Duration {
+// coldRetryAfter returns when a caller should return that was refused because only cold hosts
+// could run its request. The caller holds mu.
+func (b *Board) coldRetryAfter() time.Duration {
 	return minRetryAfter + time.Duration(b.random()*float64(coldRetryTime))
 }
 
--- a/internal/request/place/cold_test.go
+++ b/internal/request/place/cold_test.go
@@ -133,3 +133,48 @@
 		}
 	}
 }
+
+// TestColdHostsStayOutOfTheSample guards against a large fleet whose sample of hosts, or whose
+// sums, contain cold ones, and against hosts that stay out after they have become warm.
+func TestColdHostsStayOutOfTheSample(t *testing.T) {
+	const heads, cold = 200, 60
+	var others []string
+	for i := range 5000 { // so many nodes that this one may send to few hosts
+		others = append(others, fmt.Sprint("node", i))
+	}
+	b, guard := coldNode("n", warmup.Bounds{Over: 1.5, Slack: 5}, others...)
+	service := engineService()
+	service.ColdPerSecond = 14
+	var hosts []*fleet.Host
+	for i := range heads {
+		host := openHead(fmt.Sprint("h", i))
+		if i < cold {
+			host.WarmAt = start.Add(2 * time.Second)
+		}
+		hosts = append(hosts, host)
+	}
+	v, query := view(hosts...), Query{Service: service, Model: "m"}
+	place := func(now time.Time) (atCold int) {
+		guard.Heard(now)
+		for range 1000 {
+			choice, refused := b.Choose(v, query, now)
+			if refused != nil {
+				t.Fatalf("got refusal %+v, want the request placed", refused)
+			}
+			if choice.Host.WarmAt.After(start) {
+				atCold++
+			}
+		}
+		return atCold
+	}
+	if got := place(start); got > 2 {
+		t.Errorf("got %d of 1000 requests at 60 cold hosts, want hardly any of one node among 5001", got)
+	}
+	s := b.survey(query.hosts(v), query, start)
+	if s.count != heads-cold || s.limit != (heads-cold)*10 || s.coldFound != cold {
+		t.Errorf("got %d hosts with a limit of %d and %d cold ones, want 140, 1400 and 60", s.count, s.limit, s.coldFound)
+	}
+	if got := place(start.Add(2 * time.Second)); got < 300 {
+		t.Errorf("got %d of 1000 requests at the 60 hosts after they had become warm, want them filled first", got)
+	}
+}
--- a/internal/request/place/loadindex.go
+++ b/internal/request/place/loadindex.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"currantladder.example/currantladder/internal/version/fleet"
 )
@@ -16,8 +17,11 @@
 type loadIndex struct {
 	// hosts is the view's list from which the index was built.
 	hosts []*fleet.Host
-	// records belong to the hosts, in the same order.
+	// warm are the hosts in the index, and records belong to them, in the same order.
+	// The others are in cold.
+	warm    []*fleet.Host
 	records []*hostRecord
+	cold    coldHosts
 	// entries are in ascending order of load. Those with a load of n or more begin at
 	// starts[n]; loads beyond the end of starts are at no host.
 	entries []*indexEntry
@@ -43,11 +47,11 @@
 type indexedModel struct{ service, model string }
 
 // index returns the index of the hosts, which the view holds for the query. It is built
-// anew when the view holds other hosts. The caller holds mu.
-func (b *Board) index(hosts []*fleet.Host, q Query) *loadIndex {
+// anew when the view holds other hosts, or when one has become warm. The caller holds mu.
+func (b *Board) index(hosts []*fleet.Host, q Query, now time.Time) *loadIndex {
 	key := indexedModel{q.Service.Name, q.Model}
 	former := b.indexes[key]
-	if former != nil && (isSameSlice(former.hosts, hosts) || slices.Equal(former.hosts, hosts)) {
+	if former != nil && !former.cold.isOutdated(now) && (isSameSlice(former.hosts, hosts) || slices.Equal(former.hosts, hosts)) {
 		former.hosts = hosts // the next comparison with the same view is short
 		return former
 	}
@@ -55,6 +59,10 @@
 	x := &loadIndex{hosts: hosts, starts: []int{0}}
 	for _, host := range hosts {
 		r := b.ensureHost(host.ID)
+		if x.cold.add(b.warmup, host, r, q, now) {
+			continue
+		}
+		x.warm = append(x.warm, host)
 		e := &indexEntry{index: x, host: host, record: r, load: indexedLoad(r)}
 		r.entry = e
 		x.records, x.entries = append(x.records, r), append(x.entries, e)
--- a/internal/request/place/room.go
+++ b/internal/request/place/room.go
@@ -31,6 +31,7 @@
 	ReasonWaiting     Reason = "asks for no requests"
 	ReasonFull        Reason = "full"
 	ReasonRateLimited Reason = "rate limit"
+	ReasonCold        Reason = "cold"
 )
 
 // blockedBy returns the rule by which a host gets no request at present, whatever its
--- a/internal/request/place/sample.go
+++ b/internal/request/place/sample.go
@@ -17,19 +17,16 @@
 // surveySample collects a sample of the hosts at even distances in the order of load, from
 // a random one on. Each host is in it with the same probability, and its loads are
 // distributed as those of all hosts, so that the shares of water-filling stay the same on
-// average. The sums are those of the index less the hosts that a rule leaves out; cold
-// hosts, which are few among so many, stay in the sums. The caller holds mu.
+// average. The sums are those of the index less the hosts that a rule leaves out. The
+// caller holds mu.
 func (b *Board) surveySample(x *loadIndex, q Query, now time.Time) survey {
 	n := len(x.entries)
 	s := survey{index: x, candidates: make([]candidate, 0, maxCandidates), count: n, load: x.load, ownInFlight: x.own}
 	distance := float64(n) / maxCandidates
 	for position := b.random() * distance; len(s.candidates) < maxCandidates && position < float64(n); position += distance {
 		e := x.entries[int(position)]
-		if b.blockedBy(e.host, e.record, q, now) != ReasonNone {
-			continue
-		}
-		if c := b.candidate(e.host, e.record, q, now); !s.cold.add(b, c, q, now) {
-			s.candidates = append(s.candidates, c)
+		if b.blockedBy(e.host, e.record, q, now) == ReasonNone {
+			s.candidates = append(s.candidates, b.candidate(e.host, e.record, q, now))
 		}
 	}
 	s.looked = maxCandidates
@@ -100,14 +97,10 @@
 			break
 		}
 		s.looked++
-		if b.blockedBy(e.host, e.record, q, now) != ReasonNone {
-			continue
-		}
-		if c := b.candidate(e.host, e.record, q, now); !further.cold.add(b, c, q, now) {
-			further.candidates = append(further.candidates, c)
+		if b.blockedBy(e.host, e.record, q, now) == ReasonNone {
+			further.candidates = append(further.candidates, b.candidate(e.host, e.record, q, now))
 		}
 	}
-	s.cold.open = append(s.cold.open, further.cold.open...)
 	b.estimateLoad(&further, q, now)
 	found := slices.DeleteFunc(b.withRoom(&further, now), func(c candidate) bool { return c.limited })
 	if len(found) > 0 {
--- a/internal/request/warmup/warmup.go
+++ b/internal/request/warmup/warmup.go
@@ -150,8 +150,30 @@
 
 // isCold reports whether a host is cold, or may be because it has just begun to take
 // requests.
-func isCold(host *fleet.Host, now time.Time) bool {
-	return now.Before(host.WarmAt) || !host.ServingSince.IsZero() && now.Before(host.ServingSince.Add(openingTime))
+func isCold(host *fleet.Host, now time.Time) bool { return now.Before(coldUntil(host)) }
+
+// coldUntil returns until when a host counts as cold.
+func coldUntil(host *fleet.Host) time.Time {
+	if host.ServingSince.IsZero() {
+		return host.WarmAt
+	}
+	if opened := host.ServingSince.Add(openingTime); opened.After(host.WarmAt) {
+		return opened
+	}
+	return host.WarmAt
+}
+
+// ColdUntil returns until when a host that is cold now has a limit, and how many requests this
+// node may send to it within a window while it knows the other nodes. It returns the zero
+// time for a host without a limit.
+func (g *Guard) ColdUntil(service *fleet.Service, host *fleet.Host, now time.Time) (until time.Time, quota int) {
+	total, limited := g.perWindow(service)
+	if !limited || !isCold(host, now) {
+		return time.Time{}, 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return coldUntil(host), g.quota(g.state(host.ID), host.ID, total)
 }
 
 // Sent counts a request that is about to be sent to a host, warm or cold: a host that has
