--- a/internal/connection/intake/intake_test.go
+++ b/internal/connection/intake/intake_test.go
@@ -71,6 +71,13 @@
 	}
 	defer content.Close()
 	n.whole.Add(1)
+	if r.URL.Path == "/runs" {
+		time.Sleep(2 * testTimeout)
+		if err := r.Context().Err(); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+	}
 	fmt.Fprint(w, len(content.Bytes))
 }
 
@@ -126,6 +133,20 @@
 	})
 }
 
+// TestRequestOutlivesTheTimesOfItsBody guards against a request that ends as if its caller
+// had left, because the connection keeps the read deadline of the body.
+func TestRequestOutlivesTheTimesOfItsBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := startNode(t)
+		for _, size := range []int{1, directBytes + 1} {
+			_, reader := n.send(t, post("/runs", "", size, size))
+			if status, content := answer(t, reader); status != http.StatusOK {
+				t.Errorf("%d bytes: got status %d, %s; want 200", size, status, content)
+			}
+		}
+	})
+}
+
 // TestTooLongBodiesAreRefused guards against bodies over the limit that are held or read to
 // their end.
 func TestTooLongBodiesAreRefused(t *testing.T) {
