Admission by rank: thresholds on sums, promised times to return

Callers of fleets of over 16 nodes saw, in a sixfold flood of the least urgent rank, that rank earn more than the one above it on the same model. Shedding was a random share by utilization that took no account of how a more urgent rank was served.

Package admission lowers the load at which a rank is shed while a more urgent rank of the model has a smaller share of its requests on time. Nodes exchange counts of ended requests by model and rank in a new field of the digests, which older nodes ignore. Where nodes choose alone, the admitted share is a part of each 0.3 s at a position by account and failure domain, so that a caller that returns as told is admitted at any node. Where one node chooses the groups for all, the threshold lowers the rank's limit at each group.

Small fleets draw the same random numbers.

--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -23,6 +24,10 @@
 	call           *call
 	done           bool
 	refusedBefore  bool
+	account        string
+	// returnedAsTold is true while the request returns when the last refusal told it to,
+	// and promised if it was promised to be served then.
+	returnedAsTold, promised bool
 	// parts are the shared parts of the prompt. crashes is true if one of them crashes
 	// hosts.
 	parts   []string
@@ -97,7 +102,8 @@
 	source := sim.arrivals[kind.Name]
 	random := rand.New(source)
 	r := &request{
-		sim: sim, kind: kind, sentAt: sim.now, deadline: sim.now + kind.RequestTimeout, retriesLeft: kind.CallerRetries, silenceTimeout: kind.SilenceTimeout,
+		account: sim.randomAccount(),
+		sim:     sim, kind: kind, sentAt: sim.now, deadline: sim.now + kind.RequestTimeout, retriesLeft: kind.CallerRetries, silenceTimeout: kind.SilenceTimeout,
 		promptTokens: randomTokens(source, kind.MeanPromptTokens, kind.PromptSigma, kind.MaxPromptTokens),
 		answerTokens: randomTokens(source, kind.MeanAnswerTokens, kind.AnswerSigma, kind.MaxAnswerTokens),
 	}
@@ -122,7 +128,7 @@
 	for i := 0; !node.alive && i < len(sim.nodes); i++ {
 		node = sim.nodes[(i+sim.random.IntN(len(sim.nodes)))%len(sim.nodes)]
 	}
-	c := &call{node: node, kind: r.kind, promptTokens: r.promptTokens, answerTokens: r.answerTokens, deliveredTokens: r.receivedTokens, deadline: r.deadline, crashes: r.crashes, identity: sim.identity(r.kind, r.parts)}
+	c := &call{node: node, kind: r.kind, promptTokens: r.promptTokens, answerTokens: r.answerTokens, deliveredTokens: r.receivedTokens, deadline: r.deadline, account: r.account, crashes: r.crashes, identity: sim.identity(r.kind, r.parts)}
 	r.call = c
 	r.lastEventAt = sim.now
 	ifCurrent := func(f func()) func() {
@@ -135,9 +141,9 @@
 	c.onEvent = ifCurrent(r.recordEvent)
 	c.onCompleted = ifCurrent(func() { r.end(outcomeServed) })
 	c.onAborted = ifCurrent(func() { r.retryOrEnd(0, outcomeFailed) })
-	c.onRefused = func(retryAfter time.Duration) {
+	c.onRefused = func(retryAfter time.Duration, promised bool) {
 		if r.call == c && !r.done {
-			r.handleRefusal(retryAfter)
+			r.handleRefusal(retryAfter, promised)
 		}
 	}
 	sim.after(sim.sheet.Run.CallerDelay, func() { node.serve(c) })
@@ -174,7 +180,7 @@
 
 // handleRefusal records a refusal and calls retryOrEnd with the time to wait that
 // the refusal gives, or with 0 if the caller ignores that time.
-func (r *request) handleRefusal(retryAfter time.Duration) {
+func (r *request) handleRefusal(retryAfter time.Duration, promised bool) {
 	r.sim.result.recordRefusal(r)
 	if r.refusedBefore {
 		r.sim.result.RepeatedRefusals++
@@ -183,6 +189,8 @@
 	if r.retriesAtOnce {
 		retryAfter = 0
 	}
+	returns := r.retriesLeft > 0 && !r.retriesAtOnce && retryAfter > 0 && retryAfter <= (r.deadline-r.sim.now)/3
+	r.sim.result.recordReturn(r, returns, promised)
 	r.retryOrEnd(retryAfter, outcomeRefused)
 }
 
@@ -257,3 +265,23 @@
 	maxSizeWorth      = 4.0
 	answerTokenWeight = 10
 )
+
+// The model's callers belong to accounts, of which a few are large: account n sends in
+// proportion to 1/n.
+const accounts = 24
+
+// randomAccount draws the account of a request. Its random numbers are not those of the
+// other parts of the model.
+func (sim *simulation) randomAccount() string {
+	total := 0.0
+	for n := range accounts {
+		total += 1 / float64(n+1)
+	}
+	remaining := sim.accountRandom.Float64() * total
+	for n := range accounts {
+		if remaining -= 1 / float64(n+1); remaining < 0 {
+			return fmt.Sprint("account", n)
+		}
+	}
+	return "account0"
+}
--- a/internal/experiment/exchange.go
+++ b/internal/experiment/exchange.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"currantladder.example/currantladder/internal/request/admission"
 	"currantladder.example/currantladder/internal/request/ratelimit"
 )
 
@@ -19,7 +20,11 @@
 			sum[id] += sign * n
 		}
 	}
-	type ownCounts struct{ inFlight, sent map[string]int }
+	type ownCounts struct {
+		inFlight, sent map[string]int
+		ended          []admission.Sum
+	}
+	var ended []admission.Sum
 	own := make([]ownCounts, len(sim.nodes))
 	var limits []ratelimit.Report
 	for i, n := range sim.nodes {
@@ -27,7 +32,8 @@
 			continue
 		}
 		live++
-		own[i] = ownCounts{n.board.InFlight(), n.board.SentToLimited(sim.time())}
+		own[i] = ownCounts{n.board.InFlight(), n.board.SentToLimited(sim.time()), n.board.Admission().Sums(sim.time())}
+		ended = admission.Add(ended, own[i].ended)
 		add(total, own[i].inFlight, 1)
 		add(totalSent, own[i].sent, 1)
 		suspects = append(suspects, n.board.Suspects(sim.time())...)
@@ -42,10 +48,12 @@
 		board, counts, sent := to.board, maps.Clone(total), maps.Clone(totalSent)
 		add(counts, own[i].inFlight, -1)
 		add(sent, own[i].sent, -1)
+		endedElsewhere := admission.Subtract(ended, own[i].ended)
 		if !sim.policy.sharedBoard {
 			sim.after(sim.sheet.Run.DigestDelay, func() {
 				board.Merge(hubReportName, counts, live-1, suspects, sim.time())
 				board.MergeRateLimits(hubReportName, limits, sent, sim.time())
+				board.Admission().Merge(hubReportName, endedElsewhere, sim.time())
 			})
 		}
 		to.serveQueue()
@@ -66,11 +74,13 @@
 		counts, suspects := from.board.InFlight(), from.board.Suspects(sim.time())
 		slices.Sort(suspects)
 		sent, limits := from.board.SentToLimited(sim.time()), from.board.RateLimits(false, sim.time())
+		ended := from.board.Admission().Sums(sim.time())
 		for _, to := range sim.nodes {
 			if to != from && to.alive && to.board != from.board {
 				sim.after(sim.sheet.Run.LinkDelay, func() {
 					to.board.Merge(from.name, counts, 1, suspects, sim.time())
 					to.board.MergeRateLimits(from.name, limits, sent, sim.time())
+					to.board.Admission().Merge(from.name, ended, sim.time())
 				})
 			}
 		}
--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"currantladder.example/currantladder/internal/request/admission"
 	"currantladder.example/currantladder/internal/request/coordinate"
 	"currantladder.example/currantladder/internal/request/forward"
 	"currantladder.example/currantladder/internal/request/place"
@@ -46,6 +47,11 @@
 	preferredHost string
 	attempt       *attempt
 	done          bool
+	account       string
+	// receivedAt is when the node got the call. judged is true once the node has counted
+	// it as on time or not; firstEventAt and lastEventAt are 0 before the first event.
+	receivedAt, firstEventAt, lastEventAt time.Duration
+	judged                                bool
 	// mayHaveRun is true once an engine may have started the call.
 	mayHaveRun bool
 	nextMoveAt time.Duration
@@ -57,7 +63,7 @@
 	isTrial  bool
 	// onEvent, onRefused, onAborted and onCompleted run at the caller.
 	onEvent     func()
-	onRefused   func(retryAfter time.Duration)
+	onRefused   func(retryAfter time.Duration, promised bool)
 	onAborted   func()
 	onCompleted func()
 }
@@ -94,6 +100,7 @@
 		return
 	}
 	n.calls[c] = true
+	c.receivedAt = n.now
 	if n.refusesPoison(c) {
 		return
 	}
@@ -132,7 +139,31 @@
 	if refusal.Candidates == 0 {
 		retryAfter = forward.NoEndpointRetryAfter
 	}
-	n.finish(c, func() { c.onRefused(retryAfter) })
+	n.judge(c, false)
+	n.finish(c, func() { c.onRefused(retryAfter, refusal.Promised) })
+}
+
+// judge counts a call for admission as on time or not, once.
+func (n *node) judge(c *call, onTime bool) {
+	if !c.judged {
+		c.judged = true
+		n.board.Admission().Ended(admission.Model{Service: serviceName, Name: c.kind.Model}, c.kind.Rank, onTime, n.time())
+	}
+}
+
+// judgeEvent counts a call as late when an event comes after its target.
+func (n *node) judgeEvent(c *call) {
+	if c.firstEventAt == 0 {
+		c.firstEventAt, c.lastEventAt = n.now, n.now
+		if n.now-c.receivedAt > c.kind.FirstEventTarget {
+			n.judge(c, false)
+		}
+		return
+	}
+	if c.kind.EventGapTarget > 0 && n.now-c.lastEventAt > c.kind.EventGapTarget {
+		n.judge(c, false)
+	}
+	c.lastEventAt = n.now
 }
 
 // finish ends a call. notify runs after the delay of the link to the caller.
@@ -146,7 +177,7 @@
 }
 
 func (c *call) query(service *fleet.Service) place.Query {
-	return place.Query{Service: service, Model: c.kind.Model, Rank: c.kind.Rank, Exclude: c.triedHosts, Preferred: c.preferredHost}
+	return place.Query{Service: service, Model: c.kind.Model, Rank: c.kind.Rank, Exclude: c.triedHosts, Preferred: c.preferredHost, Account: c.account, TimeLeft: c.deadline - c.node.now}
 }
 
 // startAttempt chooses a group for a call and sends the call to it.
@@ -204,6 +235,7 @@
 	c.mayHaveRun = true
 	if generatedTokens > c.deliveredTokens {
 		c.deliveredTokens = generatedTokens
+		n.judgeEvent(c)
 		n.after(n.sheet.Run.CallerDelay, c.onEvent)
 	}
 }
@@ -227,6 +259,7 @@
 	}
 	if taskEnd == taskCompleted {
 		n.endAttempt(c, place.OutcomeAnswered)
+		n.judge(c, true)
 		n.finish(c, c.onCompleted)
 		return
 	}
--- a/internal/experiment/poison.go
+++ b/internal/experiment/poison.go
@@ -91,7 +91,7 @@
 	if !c.crashes {
 		n.result.Poison.SoundRefused++
 	}
-	n.finish(c, func() { c.onRefused(0) })
+	n.finish(c, func() { c.onRefused(0, false) })
 	return true
 }
 
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -43,6 +43,10 @@
 	OfferedWorth, EarnedWorth                float64
 	// Large counts the requests with the longest tenth of the prompts.
 	Large LargeResult
+	// Returned counts the callers that returned after a refusal when they were told to,
+	// and RefusedAgain those of them that were refused again. Promised and Broken count
+	// those that were promised to be served.
+	Returned, RefusedAgain, Promised, Broken int
 	// FirstEventMicros holds the times to the first event in microseconds.
 	FirstEventMicros *hdrhistogram.Histogram
 	Seconds          []SecondResult
@@ -121,6 +125,24 @@
 
 func (r *Result) recordRefusal(req *request) { r.second(req).Refusals++ }
 
+// recordReturn records what a refusal told a caller, which returns as told or not, and
+// whether it had returned as it was told before.
+func (r *Result) recordReturn(req *request, returns, promised bool) {
+	kind := r.byKind[req.kind.Name]
+	if req.returnedAsTold {
+		kind.RefusedAgain++
+	}
+	if req.promised {
+		kind.Broken++
+	}
+	if req.returnedAsTold, req.promised = returns, returns && promised; returns {
+		kind.Returned++
+		if promised {
+			kind.Promised++
+		}
+	}
+}
+
 func (r *Result) recordOutcome(req *request, o outcome) {
 	kind, s := r.byKind[req.kind.Name], r.second(req)
 	if req.hasEvent {
@@ -240,6 +262,13 @@
 	for _, r := range results {
 		fmt.Fprintf(t, "%s\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d\t\n", r.Policy.Name, r.EarnedShare(), r.WorstSpanShare(worstSpanSeconds), r.Moves, r.RepeatedRefusals, r.Orders, r.Loads, r.IncompleteGroups)
 	}
+	fmt.Fprintln(t, "\npolicy\tkind\treturned as told\tserved then\tpromised\tserved then\t")
+	for _, r := range results {
+		for _, k := range r.Kinds {
+			served := func(n, refused int) string { return fmt.Sprintf("%.3f", 1-float64(refused)/float64(max(n, 1))) }
+			fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%s\t\n", r.Policy.Name, k.Kind.Name, k.Returned, served(k.Returned, k.RefusedAgain), k.Promised, served(k.Promised, k.Broken))
+		}
+	}
 	writePoison(t, results)
 	writeLimits(t, results)
 	if err := t.Flush(); err != nil {
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -49,6 +49,8 @@
 	// may coordinate each key.
 	coordinated bool
 	orders      map[coordinate.Key][]string
+	// accountRandom draws the accounts of requests.
+	accountRandom *rand.Rand
 }
 
 // ErrStopped is returned by Run when its context ends before the simulation does.
@@ -86,6 +88,7 @@
 	sim.result = newResult(sheet, policy)
 	sim.hosts = newHostPool(sim.clock, sheet, sim.random, warmUpTime)
 	sim.hosts.onPublished = sim.publishHosts
+	sim.accountRandom = rand.New(rand.NewPCG(sheet.Run.Seed, sequence+2))
 	sim.poison.random = rand.New(rand.NewPCG(sheet.Run.Seed, sequence+1))
 	sim.hosts.onCrash = func() {
 		sim.poison.crashes = append(sim.poison.crashes, sim.now)
--- a/internal/process/gateway/digest.go
+++ b/internal/process/gateway/digest.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/process/leader"
+	"currantladder.example/currantladder/internal/request/admission"
 	"currantladder.example/currantladder/internal/request/forward"
 	"currantladder.example/currantladder/internal/request/place"
 	"currantladder.example/currantladder/internal/request/poison"
@@ -88,6 +89,8 @@
 	// Known is the number of nodes that the sender knows, running or not; 0 where the
 	// deployment has no limits for cold hosts.
 	Known int `json:"known,omitempty"`
+	// Ended counts the requests that ended lately at these nodes, by model and rank.
+	Ended []admission.Sum `json:"ended,omitempty"`
 	// Suspects are the head hosts of groups that are suspected to be stalled.
 	Suspects []string `json:"suspects,omitempty"`
 	// HadTraffic is true once any node has received a request.
@@ -181,8 +184,9 @@
 	own := digest{
 		Kind: digestOwn, Node: p.node, Row: p.self, InFlight: p.board.InFlight(), Nodes: 1, Suspects: p.board.Suspects(now),
 		HadTraffic: p.hadTraffic(), HasFreshFeeds: p.hasFreshFeeds(), Leader: p.candidate.Notice(),
-		Poison: p.poison.Digest(now), Sent: p.board.SentToLimited(now), Known: p.warmup.Nodes(),
+		Poison: p.poison.Digest(now), Sent: p.board.SentToLimited(now), Known: p.warmup.Nodes(), Ended: p.board.Admission().Sums(now),
 	}
+	ended := p.board.Admission().Reported(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reported := p.board.Reported(now) // with the numbers of the members' digests
@@ -203,14 +207,17 @@
 	}
 	members := p.members(reported)
 	if hub == p.node || len(members) > 0 {
-		out = append(out, p.domainDigests(own, members, reported, tick, now)...)
+		out = append(out, p.domainDigests(own, members, reported, ended, tick, now)...)
 	}
 	if tick%ticksPerMemberDigest == 0 {
 		all := &packedDigest{digest: allDigest(own, reported)}
+		all.digest.Ended = endedSums(own.Ended, ended, func(other string) bool { return other != hubReportName })
 		for _, name := range members {
 			member := p.byName[name]
 			if !member.packed {
-				out = append(out, outgoingDigest{address: member.Address, digest: memberDigest(own, name, reported)})
+				rest := memberDigest(own, name, reported)
+				rest.Ended = endedSums(own.Ended, ended, func(other string) bool { return other != name && other != hubReportName })
+				out = append(out, outgoingDigest{address: member.Address, digest: rest})
 				continue
 			}
 			toMember := all.outgoing(member)
@@ -315,6 +322,7 @@
 	if known {
 		p.board.Merge(name, d.InFlight, d.Nodes, d.Suspects, now)
 		p.board.MergeRateLimits(name, d.RateLimits, d.Sent, now)
+		p.board.Admission().Merge(name, d.Ended, now)
 	}
 }
 
--- a/internal/process/gateway/digestsum.go
+++ b/internal/process/gateway/digestsum.go
@@ -2,8 +2,10 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"currantladder.example/currantladder/internal/request/admission"
 	"currantladder.example/currantladder/internal/request/place"
 )
 
@@ -15,6 +17,7 @@
 type ownCounts struct {
 	sentAt         time.Time
 	inFlight, sent map[string]int
+	ended          []admission.Sum
 }
 
 // ownDigests numbers a member's digests and keeps their counts. A digest of the hub that
@@ -43,7 +46,7 @@
 		o.last = 1 // 0 acknowledges nothing
 	}
 	d.Seq = o.last
-	o.counts[d.Seq] = ownCounts{now, d.InFlight, d.Sent}
+	o.counts[d.Seq] = ownCounts{now, d.InFlight, d.Sent, d.Ended}
 }
 
 // takeOff returns a digest of all nodes without this one. It returns false if the digest
@@ -54,6 +57,7 @@
 	}
 	own, known := o.counts[d.Ack]
 	d.InFlight, d.Sent = subtractCounts(d.InFlight, own.inFlight), subtractCounts(d.Sent, own.sent)
+	d.Ended = admission.Subtract(d.Ended, own.ended)
 	d.Nodes--
 	return d, known
 }
@@ -78,7 +82,7 @@
 
 // domainDigests returns the digests to the hubs of the other failure domains. The
 // caller must hold mu.
-func (p *peers) domainDigests(own digest, members []string, reported map[string]place.Report, tick int, now time.Time) []outgoingDigest {
+func (p *peers) domainDigests(own digest, members []string, reported map[string]place.Report, ended map[string][]admission.Sum, tick int, now time.Time) []outgoingDigest {
 	sum := own
 	sum.Kind, sum.Nodes = digestSum, 1+len(members)
 	sum.InFlight, sum.Sent = addCounts(nil, own.InFlight), addCounts(nil, own.Sent)
@@ -86,6 +90,7 @@
 		sum.InFlight = addCounts(sum.InFlight, reported[name].InFlight)
 		sum.Sent = addCounts(sum.Sent, reported[name].Sent)
 	}
+	sum.Ended = endedSums(own.Ended, ended, func(name string) bool { return slices.Contains(members, name) })
 	packed := &packedDigest{digest: sum}
 	domains := map[string]bool{}
 	for _, other := range p.byName {
--- a/internal/request/forward/core.go
+++ b/internal/request/forward/core.go
@@ -155,6 +155,8 @@
 	// deadline is when the request must end: the earlier of the caller's time
 	// limit and the route's timeout.
 	deadline time.Time
+	// judged is true once admission has counted the request.
+	judged bool
 	// triedHosts lists the IDs of the hosts chosen so far.
 	triedHosts []string
 	// preferredHost is the choice of the coordinating node for the first attempt, or "".
@@ -292,7 +294,10 @@
 
 // query describes the next attempt.
 func (s *requestState) query() place.Query {
-	query := place.Query{Service: s.service, Rank: s.rank, Exclude: s.triedHosts, FailureDomain: s.FailureDomain, Preferred: s.preferredHost}
+	query := place.Query{
+		Service: s.service, Rank: s.rank, Exclude: s.triedHosts, FailureDomain: s.FailureDomain, Preferred: s.preferredHost,
+		Account: s.account, TimeLeft: time.Until(s.deadline),
+	}
 	if s.service.Engine != nil {
 		query.Model = s.request.Model
 	}
@@ -324,6 +329,7 @@
 		"request": s.request.ID, "service": s.service.Name, "model": query.Model, "rank": s.rank,
 		"candidates": none.Candidates, "waiting": none.Waiting, "cold": none.Cold, "load": none.Load, "limit": none.Limit, "hosts_version": view.HostsVersion,
 		"hosts_age_ms": time.Since(view.HostsRead).Milliseconds(), "attempt": len(s.triedHosts) + 1,
+		"admitted_share": none.AdmittedShare, "promised": none.Promised,
 	})
 	if none.Cold > 0 {
 		s.Metrics.Counter("place_refused_beside_cold").Inc(1)
@@ -338,6 +344,7 @@
 	if none.RateLimited {
 		return refusal.New(refusal.KindOverloaded, http.StatusTooManyRequests, "the endpoints take no more requests a second; send the request again after the given time").WithRetryAfter(none.RetryAfter)
 	}
+	s.countAdmission(none)
 	return refusal.New(refusal.KindOverloaded, http.StatusTooManyRequests, "all endpoints are full; send the request again after the given time").WithRetryAfter(none.RetryAfter)
 }
 
@@ -385,6 +392,7 @@
 		e = refusal.NewMayHaveRun(e.Kind, http.StatusBadGateway, e.Message)
 	}
 	e.RequestID = s.request.ID
+	s.recordRefused(e)
 	s.count("refused", string(e.Kind))
 	s.Log.LogLimited(eventlog.RequestRefused, eventlog.Fields{
 		"request": s.request.ID, "kind": e.Kind, "status": e.Status, "ran": e.Ran, "retry_after_ms": e.RetryAfter.Milliseconds(),
--- a/internal/request/forward/stream.go
+++ b/internal/request/forward/stream.go
@@ -189,6 +189,9 @@
 	}
 	s.events++
 	s.lastEventAt = now
+	if s.isLate() {
+		s.recordServed(false)
+	}
 	if e.id != "" {
 		s.lastID = e.id
 	}
@@ -215,8 +218,9 @@
 	s.Log.LogLimited(eventlog.RequestAnswered, eventlog.Fields{
 		"request": s.request.ID, "status": http.StatusOK, "events": s.events, "attempts": len(s.triedHosts),
 		"first_ms": s.firstEventLatency.Milliseconds(), "longest_pause_ms": s.longestPause.Milliseconds(), "took_ms": took.Milliseconds(),
-		"late": s.route.LatencyTarget > 0 && s.firstEventLatency > s.route.LatencyTarget || s.route.PauseTarget > 0 && s.longestPause > s.route.PauseTarget,
+		"late": s.isLate(),
 	})
+	s.recordServed(!s.isLate())
 }
 
 // handleFailure handles an attempt that ended early. The other attempts go on if
@@ -327,6 +331,7 @@
 // closes the caller's connection.
 func (s *streamState) abort(reason string) {
 	s.count("cut", "")
+	s.recordServed(false)
 	s.Log.Log(eventlog.StreamIncomplete, eventlog.Fields{
 		"request": s.request.ID, "reason": reason, "events": s.events, "attempts": len(s.triedHosts),
 		"took_ms": time.Since(s.request.Received).Milliseconds(),
--- a/internal/request/place/board.go
+++ b/internal/request/place/board.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/time/rate"
 
+	"currantladder.example/currantladder/internal/request/admission"
 	"currantladder.example/currantladder/internal/request/ratelimit"
 	"currantladder.example/currantladder/internal/request/warmup"
 	"currantladder.example/currantladder/internal/version/fleet"
@@ -68,7 +69,8 @@
 	// host's registration, which may lapse and come back within one life.
 	waits map[string]*wait
 	// warmup limits the requests to cold hosts; nil for no limit.
-	warmup *warmup.Guard
+	warmup    *warmup.Guard
+	admission *admission.Controller
 	// random returns numbers in [0, 1).
 	random func() float64
 }
@@ -98,7 +100,7 @@
 // NewBoardFrom returns an empty board that takes its random numbers in [0, 1)
 // from the given source.
 func NewBoardFrom(random func() float64) *Board {
-	return &Board{hosts: make(map[string]*hostRecord), reports: make(map[string]remoteReport), indexes: make(map[indexedModel]*loadIndex), impaired: make(map[string]struct{}), limiter: ratelimit.New(), returns: make(map[string]*rate.Limiter), waits: make(map[string]*wait), random: random}
+	return &Board{hosts: make(map[string]*hostRecord), reports: make(map[string]remoteReport), indexes: make(map[indexedModel]*loadIndex), impaired: make(map[string]struct{}), limiter: ratelimit.New(), returns: make(map[string]*rate.Limiter), waits: make(map[string]*wait), admission: admission.New(random), random: random}
 }
 
 // ensureHost returns the record of the host and creates it if there is none. The
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -32,6 +32,10 @@
 	Preferred string
 	// TrustsGroups is true if the caller knows by itself which groups are stalled.
 	TrustsGroups bool
+	// Account is the client account, "" if there are none.
+	Account string
+	// TimeLeft is the time until the caller gives up; 0 means that it is not known.
+	TimeLeft time.Duration
 }
 
 // Choice is the endpoint chosen for a request, with the load that was seen there.
@@ -61,8 +65,13 @@
 	// Cold is the number of endpoints that could run it but are cold and may get no more
 	// requests of this node now.
 	Cold int
-	// RetryAfter is the delay after which room is expected.
+	// RetryAfter is the delay after which room is expected. Promised is true if admission
+	// set it: the caller is then admitted at any node of its failure domain.
 	RetryAfter time.Duration
+	Promised   bool
+	// AdmittedShare is the share of the requests of the rank that is admitted, 1 where
+	// admission refuses none.
+	AdmittedShare float64
 }
 
 // Choose selects an endpoint for a request and counts the request as started
@@ -75,7 +84,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.survey(q.hosts(view), q, now)
-	refusal := &Refusal{Candidates: s.count, Load: s.load, Limit: s.limit, Waiting: s.waiting, Cold: s.coldFound - len(s.cold), RetryAfter: minRetryAfter}
+	refusal := &Refusal{Candidates: s.count, Load: s.load, Limit: s.limit, Waiting: s.waiting, Cold: s.coldFound - len(s.cold), RetryAfter: minRetryAfter, AdmittedShare: 1}
 	if s.count == 0 && s.coldFound == 0 && s.waiting > 0 {
 		refusal.RetryAfter = b.waitRetryAfter(s.firstWaitEnd, now)
 		return Choice{}, refusal
@@ -89,6 +98,7 @@
 	if len(candidates) == 0 && s.index != nil {
 		candidates = b.lookFurther(&s, q, now)
 	}
+	admitted, share := b.admit(q, &s, now)
 	if chosen, found := b.pickCold(&s, candidates, now); found {
 		return b.started(chosen, q, true, now), nil
 	}
@@ -99,8 +109,9 @@
 		refusal.Candidates, refusal.RetryAfter = s.coldFound, b.coldRetryAfter()
 		return Choice{}, refusal
 	}
-	if s.notFull == 0 || b.random() < b.sheddingProbability(q, refusal, now) {
-		refusal.RetryAfter = b.retryAfter(q, refusal)
+	if s.notFull == 0 || !admitted {
+		refusal.AdmittedShare = share
+		refusal.RetryAfter, refusal.Promised = b.retryAfter(q, refusal, now)
 		return Choice{}, refusal
 	}
 	requests := max(1, b.unreportedShare(now)*float64(s.load))
--- a/internal/request/place/preferred.go
+++ b/internal/request/place/preferred.go
@@ -20,7 +20,12 @@
 	if _, limited := b.warmup.Room(q.Service, host, now); limited {
 		return 0
 	}
-	return b.rampedLimit(host, hostLimit(host, q), now)
+	limit := hostLimit(host, q)
+	if b.usesAdmission(q, now) {
+		// A rank that yields to more urgent ones has less headroom.
+		limit = max(int(b.admission.Threshold(q.admission(0, 0).Model, q.Rank, now)*float64(limit)), 1)
+	}
+	return b.rampedLimit(host, limit, now)
 }
 
 // RetryAfter estimates when there is room for a request that a node with newer counts
@@ -29,8 +34,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.survey(q.hosts(view), q, now)
-	refusal := &Refusal{Candidates: s.count, Load: s.load, Limit: s.limit}
-	refusal.RetryAfter = b.retryAfter(q, refusal)
+	refusal := &Refusal{Candidates: s.count, Load: s.load, Limit: s.limit, AdmittedShare: 1}
+	refusal.RetryAfter, _ = b.retryAfter(q, refusal, now)
 	return refusal
 }
 
--- a/internal/request/place/refuse.go
+++ b/internal/request/place/refuse.go
@@ -1,45 +1,74 @@
 package place
 
-import "time"
+import (
+	"time"
 
+	"currantladder.example/currantladder/internal/request/admission"
+)
+
+// minRetryAfter and maxRetryAfter bound the retry delay of a refused request.
 const (
-	// In a large fleet, load shedding refuses a random share of the requests.
-	// The share rises from none at the first utilization to all at the second.
-	// Reports there are some hundred milliseconds old; without shedding, requests
-	// beyond the engines' batches queue until nearly all answers are late.
-	sheddingStartUtilization = 0.78
-	sheddingEndUtilization   = 1.0
-	// minRetryAfter and maxRetryAfter bound the retry delay of a refused request.
 	minRetryAfter = 150 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 )
 
-// sheddingProbability is the probability with which a request is refused although
-// there is room, so that the requests that are served are on time.
-func (b *Board) sheddingProbability(q Query, totals *Refusal, now time.Time) float64 {
-	if q.Service.Engine == nil || totals.Limit == 0 || b.liveNodes(now) <= MaxDirectNodes {
-		return 0
+// Admission returns the admission of this node, whose sums the nodes exchange.
+func (b *Board) Admission() *admission.Controller { return b.admission }
+
+// usesAdmission reports whether requests are refused although groups have room, so that
+// those that are served are on time. Where reports reach all nodes directly, groups are
+// filled up to their limits. The caller holds mu.
+func (b *Board) usesAdmission(q Query, now time.Time) bool {
+	return q.Service.Engine != nil && b.liveNodes(now) > MaxDirectNodes
+}
+
+// admit reports whether admission allows a request, and the share of the requests of its
+// rank that it allows. The caller holds mu.
+func (b *Board) admit(q Query, s *survey, now time.Time) (admitted bool, share float64) {
+	chance := 0.0
+	if s.notFull > 0 {
+		chance = b.random()
+	}
+	if s.count == 0 || !b.usesAdmission(q, now) {
+		return true, 1
 	}
-	utilization := float64(totals.Load) / float64(totals.Limit)
-	return min(max((utilization-sheddingStartUtilization)/(sheddingEndUtilization-sheddingStartUtilization), 0), 1)
+	decision := b.admission.Decide(q.admission(s.load, s.limit), now)
+	if len(q.Exclude) > 0 { // a further attempt does not follow the time of its caller
+		return chance < decision.Share, decision.Share
+	}
+	return decision.Admitted, decision.Share
 }
 
-// retryAfter estimates when there is room for a refused request. Full groups free
-// slots at the rate at which they complete requests.
-func (b *Board) retryAfter(q Query, r *Refusal) time.Duration {
+// admission returns what admission depends on, for sums over the groups.
+func (q Query) admission(load, limit int) admission.Request {
+	return admission.Request{
+		Model: admission.Model{Service: q.Service.Name, Name: q.Model}, Rank: q.Rank, Load: load, Limit: limit,
+		Account: q.Account, FailureDomain: q.FailureDomain, TimeLeft: q.TimeLeft,
+	}
+}
+
+// retryAfter estimates when there is room for a refused request. Full groups free slots at
+// the rate at which they complete requests. Where admission sets the time, it is a promise.
+// The caller holds mu.
+func (b *Board) retryAfter(q Query, r *Refusal, now time.Time) (after time.Duration, promised bool) {
 	if q.Service.Engine == nil || r.Candidates == 0 {
-		return maxRetryAfter / 4
+		return maxRetryAfter / 4, false
 	}
 	model := q.Service.Engine.Model(q.Model)
 	if model == nil {
-		return maxRetryAfter
+		return maxRetryAfter, false
+	}
+	if r.AdmittedShare < 1 && b.usesAdmission(q, now) {
+		if after = b.admission.RetryAfter(q.admission(r.Load, r.Limit), r.AdmittedShare, now); after > 0 {
+			return after, true
+		}
 	}
 	rate := q.Service.Engine.GroupRate(model) * float64(r.Candidates)
 	if rate <= 0 {
-		return maxRetryAfter
+		return maxRetryAfter, false
 	}
 	backlog := float64(r.Load - r.Limit + r.Candidates)
 	wait := time.Duration(backlog / rate * float64(time.Second))
 	jitter := 0.7 + 0.6*b.random()
-	return min(max(time.Duration(jitter*float64(wait)), minRetryAfter), maxRetryAfter)
+	return min(max(time.Duration(jitter*float64(wait)), minRetryAfter), maxRetryAfter), false
 }
