An idle group with a silent member refuses requests before it ends

No request was in flight as far as digests told, so that the group ended at once, with the request on its way.

The head is ordered to close first, and to leave when it has finished: new requests are refused as not run and go elsewhere. Groups with a lost member, and those whose head cannot be reached, end as before. Ruled out: waiting for one more digest, since nodes go on sending to a group that they hold for open.

TestIdleGroupWithSilentMemberRefusesBeforeItEnds fails on the code before (leave at once). TestLostMemberEndsItsGroupInTime and the other tests of formation pass.

--- a/internal/version/formation/ending_test.go
+++ b/internal/version/formation/ending_test.go
@@ -148,3 +148,28 @@
 		t.Errorf("got leave orders to %v once the head is lost, want one to each of the three members", leaves)
 	}
 }
+
+// TestIdleGroupWithSilentMemberRefusesBeforeItEnds guards against a stream that is cut
+// because it reached the head of an idle group while the leader ended it: a member had
+// been silent for less than a second, and nodes did not know yet that the group ends.
+func TestIdleGroupWithSilentMemberRefusesBeforeItEnds(t *testing.T) {
+	group := openGroup("d", "big", 7, 4)
+	in := input(append(slices.Clone(group), spare("s1", "d", "big"))...)
+	in.Conditions[group[2].ID] = Condition{Silent: true, Since: now.Add(-300 * time.Millisecond)}
+	plan := MakePlan(in)
+	if closes := orders(plan, OpClose); !slices.Equal(closes, []string{group[0].ID}) || len(orders(plan, OpLeave)) > 0 {
+		t.Errorf("got orders %v, want only the head to close", plan.Orders)
+	}
+	in.LastOrders[group[0].ID] = answered(group[0], groupOrder(OpClose, group[0]), 100*time.Millisecond)
+	if plan := MakePlan(in); len(orders(plan, OpLeave))+len(orders(plan, OpJoin)) > 0 {
+		t.Errorf("got orders %v before the head has finished, want none", plan.Orders)
+	}
+	closed := *group[0]
+	closed.Group.State = fleet.MemberReady
+	in.Hosts[slices.Index(in.Hosts, group[0])] = &closed
+	checkOnlyLeave(t, MakePlan(in), &closed)
+	in.Conditions[group[2].ID] = Condition{Lost: true, Since: now}
+	in.Hosts[slices.Index(in.Hosts, &closed)] = group[0]
+	delete(in.LastOrders, group[0].ID)
+	checkOnlyLeave(t, MakePlan(in), group[0])
+}
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -295,6 +295,8 @@
 		// its members are free
 	case g.joinInFlight && p.canStillComplete(g):
 		p.keepGroup(g, false)
+	case p.hasOnlySilentMembers(g):
+		p.closeGroup(g, "a member is silent and the group is idle", SilenceGracePeriod)
 	case p.isIncomplete(g):
 		p.dissolveGroup(g)
 	case p.hasLeavingMember(g):
@@ -330,6 +332,24 @@
 	return false
 }
 
+// hasOnlySilentMembers reports whether the group has to end only because members other
+// than its head are silent while no requests are known to be in flight. Requests may be
+// on the way, so that the head refuses new ones before it leaves.
+func (p *planner) hasOnlySilentMembers(g *group) bool {
+	head := g.head()
+	if head == nil || p.isUnreachable(head) || !p.isRegistered(head) || head.Group.State != fleet.MemberOpen && head.Group.State != fleet.MemberClosing {
+		return false
+	}
+	silent := false
+	for _, h := range g.members {
+		if h == nil || p.Conditions[h.ID].Lost || h.Group.State == fleet.MemberBroken || h.Group.Name != g.name {
+			return false
+		}
+		silent = silent || p.isLost(g, h)
+	}
+	return silent
+}
+
 func (p *planner) hasLeavingMember(g *group) bool {
 	return slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return h.State == fleet.HostLeaving })
 }
