Crowds: build the head of an endless body once

The head is now complete before the first connection uses it; crowd and bounds stay the same. Seen by the race detector in TestAllAtOnceDuringStop only.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -98,12 +98,12 @@
 
 // tooLong sends a body without end after the given head.
 func tooLong(head string, announce bool) member {
+	if announce {
+		head += "Content-Length: 1073741824\r\n\r\n"
+	} else {
+		head += "Transfer-Encoding: chunked\r\n\r\n"
+	}
 	return func(conn net.Conn) {
-		if announce {
-			head += "Content-Length: 1073741824\r\n\r\n"
-		} else {
-			head += "Transfer-Encoding: chunked\r\n\r\n"
-		}
 		block := fmt.Appendf(nil, "%x\r\n%s\r\n", 32<<10, strings.Repeat("d", 32<<10))
 		content := []byte(head)
 		for {
