Load sheets: names that say what each sheet of a deployment is for

They are now flood-, planning- and prompts-; tests and benchmarks read them under the new names. No content changed.

--- a/internal/experiment/flood_test.go
+++ b/internal/experiment/flood_test.go
@@ -19,7 +19,7 @@
 	}{{63, "digest"}, {63, "dispute"}, {123, "digest"}} {
 		t.Run(fmt.Sprintf("%d nodes, flood of %s", test.nodes, test.kind), func(t *testing.T) {
 			t.Parallel()
-			s := readTestSheet(t, "giftcards")
+			s := readTestSheet(t, "flood-giftcards")
 			s.Run.Nodes, s.Run.Length = test.nodes, 16*time.Second
 			s.Failures = nil
 			s.Phases = []PhaseSheet{{Name: "flood", Duration: s.Run.Length, Kind: test.kind, LoadFactor: 6, ImmediateRetryShare: 0.5}}
--- a/internal/experiment/policy_benchmark_test.go
+++ b/internal/experiment/policy_benchmark_test.go
@@ -101,8 +101,8 @@
 func BenchmarkServingSpares(b *testing.B) {
 	const seeds = 2
 	for b.Loop() {
-		serving := runSeeds(b, "plates", "product", seeds)
-		idle := runChangedSheet(b, "plates", "product", seeds, func(s *Sheet) { s.Engine.StagedModels = 0 })
+		serving := runSeeds(b, "planning-plates", "product", seeds)
+		idle := runChangedSheet(b, "planning-plates", "product", seeds, func(s *Sheet) { s.Engine.StagedModels = 0 })
 		b.Logf("plates: serving spares %.3f, worst seconds %.3f; idle spares %.3f, worst seconds %.3f", serving.mean, serving.worst, idle.mean, idle.worst)
 		if serving.mean < idle.mean {
 			b.Errorf("plates: serving spares earn %.3f, want no less than idle spares with %.3f", serving.mean, idle.mean)
