--- a/review/lab2/case_order.go
+++ b/review/lab2/case_order.go
@@ -12,13 +12,13 @@
 func init() { cases["order"] = playOrder }
 
 // playOrder: a spot worker, the head of the only group of its model, is gone 2 s after its
-// notice. Its streams have no length and end with their channel.
+// notice. One of its 52 streams, the 50th, has no length and ends with its channel.
 func playOrder(l *lab) ([]string, error) {
 	l.writeManifest(1, []any{route("stream", "stream", "models", 8000, 500, 2)}, []any{engineService("models", "m", 2)})
 	workers := map[string]*process{}
-	for i := range 2 {
+	for i := range 7 { // two in one domain; the others have nobody to form a group with
 		id := fmt.Sprintf("w%d", i)
-		w, err := l.startWorker(id, "models", "-domain", "d0", "-unframed", "-interval", "60ms")
+		w, err := l.startWorker(id, "models", "-domain", fmt.Sprintf("d%d", max(i-1, 0)), "-unframed-every", "50", "-interval", "60ms")
 		if err != nil {
 			return nil, err
 		}
@@ -47,6 +47,22 @@
 	}
 	const events = 67
 	var group sync.WaitGroup
+	var early []string
+	var mu sync.Mutex
+	for i := range 40 { // short ones, which end before the notice
+		group.Go(func() {
+			time.Sleep(time.Duration(i/10) * 700 * time.Millisecond)
+			if o := l.stream(nodes[i%3], fmt.Sprintf("e%d", i), "m", 8, 8*time.Second); o.status != 200 || !o.whole || len(o.events) != 8 {
+				mu.Lock()
+				defer mu.Unlock()
+				early = append(early, fmt.Sprintf("%s got %d with %d pieces", o.id, o.status, len(o.events)))
+			}
+		})
+	}
+	group.Wait()
+	if len(early) > 0 {
+		return nil, fmt.Errorf("before the notice: %v", early)
+	}
 	outcomes := make(chan outcome, 100)
 	for i := range 12 {
 		group.Go(func() {
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -53,10 +54,13 @@
 // worker is a worker process: SIGUSR1 makes it report draining.
 type worker struct {
 	id, platform string
-	unframed     bool
-	interval     time.Duration
-	work         time.Duration
-	load         time.Duration
+	// unframedEvery makes each stream or answer of that number one without a length, which ends
+	// with its channel; 0 for none.
+	unframedEvery int64
+	requests      atomic.Int64
+	interval      time.Duration
+	work          time.Duration
+	load          time.Duration
 	// late holds, by position among the join orders that come, after which time one is carried
 	// out that gets no answer.
 	late  map[int]time.Duration
@@ -77,7 +81,7 @@
 	flags.StringVar(&w.platform, "platform", "", "address of the platform")
 	flags.StringVar(&w.entry.Zone, "zone", "z0", "zone")
 	flags.StringVar(&w.entry.Domain, "domain", "", "domain of a model worker; none for a plain worker")
-	flags.BoolVar(&w.unframed, "unframed", false, "answers have no length and end with their channel")
+	flags.Int64Var(&w.unframedEvery, "unframed-every", 0, "each so many-th answer has no length and ends with its channel")
 	flags.DurationVar(&w.interval, "interval", 60*time.Millisecond, "time between two events, or between the two halves of a plain answer")
 	flags.DurationVar(&w.work, "work", 60*time.Millisecond, "time of a plain request until its answer begins")
 	flags.DurationVar(&w.load, "load", time.Second, "time of a load before traffic")
@@ -274,7 +278,7 @@
 	w.post("/lab/ran", run{Request: id, Worker: w.id})
 	time.Sleep(w.work)
 	content := plainAnswer(id)
-	if !w.unframed {
+	if !w.isUnframed() {
 		out.Header().Set("X-Currantladder-Request-Id", id)
 		out.Header().Set("X-Currantladder-Answer-Seal", "seal-"+id)
 		_, _ = out.Write([]byte(content))
@@ -290,6 +294,12 @@
 	_, _ = conn.Write([]byte(content[len(content)/2:]))
 }
 
+// isUnframed counts an answer and reports whether it has no length.
+func (w *worker) isUnframed() bool {
+	n := w.requests.Add(1)
+	return w.unframedEvery > 0 && n%w.unframedEvery == 0
+}
+
 // plainAnswer is the whole body of the answer to a plain request.
 func plainAnswer(id string) string { return strings.Repeat("answer to "+id+"\n", 800/(len(id)+11)) }
 
@@ -336,7 +346,7 @@
 		_, err := fmt.Fprintf(out, "id: %d\ndata: %s piece %d\n\n", n, id, n)
 		return err == nil && http.NewResponseController(out).Flush() == nil
 	}
-	if w.unframed {
+	if w.isUnframed() {
 		conn := hijack(out, id, "text/event-stream")
 		if conn == nil {
 			return
