Gateway: an answer with an invalid status line is no answer

Callers of a worker in trouble got its answer with status 101, 600 or 999 as it was, and the body of an answer of "HTTP/2.0" or "HTTP/0.9" (of the latter with the framing of its chunks). For a status of 000 to 099 they got no answer: their connection ended, and no other worker was asked.

Cause: net/http takes any three bytes that are a number for a status, and any version and reason. Send returned what net/http accepts as an answer. WriteHeader panics for a status below 100, which ended the connection.

Change: the new package internal/connection/wellformed says what a response of another process must look like. It reads along in the heads on the connection, since net/http drops parts of them, and ends the connection at the first malformed line. The transport then fails the request by itself, so the connection can't be reused, and the attempt counts as one that may have run: repeatable requests go to another host, others get 502. The status must be 100 to 599 (RFC 9110 15), not 101, which no request asks for, the version 1.x and the reason without control bytes (RFC 9112 4).

The fuzz test now gets its connections below the check.

--- /dev/null
+++ b/internal/connection/wellformed/transport.go
@@ -0,0 +1,99 @@
+// Package wellformed rejects HTTP/1.1 responses that break RFC 9110 or RFC 9112 where
+// net/http accepts them. All clients of this program send their requests through it, so
+// that one place says what a response of another process must look like.
+//
+// A response that is not well-formed is an error of its request, and its connection is
+// closed. Whether the request ran is unknown.
+package wellformed
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Transport is a transport that returns well-formed responses only. It is safe for
+// concurrent use.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a transport over base, which must not have been used before. It
+// replaces the dial function of base.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: raw}, nil
+	}
+	return &Transport{base}
+}
+
+// RoundTrip implements http.RoundTripper. An *Error is in the chain of the errors of
+// responses that are not well-formed.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var used *conn
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { used, _ = info.Conn.(*conn) },
+		// The transport calls PutIdleConn before it reads further.
+		PutIdleConn: func(err error) {
+			if err == nil && used != nil {
+				used.expectResponse()
+			}
+		},
+	})
+	return t.base.RoundTrip(request.WithContext(ctx))
+}
+
+// CloseIdleConnections closes the connections without a request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// conn is a connection that checks the heads of responses as they are read.
+type conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// head checks the response to the current request or the next one.
+	head headChecker
+	// malformed is the error of all reads behind a head that is not well-formed.
+	malformed error
+}
+
+// expectResponse begins to check the next response after a complete one.
+func (c *conn) expectResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headChecker{}
+}
+
+// Read implements net.Conn. It returns the bytes before the end of a malformed line, and
+// an error after them: net/http sends a request again if it reads nothing but an error.
+func (c *conn) Read(p []byte) (int, error) {
+	if err := c.failure(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	checked, malformed := c.head.check(p[:n])
+	if malformed == nil {
+		return n, err
+	}
+	c.malformed = malformed
+	if checked == 0 {
+		return 0, malformed
+	}
+	return checked, nil
+}
+
+func (c *conn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.malformed
+}
--- /dev/null
+++ b/internal/connection/wellformed/transport_test.go
@@ -0,0 +1,130 @@
+package wellformed
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"currantladder.example/currantladder/internal/standin/loopback"
+)
+
+// serveInOrder starts a server that answers the n-th request with the n-th response, and
+// requests beyond them with the last one. It returns the number of requests and of
+// connections.
+func serveInOrder(t *testing.T, responses ...string) (url string, requests, conns *atomic.Int64) {
+	t.Helper()
+	listener, err := loopback.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	requests, conns = new(atomic.Int64), new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return // the test has ended
+			}
+			conns.Add(1)
+			go func() {
+				defer conn.Close()
+				for reader := bufio.NewReader(conn); ; {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return // the client has closed the connection
+					}
+					n := min(int(requests.Add(1)), len(responses))
+					if _, err := io.WriteString(conn, responses[n-1]); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String() + "/", requests, conns
+}
+
+// get sends a GET request and returns the body of the response.
+func get(t *testing.T, transport *Transport, url string) (string, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return string(content), err
+}
+
+const (
+	soundResponse     = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"
+	malformedResponse = "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwrong"
+)
+
+// TestMalformedResponseEndsItsConnection guards against a malformed response on a kept
+// connection that is returned, after which the transport sends the request once more, or
+// whose connection is used again.
+func TestMalformedResponseEndsItsConnection(t *testing.T) {
+	url, requests, conns := serveInOrder(t, soundResponse, soundResponse, malformedResponse, soundResponse)
+	transport := NewTransport(&http.Transport{})
+	defer transport.CloseIdleConnections()
+	for _, wantMalformed := range []bool{false, false, true, false} {
+		content, err := get(t, transport, url)
+		if malformed := errors.As(err, new(*Error)); malformed != wantMalformed || !malformed && content != "sound" {
+			t.Errorf("request %d: got %q and error %v, want a malformed response: %t", requests.Load(), content, err, wantMalformed)
+		}
+	}
+	if requests.Load() != 4 || conns.Load() != 2 {
+		t.Errorf("got %d requests on %d connections, want 4 on 2", requests.Load(), conns.Load())
+	}
+}
+
+// partsConn is a connection that returns given parts, one in each read.
+type partsConn struct {
+	net.Conn
+	parts [][]byte
+}
+
+// Read implements net.Conn.
+func (c *partsConn) Read(p []byte) (int, error) {
+	if len(c.parts) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, c.parts[0])
+	if c.parts[0] = c.parts[0][n:]; len(c.parts[0]) == 0 {
+		c.parts = c.parts[1:]
+	}
+	return n, nil
+}
+
+// TestResponsesArriveInAnyParts verifies that the result does not depend on the reads in
+// which a response arrives, and that no byte of it is lost or changed.
+func TestResponsesArriveInAnyParts(t *testing.T) {
+	heads := []string{
+		"HTTP/1.1 200 OK\r\nA: 1\r\n\r\n", "HTTP/1.1 204\r\n\r\n", "HTTP/1.1 103 Early\r\nB: 2\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 000 OK\r\nA: 1\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600\r\n\r\n", "",
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		whole := rapid.SampledFrom(heads).Draw(t, "head") + rapid.SampledFrom([]string{"", "body", "\r\n\x00 : body\nHTTP/1.1 000\r\n"}).Draw(t, "body")
+		_, want := new(headChecker).check([]byte(whole))
+		c := &conn{Conn: &partsConn{}}
+		for rest := []byte(whole); len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "part")
+			c.Conn.(*partsConn).parts = append(c.Conn.(*partsConn).parts, rest[:n])
+			rest = rest[n:]
+		}
+		got, err := io.ReadAll(c)
+		if (err == nil) != (want == nil) || err == nil && string(got) != whole || err != nil && err.Error() != want.Error() {
+			t.Errorf("got %q and error %v of %q, want error %v", got, err, whole, want)
+		}
+	})
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -17,9 +17,11 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/conntrack"
+	"currantladder.example/currantladder/internal/connection/endpoint"
 	"currantladder.example/currantladder/internal/connection/feed"
 	"currantladder.example/currantladder/internal/connection/intake"
 	"currantladder.example/currantladder/internal/connection/table"
+	"currantladder.example/currantladder/internal/connection/wellformed"
 	"currantladder.example/currantladder/internal/process/eventlog"
 	"currantladder.example/currantladder/internal/process/leader"
 	"currantladder.example/currantladder/internal/process/metrics"
@@ -67,14 +69,22 @@
 // for the hosts, of which Pooled reuses connections and Unpooled opens one for each
 // request.
 type Transports struct {
-	Store, Pooled, Unpooled http.RoundTripper
+	Store            http.RoundTripper
+	Pooled, Unpooled *wellformed.Transport
 }
 
 // NewTransports returns transports that close a connection when the other side no
 // longer acknowledges data or keep-alive probes.
 func NewTransports() Transports {
+	return NewTransportsOver(dialerWithTimeout(hostUserTimeout).DialContext)
+}
+
+// NewTransportsOver is NewTransports with another way to open connections to hosts.
+func NewTransportsOver(dialHost endpoint.DialFunc) Transports {
 	return Transports{
-		Store: newTransport(storeIdleTimeout, storeUserTimeout), Pooled: newTransport(endpointIdleTimeout, hostUserTimeout), Unpooled: newTransport(0, hostUserTimeout),
+		Store:    newTransport(storeIdleTimeout, dialerWithTimeout(storeUserTimeout).DialContext),
+		Pooled:   wellformed.NewTransport(newTransport(endpointIdleTimeout, dialHost)),
+		Unpooled: wellformed.NewTransport(newTransport(0, dialHost)),
 	}
 }
 
--- a/internal/process/gateway/network.go
+++ b/internal/process/gateway/network.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
 )
 
 // Timeouts and limits of connections.
@@ -55,13 +57,17 @@
 	}
 }
 
-// newTransport returns a transport that closes a connection when the other side
-// acknowledges nothing for userTimeout, or after idleTimeout without a request. An
-// idleTimeout of 0 opens a connection for each request.
-func newTransport(idleTimeout, userTimeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveConfig, Control: setUserTimeout(userTimeout)}
+// dialerWithTimeout returns a dialer whose connections end when the other side
+// acknowledges nothing for userTimeout.
+func dialerWithTimeout(userTimeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveConfig, Control: setUserTimeout(userTimeout)}
+}
+
+// newTransport returns a transport that closes a connection after idleTimeout without a
+// request. An idleTimeout of 0 opens a connection for each request.
+func newTransport(idleTimeout time.Duration, dial endpoint.DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableKeepAlives:   idleTimeout == 0,
--- a/internal/process/gateway/network_test.go
+++ b/internal/process/gateway/network_test.go
@@ -58,7 +58,7 @@
 		"long chunk extension":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;" + strings.Repeat("x", size) + "\r\nok\r\n0\r\n\r\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			transport := newTransport(0, hostUserTimeout)
+			transport := newTransport(0, dialerWithTimeout(hostUserTimeout).DialContext)
 			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+serveBytes(t, c.answer)+"/", nil)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/process/gateway/peers.go
+++ b/internal/process/gateway/peers.go
@@ -194,7 +194,7 @@
 func newPeers(s *Settings, o peersOptions) *peers {
 	p := &peers{
 		peersOptions: o, node: s.Node, self: nodeRow{Address: s.Peers, Domain: s.FailureDomain, Share: s.ProcessorShare},
-		http: &http.Client{Transport: newTransport(storeIdleTimeout, storeUserTimeout)}, byName: map[string]*peer{}, started: time.Now(), ownDigests: newOwnDigests(),
+		http: &http.Client{Transport: newTransport(storeIdleTimeout, dialerWithTimeout(storeUserTimeout).DialContext)}, byName: map[string]*peer{}, started: time.Now(), ownDigests: newOwnDigests(),
 		restartWait: restartWait + rand.N(restartWaitSpread),
 		wake:        make(chan struct{}, 1),
 	}
