Gateway: an answer with an invalid field name is no answer

A worker in trouble sent an answer in which the name of a field held a blank or a control byte. Callers got it with status 200: plain answers without that field, streams with the framing of the chunks as events ("11\r\nid: 1 ..."), or with the rest of the head as the body. With no length left, others waited for their whole time (504). A refusal of that kind was passed on as "ran: no", so that non-idempotent requests ran a second time.

Cause: net/http skips no line whose name holds a blank: it keeps the field under that name, so "Content-Length : 9" and "Transfer-Encoding : chunked" frame nothing. A line that begins with a blank becomes a part of the value before it, and a line feed alone ends a line, so one before a name ends the head. Other control bytes in names and values are rejected already.

Change: wellformed requires that a name is a token (RFC 9110 5.1), directly before its colon, and that lines of a head end with CR LF. RFC 9112 5.2 lets a gateway reject a value that continues on the next line; RFC 9112 2.2 lets it accept a line feed alone but does not ask for it. Informational responses are checked as well. Whether a name is a token is left to golang.org/x/net, which was among the indirect modules.

TestUnusualWellFormedAnswers passes before and after.

--- a/internal/connection/wellformed/head.go
+++ b/internal/connection/wellformed/head.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"regexp"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Error reports a response that RFC 9110 or RFC 9112 does not allow. The server may have
@@ -64,15 +66,30 @@
 	return len(content), nil
 }
 
-// checkLine checks a line, given without its line feed.
+// checkLine checks a line, given without its line feed. A line feed alone is no end of a
+// line, because one inside a head would move the end of the head.
 func (h *headChecker) checkLine(line []byte) error {
-	line = bytes.TrimSuffix(line, []byte("\r"))
+	line, ended := bytes.CutSuffix(line, []byte("\r"))
 	switch {
+	case !ended:
+		return &Error{"line feed without a carriage return", bytes.Clone(line)}
 	case !h.started:
 		h.started = true
 		return h.checkStatusLine(line)
 	case len(line) == 0:
 		h.started, h.done = false, !h.informational
+		return nil
+	default:
+		return checkField(line)
+	}
+}
+
+// checkField checks the name of a field. RFC 9112 section 5 allows no blank around it, and
+// a proxy to reject a line that begins with one and so continues the value before it.
+func checkField(line []byte) error {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if !httpguts.ValidHeaderFieldName(string(name)) {
+		return &Error{"invalid field name", bytes.Clone(line)}
 	}
 	return nil
 }
