Gateway: chunks in an answer of HTTP/1.0 are no answer

Callers of a host that answers with HTTP/1.0 and "Transfer-Encoding: chunked" got status 200 and a body that begins with the size of the first chunk; with a length beside it the body was also cut there.

Cause: net/http drops a transfer coding of HTTP/1.0 and reads the body to the length or to the end of the connection. RFC 9112 6.1: such framing is faulty. Now the answer is malformed. One of HTTP/1.0 with a length, or none, is delivered as before. A length beside chunks of HTTP/1.1 was handled already: the chunks count (TestUnusualWellFormedAnswers).

--- a/internal/connection/wellformed/head.go
+++ b/internal/connection/wellformed/head.go
@@ -37,8 +37,8 @@
 	// line is the start of a line whose end has not come.
 	line []byte
 	// started is true behind the status line of a head, informational if more heads follow
-	// it, and done behind the final head.
-	started, informational, done bool
+	// it, http10 if its version is 1.0, and done behind the final head.
+	started, informational, http10, done bool
 }
 
 // check checks the next bytes of a response. It returns the number of bytes before the end
@@ -80,16 +80,20 @@
 		h.started, h.done = false, !h.informational
 		return nil
 	default:
-		return checkField(line)
+		return h.checkField(line)
 	}
 }
 
 // checkField checks the name of a field. RFC 9112 section 5 allows no blank around it, and
 // a proxy to reject a line that begins with one and so continues the value before it.
-func checkField(line []byte) error {
+// Section 6.1 has no transfer codings in HTTP/1.0, where net/http ignores them.
+func (h *headChecker) checkField(line []byte) error {
 	name, _, _ := bytes.Cut(line, []byte(":"))
-	if !httpguts.ValidHeaderFieldName(string(name)) {
+	switch {
+	case !httpguts.ValidHeaderFieldName(string(name)):
 		return &Error{"invalid field name", bytes.Clone(line)}
+	case h.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return &Error{"transfer coding in HTTP/1.0", bytes.Clone(line)}
 	}
 	return nil
 }
@@ -103,6 +107,6 @@
 	if code == "101" {
 		return &Error{"change of protocol that was not requested", bytes.Clone(line)}
 	}
-	h.informational = code[0] == '1'
+	h.informational, h.http10 = code[0] == '1', bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 	return nil
 }
