Gateway: a malformed answer of the store or of a peer is a lost answer

Change: all transports of the gateway are made in newTransport, over wellformed. A commit with a malformed answer is ErrUnknown and is resolved as a lost one, a read is an error, a feed asks elsewhere.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -69,8 +69,7 @@
 // for the hosts, of which Pooled reuses connections and Unpooled opens one for each
 // request.
 type Transports struct {
-	Store            http.RoundTripper
-	Pooled, Unpooled *wellformed.Transport
+	Store, Pooled, Unpooled *wellformed.Transport
 }
 
 // NewTransports returns transports that close a connection when the other side no
@@ -83,8 +82,8 @@
 func NewTransportsOver(dialHost endpoint.DialFunc) Transports {
 	return Transports{
 		Store:    newTransport(storeIdleTimeout, dialerWithTimeout(storeUserTimeout).DialContext),
-		Pooled:   wellformed.NewTransport(newTransport(endpointIdleTimeout, dialHost)),
-		Unpooled: wellformed.NewTransport(newTransport(0, dialHost)),
+		Pooled:   newTransport(endpointIdleTimeout, dialHost),
+		Unpooled: newTransport(0, dialHost),
 	}
 }
 
--- a/internal/process/gateway/network.go
+++ b/internal/process/gateway/network.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/wellformed"
 )
 
 // Timeouts and limits of connections.
@@ -65,8 +66,8 @@
 
 // newTransport returns a transport that closes a connection after idleTimeout without a
 // request. An idleTimeout of 0 opens a connection for each request.
-func newTransport(idleTimeout time.Duration, dial endpoint.DialFunc) *http.Transport {
-	return &http.Transport{
+func newTransport(idleTimeout time.Duration, dial endpoint.DialFunc) *wellformed.Transport {
+	return wellformed.NewTransport(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -74,7 +75,7 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-	}
+	})
 }
 
 // listen opens a TCP listener that closes a connection when the other side goes
--- a/internal/process/gateway/peerfeed_test.go
+++ b/internal/process/gateway/peerfeed_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -62,3 +64,31 @@
 		t.Errorf("got %d bytes of tables and %d of changes, want %d and %d", tables, changes, len(pathTable), 2*len(pathChanges))
 	}
 }
+
+// TestMalformedFeedsOfPeersAreErrors guards against a table that a node takes over from
+// another one although the answer is not well-formed.
+func TestMalformedFeedsOfPeersAreErrors(t *testing.T) {
+	content, err := json.Marshal(feed.Batch{Records: []feed.Record{{Key: "a", Version: 1, Value: []byte("x")}}, Version: 1, Complete: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for head, wantErr := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n":   false,
+		"HTTP/1.1 410 Gone\r\nContent-Type: application/json\r\n\r\n": true,
+		"HTTP/1.1 200 OK\r\nContent Type: application/json\r\n\r\n":   true,
+		"HTTP/1.1 200 OK\r\nContent-Type : application/json\r\n\r\n":  true,
+		"HTTP/1.1 200 OK\nContent-Type: application/json\r\n\r\n":     true,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":       true,
+		"HTTP/1.1 410 Gone\r\nContent Type: application/json\r\n\r\n": true,
+	} {
+		p := newPeers(&Settings{}, peersOptions{log: eventlog.Discard()})
+		source := &peerSource{"http://" + serveBytes(t, head+string(content)), p.http}
+		batch, err := source.Snapshot(t.Context(), feed.TopicHosts)
+		if (err != nil) != wantErr {
+			t.Errorf("%q: got %+v and error %v, want an error: %t", head, batch, err, wantErr)
+		}
+		if wantCompacted := strings.HasPrefix(head, "HTTP/1.1 410 Gone\r\nContent-Type:"); errors.Is(err, feed.ErrCompacted) != wantCompacted {
+			t.Errorf("%q: got error %v, want ErrCompacted: %t", head, err, wantCompacted)
+		}
+	}
+}
