Serve: a malformed answer of a service or an engine is no answer

Callers of a service got its answer although a name held a blank, or with a part of the head as its body, or with status 101 or 600; for 000 and 099 their connection ended without an answer, after the answer of a non-idempotent call had been recorded under its key. Completions came from heads of that kind, too.

Change: both transports of the endpoint client check what they read. The call ends with 502 as one that may have run, its claim stays unresolved as after a lost answer, and a request at an engine is treated as after a broken connection.

Control bytes in names were rejected before.

--- a/internal/connection/endpoint/client.go
+++ b/internal/connection/endpoint/client.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"currantladder.example/currantladder/internal/connection/wellformed"
 )
 
 // Limits of connections to endpoints and of their answers.
@@ -78,13 +80,13 @@
 
 // NewClientOver returns a client that opens its connections with dial.
 func NewClientOver(dial DialFunc) *Client {
-	pooled := &http.Transport{
+	pooled := wellformed.NewTransport(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
-	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	})
+	unpooled := wellformed.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true})
 	return &Client{
 		http:   &http.Client{Transport: pooled, CheckRedirect: refuseRedirect},
 		single: &http.Client{Transport: unpooled, CheckRedirect: refuseRedirect},
