Serve: malformed answers of platform, hosts and peers, also over TLS

A commit whose answer had status 000, or 503 with a blank in a name, counted as surely not done, a request at a home node with such an answer as not run, and rows, lists and probes of malformed answers counted.

Change: their clients use wellformed as well. With TLS the check reads the decrypted bytes, so the transport of wellformed does the handshake itself; clients and nodes speak HTTP/1.1, as those of nodes did before.

--- a/cmd/currantladder/client.go
+++ b/cmd/currantladder/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"currantladder.example/currantladder/internal/connection/wellformed"
 	"currantladder.example/currantladder/internal/process/operatorapi"
 )
 
@@ -60,7 +61,7 @@
 		return fmt.Errorf("%w: no operator token: set --token or %s", errUsage, tokenVariable)
 	}
 	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, ResponseHeaderTimeout: responseHeaderTimeout}
-	c.httpClient = &http.Client{Transport: transport}
+	c.httpClient = &http.Client{Transport: wellformed.NewTransport(transport)}
 	if c.caFile == "" {
 		return nil
 	}
--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/connection/wellformed"
 	"currantladder.example/currantladder/internal/request/refusal"
 	"currantladder.example/currantladder/internal/version/object"
 )
@@ -72,13 +73,13 @@
 
 // NewClientOver returns a client that opens its connections with dial.
 func NewClientOver(key string, tlsConfig *tls.Config, dial endpoint.DialFunc) *Client {
-	transport := &http.Transport{
+	transport := wellformed.NewTransport(&http.Transport{
 		DialContext:         dial,
 		TLSClientConfig:     tlsConfig,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	})
 	scheme := "http"
 	if tlsConfig != nil {
 		scheme = "https"
--- a/internal/connection/wellformed/transport.go
+++ b/internal/connection/wellformed/transport.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -19,7 +20,7 @@
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a transport over base, which must not have been used before. It
-// replaces the dial function of base.
+// replaces the dial functions of base, and speaks no HTTP/2.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -32,9 +33,38 @@
 		}
 		return &conn{Conn: raw}, nil
 	}
+	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secured, err := handshake(ctx, raw, address, base.TLSClientConfig)
+		if err != nil {
+			raw.Close()
+			return nil, err
+		}
+		return &conn{Conn: secured}, nil
+	}
 	return &Transport{base}
 }
 
+// handshake begins TLS on a connection to address.
+func handshake(ctx context.Context, raw net.Conn, address string, config *tls.Config) (net.Conn, error) {
+	own := &tls.Config{MinVersion: tls.VersionTLS12}
+	if config != nil {
+		own = config.Clone()
+	}
+	if own.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		own.ServerName = host
+	}
+	secured := tls.Client(raw, own)
+	return secured, secured.HandshakeContext(ctx)
+}
+
 // RoundTrip implements http.RoundTripper. An *Error is in the chain of the errors of
 // responses that are not well-formed.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
--- a/internal/connection/wellformed/transport_test.go
+++ b/internal/connection/wellformed/transport_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -88,6 +91,41 @@
 	}
 }
 
+// TestMalformedResponsesOverTLS verifies that responses over TLS are checked too.
+func TestMalformedResponsesOverTLS(t *testing.T) {
+	var malformed atomic.Bool
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !malformed.Load() {
+			_, _ = io.WriteString(w, "sound") // a failed write fails the request
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, malformedResponse)
+	}))
+	defer server.Close()
+	pool := x509.NewCertPool()
+	pool.AddCert(server.Certificate())
+	transport := NewTransport(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}})
+	defer transport.CloseIdleConnections()
+	if content, err := get(t, transport, server.URL); err != nil || content != "sound" {
+		t.Errorf("got %q and error %v, want the response", content, err)
+	}
+	malformed.Store(true)
+	if content, err := get(t, transport, server.URL); !errors.As(err, new(*Error)) {
+		t.Errorf("got %q and error %v of a malformed response, want an Error", content, err)
+	}
+	other := NewTransport(&http.Transport{})
+	defer other.CloseIdleConnections()
+	if _, err := get(t, other, server.URL); err == nil {
+		t.Error("got no error from a server with an unknown certificate")
+	}
+}
+
 // partsConn is a connection that returns given parts, one in each read.
 type partsConn struct {
 	net.Conn
--- a/internal/process/node/build.go
+++ b/internal/process/node/build.go
@@ -13,6 +13,7 @@
 	"currantladder.example/currantladder/internal/connection/hostlist"
 	"currantladder.example/currantladder/internal/connection/peer"
 	"currantladder.example/currantladder/internal/connection/table"
+	"currantladder.example/currantladder/internal/connection/wellformed"
 	"currantladder.example/currantladder/internal/process/burn"
 	"currantladder.example/currantladder/internal/process/callerapi"
 	"currantladder.example/currantladder/internal/process/eventlog"
@@ -56,11 +57,11 @@
 // httpClient returns a client with its own connection pool. Its idle
 // connections are closed when the node stops.
 func (n *Node) httpClient() *http.Client {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: wellformed.NewTransport(&http.Transport{
 		DialContext:         n.network.Dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
-	}}
+	})}
 	n.clients = append(n.clients, client)
 	return client
 }
