An answer with an invalid name in its trailer is no answer

Plain answers and streams whose trailer had a blank in or behind the name of a field counted as whole, and their connection was used again.

The transport of wellformed checks the trailer at the end of the body. As the connection may be among the idle ones by then, it is closed there.

Callers never got fields of a trailer; answers with a well-formed one are delivered.

--- a/internal/connection/wellformed/transport.go
+++ b/internal/connection/wellformed/transport.go
@@ -9,10 +9,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Transport is a transport that returns well-formed responses only. It is safe for
@@ -78,12 +81,42 @@
 			}
 		},
 	})
-	return t.base.RoundTrip(request.WithContext(ctx))
+	response, err := t.base.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &body{response.Body, response, used}
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections without a request.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
+// body is the body of a response. It ends with an *Error if its trailer is malformed.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+	// conn is nil if the connection is not checked.
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name := range b.response.Trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			if b.conn != nil {
+				b.conn.Close() // the transport may have put it among the idle ones
+			}
+			return n, &Error{"invalid field name in the trailer", []byte(name)}
+		}
+	}
+	return n, io.EOF
+}
+
 // conn is a connection that checks the heads of responses as they are read.
 type conn struct {
 	net.Conn
