Gateway: a connection with another request's answer is not used again

Found by FuzzHostAnswer in 36 s: a host wrote its earlier answer again, and the first bytes of its own ("HTTP/1.1 421 Misdirected") after it. The next request went over the same connection, and its caller was told "ran: no" although the host had run it: the rest of the status line and the next answer's head followed, which names that request.

Cause: an answer that names another request failed its attempt, but plain requests read its body to the end, and one without a body is at its end, so the connection went back among the idle ones. The host still owes an answer there.

Change: Send closes the connection of such an answer, and its body is no longer read. Requests that may not be repeated have connections of their own and were not affected.

--- a/internal/request/forward/plain.go
+++ b/internal/request/forward/plain.go
@@ -54,6 +54,9 @@
 	if reply.NotRun && !reply.WrongRequest {
 		return attemptResult{err: errNotRun}
 	}
+	if reply.WrongRequest {
+		return attemptResult{mayHaveRun: true, err: errUnverifiedAnswer}
+	}
 	content, err := readAnswerBody(ctx, reply, memory)
 	if err != nil {
 		return attemptResult{mayHaveRun: true, err: err}
