wellformed: the error of a malformed field names its line

The bytes of a malformed line were read up to its end, and bufio returns such a part as a line: net/http reported it in its own words, with a carriage return. The start of a malformed status line is still read, as the transport sends a GET again when the first read of a kept connection fails.

The test covers a response for each rule, with its line in the error.

--- a/internal/connection/wellformed/head.go
+++ b/internal/connection/wellformed/head.go
@@ -11,9 +11,8 @@
 // Error reports a response that RFC 9110 or RFC 9112 does not allow. The server may have
 // run the request.
 type Error struct {
-	// Problem says what is wrong, Line is the line where.
-	Problem string
-	Line    []byte
+	// Problem says what is wrong with Line, the malformed line of the response.
+	Problem, Line string
 }
 
 // maxQuotedBytes limits what an Error quotes of a response.
@@ -28,28 +27,30 @@
 const maxLineBytes = 1 << 20
 
 // statusLine matches a status line and its status code. As RFC 9112 section 4 allows, there
-// may be more than one space before the code and none behind it.
+// may be more than one space before the code, and none after it.
 var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] +([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?$`)
 
 // headChecker checks the heads of one response: those of informational responses and the
 // final one. What net/http rejects by itself is not checked again.
 type headChecker struct {
-	// line is the start of a line whose end has not come.
+	// line is the start of a line that has not been read to its end.
 	line []byte
-	// started is true behind the status line of a head, informational if more heads follow
-	// it, http10 if its version is 1.0, and done behind the final head.
+	// started is true after the status line of a head, informational if more heads follow
+	// it, http10 if its version is 1.0, and done after the final head.
 	started, informational, http10, done bool
 }
 
-// check checks the next bytes of a response. It returns the number of bytes before the end
-// of the first malformed line, or all of them.
+// check checks the next bytes of a response. With an error it returns the number of bytes
+// that may be read: those before a malformed field line, or before the line feed of a
+// malformed status line. net/http sends some requests again if it can read no byte of a
+// response.
 func (h *headChecker) check(content []byte) (int, error) {
 	for checked := 0; !h.done; {
 		end := bytes.IndexByte(content[checked:], '\n')
 		if end < 0 {
 			h.line = append(h.line, content[checked:]...)
 			if len(h.line) > maxLineBytes {
-				return checked, &Error{"line is too long", h.line}
+				return checked, &Error{"line is too long", string(h.line)}
 			}
 			break
 		}
@@ -58,21 +59,25 @@
 			line = append(h.line, line...)
 			h.line = h.line[:0]
 		}
+		isStatusLine := !h.started
 		if err := h.checkLine(line); err != nil {
-			return checked + end, err
+			if isStatusLine {
+				checked += end
+			}
+			return checked, err
 		}
 		checked += end + 1
 	}
 	return len(content), nil
 }
 
-// checkLine checks a line, given without its line feed. A line feed alone is no end of a
-// line, because one inside a head would move the end of the head.
+// checkLine checks a line, given without its line feed. A line that ends with a line feed
+// alone is rejected, because a stray one may end the head too early.
 func (h *headChecker) checkLine(line []byte) error {
 	line, ended := bytes.CutSuffix(line, []byte("\r"))
 	switch {
 	case !ended:
-		return &Error{"line feed without a carriage return", bytes.Clone(line)}
+		return &Error{"line feed without a carriage return", string(line)}
 	case !h.started:
 		h.started = true
 		return h.checkStatusLine(line)
@@ -84,16 +89,17 @@
 	}
 }
 
-// checkField checks the name of a field. RFC 9112 section 5 allows no blank around it, and
-// a proxy to reject a line that begins with one and so continues the value before it.
-// Section 6.1 has no transfer codings in HTTP/1.0, where net/http ignores them.
+// checkField checks the name of a field. RFC 9112 section 5 allows no whitespace in or
+// around it, and lets a proxy reject a line that continues the value before it. HTTP/1.0 has
+// no transfer codings; net/http ignores them there, so the body would include the chunks'
+// sizes.
 func (h *headChecker) checkField(line []byte) error {
 	name, _, _ := bytes.Cut(line, []byte(":"))
 	switch {
 	case !httpguts.ValidHeaderFieldName(string(name)):
-		return &Error{"invalid field name", bytes.Clone(line)}
+		return &Error{"invalid field name", string(line)}
 	case h.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		return &Error{"transfer coding in HTTP/1.0", bytes.Clone(line)}
+		return &Error{"transfer coding in HTTP/1.0", string(line)}
 	}
 	return nil
 }
@@ -101,11 +107,11 @@
 func (h *headChecker) checkStatusLine(line []byte) error {
 	match := statusLine.FindSubmatch(line)
 	if match == nil {
-		return &Error{"invalid status line", bytes.Clone(line)}
+		return &Error{"invalid status line", string(line)}
 	}
 	code := string(match[1])
 	if code == "101" {
-		return &Error{"change of protocol that was not requested", bytes.Clone(line)}
+		return &Error{"change of protocol that was not requested", string(line)}
 	}
 	h.informational, h.http10 = code[0] == '1', bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 	return nil
--- a/internal/connection/wellformed/transport.go
+++ b/internal/connection/wellformed/transport.go
@@ -1,6 +1,6 @@
 // Package wellformed rejects HTTP/1.1 responses that break RFC 9110 or RFC 9112 where
-// net/http accepts them. All clients of this program send their requests through it, so
-// that one place says what a response of another process must look like.
+// net/http accepts them. Nodes and operators' commands send all their requests through it,
+// so that one place says what a response of another process must look like.
 //
 // A response that is not well-formed is an error of its request, and its connection is
 // closed. Whether the request ran is unknown.
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -111,52 +110,38 @@
 			if b.conn != nil {
 				b.conn.Close() // the transport may have put it among the idle ones
 			}
-			return n, &Error{"invalid field name in the trailer", []byte(name)}
+			return n, &Error{"invalid field name in the trailer", name}
 		}
 	}
 	return n, io.EOF
 }
 
-// conn is a connection that checks the heads of responses as they are read.
+// conn is a connection that checks the heads of responses as they are read. The transport
+// uses it from one goroutine at a time.
 type conn struct {
 	net.Conn
-
-	mu sync.Mutex
 	// head checks the response to the current request or the next one.
 	head headChecker
-	// malformed is the error of all reads behind a head that is not well-formed.
+	// malformed is the error of all reads behind a malformed line.
 	malformed error
 }
 
 // expectResponse begins to check the next response after a complete one.
-func (c *conn) expectResponse() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.head = headChecker{}
-}
+func (c *conn) expectResponse() { c.head = headChecker{} }
 
-// Read implements net.Conn. It returns the bytes before the end of a malformed line, and
-// an error after them: net/http sends a request again if it reads nothing but an error.
+// Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	if err := c.failure(); err != nil {
-		return 0, err
+	if c.malformed != nil {
+		return 0, c.malformed
 	}
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	checked, malformed := c.head.check(p[:n])
 	if malformed == nil {
 		return n, err
 	}
 	c.malformed = malformed
-	if checked == 0 {
-		return 0, malformed
+	if checked > 0 {
+		return checked, nil
 	}
-	return checked, nil
-}
-
-func (c *conn) failure() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.malformed
+	return 0, malformed
 }
--- a/internal/connection/wellformed/transport_test.go
+++ b/internal/connection/wellformed/transport_test.go
@@ -73,21 +73,40 @@
 	malformedResponse = "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwrong"
 )
 
+// malformedResponses have one malformed line each, which their errors name.
+var malformedResponses = map[string]string{
+	"HTTP/1.1 000 OK":            malformedResponse,
+	"HTTP/2.0 200 OK":            "HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
+	"HTTP/1.1 101 Switch":        "HTTP/1.1 101 Switch\r\n\r\n",
+	"Bad Name: 1":                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nBad Name: 1\r\n\r\nwrong",
+	"Content-Length : 5":         "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwrong",
+	" Content-Length: 5":         "HTTP/1.1 200 OK\r\nA: 1\r\n Content-Length: 5\r\n\r\nwrong",
+	"A: 1":                       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nA: 1\n\r\nwrong",
+	" ":                          "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n \r\n\r\nwrong",
+	"\r":                         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\r\n\r\nwrong",
+	"":                           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\nwrong",
+	"HTTP/1.1 600 Odd":           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600 Odd\r\nContent-Length: 5\r\n\r\nwrong",
+	"Transfer-Encoding: chunked": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+}
+
 // TestMalformedResponseEndsItsConnection guards against a malformed response on a kept
 // connection that is returned, after which the transport sends the request once more, or
 // whose connection is used again.
 func TestMalformedResponseEndsItsConnection(t *testing.T) {
-	url, requests, conns := serveInOrder(t, soundResponse, soundResponse, malformedResponse, soundResponse)
-	transport := NewTransport(&http.Transport{})
-	defer transport.CloseIdleConnections()
-	for _, wantMalformed := range []bool{false, false, true, false} {
-		content, err := get(t, transport, url)
-		if malformed := errors.As(err, new(*Error)); malformed != wantMalformed || !malformed && content != "sound" {
-			t.Errorf("request %d: got %q and error %v, want a malformed response: %t", requests.Load(), content, err, wantMalformed)
+	for line, malformed := range malformedResponses {
+		url, requests, conns := serveInOrder(t, soundResponse, soundResponse, malformed, soundResponse)
+		transport := NewTransport(&http.Transport{})
+		for _, wantMalformed := range []bool{false, false, true, false} {
+			content, err := get(t, transport, url)
+			var problem *Error
+			if errors.As(err, &problem) != wantMalformed || wantMalformed && problem.Line != line || !wantMalformed && content != "sound" {
+				t.Errorf("%q, request %d: got %q and error %v, want a malformed response: %t", malformed, requests.Load(), content, err, wantMalformed)
+			}
 		}
-	}
-	if requests.Load() != 4 || conns.Load() != 2 {
-		t.Errorf("got %d requests on %d connections, want 4 on 2", requests.Load(), conns.Load())
+		if requests.Load() != 4 || conns.Load() != 2 {
+			t.Errorf("%q: got %d requests on %d connections, want 4 on 2", malformed, requests.Load(), conns.Load())
+		}
+		transport.CloseIdleConnections()
 	}
 }
 
