Formation: a group opens only if no later join may be carried out

Cause: an unanswered join counted as in flight for joinTimeout (4 s) and was forgotten then. The planner went by the workers' reports alone, found an earlier group complete and opened it. A member that still had the later join to carry out accepts it at any time, as its epoch is the higher one.

Ruled out: a late order to open (the join was taken by a group that was opened in time), an answer taken for a refusal (both calls timed out), a longer joinTimeout (an order has no time limit after which it is void).

Change: the controller records the epoch of the last join sent to each host. A complete group that is not open and has a member with a later join is not opened; its hosts form a group with a higher epoch, after whose join a host refuses the late one.

The tests of internal/version/formation, internal/experiment and internal/process/gateway pass.

--- a/internal/experiment/leader.go
+++ b/internal/experiment/leader.go
@@ -28,6 +28,7 @@
 	isBusy          func(hostID string) bool
 	lastOrders      map[string]formation.SentOrder
 	lastStageOrders map[string]formation.SentOrder
+	latestJoins     map[string]int64
 	conditions      map[string]formation.Condition
 	probing         map[string]bool
 	// recentLoads are the times of the stage orders within formation.LoadWindow,
@@ -41,6 +42,7 @@
 
 func (l *leader) start() {
 	l.lastOrders, l.lastStageOrders = map[string]formation.SentOrder{}, map[string]formation.SentOrder{}
+	l.latestJoins = map[string]int64{}
 	l.conditions, l.probing = map[string]formation.Condition{}, map[string]bool{}
 	l.nextEpoch = 1
 	l.every(formation.PlanInterval, l.plan)
@@ -80,11 +82,15 @@
 		Now: l.time(), Engine: engine, Hosts: hosts, Conditions: maps.Clone(l.conditions), Busy: busy,
 		LastOrders: maps.Clone(l.lastOrders), LastStageOrders: maps.Clone(l.lastStageOrders), UnlimitedLoads: l.now < l.hosts.loadStart,
 		LoadBudget: formation.LoadBudget(engine, activeLoads, len(l.recentLoads)), FirstEpoch: l.nextEpoch,
+		LatestJoins: maps.Clone(l.latestJoins),
 	}
 }
 
 func (l *leader) sendOrder(o formation.Order, host *fleet.Host) {
 	sent := formation.SentOrder{Order: o, Sent: l.time(), Instance: host.Instance()}
+	if o.Operation == formation.OpJoin {
+		l.latestJoins[o.HostID] = o.Epoch
+	}
 	ordersByHost := l.lastOrders
 	if o.Operation == formation.OpStage {
 		ordersByHost = l.lastStageOrders
--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -131,8 +131,10 @@
 	started         time.Time
 	sentOrders      map[string]SentOrder
 	sentStageOrders map[string]SentOrder
-	conditions      map[string]Condition
-	lastProbed      map[string]time.Time
+	// latestJoins are the epochs of the last joins, by host ID.
+	latestJoins map[string]int64
+	conditions  map[string]Condition
+	lastProbed  map[string]time.Time
 	// failures are the hosts that answered no probe within lossWindow.
 	failures []probeFailure
 	// probing contains the hosts that are being probed or wait for it.
@@ -156,7 +158,7 @@
 // NewController returns a controller that does nothing until Run.
 func NewController(o Options) *Controller {
 	return &Controller{
-		Options: o, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight), probeSlots: make(chan struct{}, maxProbesInFlight), sentOrders: map[string]SentOrder{}, sentStageOrders: map[string]SentOrder{},
+		Options: o, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight), probeSlots: make(chan struct{}, maxProbesInFlight), sentOrders: map[string]SentOrder{}, sentStageOrders: map[string]SentOrder{}, latestJoins: map[string]int64{},
 		conditions: map[string]Condition{}, lastProbed: map[string]time.Time{}, members: map[string]*fleet.Host{}, started: time.Now(),
 		unopened: map[string]time.Time{}, probing: map[string]bool{}, contested: map[string][]string{},
 	}
@@ -287,7 +289,7 @@
 		Now: now, Engine: service.Engine, Hosts: hosts, Unregistered: c.unregisteredMembers(service.Name, view),
 		Conditions: maps.Clone(c.conditions), Busy: c.busyHeads(hosts), LastOrders: maps.Clone(c.sentOrders), LastStageOrders: maps.Clone(c.sentStageOrders),
 		UnlimitedLoads: c.FirstStart && !c.Traffic() && now.Sub(c.started) < unlimitedLoadsTimeout,
-		LoadBudget:     budget, FirstEpoch: c.epoch + 1, Unopened: c.unopenedGroups(now),
+		LoadBudget:     budget, FirstEpoch: c.epoch + 1, Unopened: c.unopenedGroups(now), LatestJoins: maps.Clone(c.latestJoins),
 	}
 }
 
@@ -365,6 +367,7 @@
 	}
 	switch o.Operation {
 	case OpJoin:
+		c.latestJoins[o.HostID] = o.Epoch
 		if _, known := c.unopened[o.Group]; !known {
 			c.unopened[o.Group] = now
 		}
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -14,7 +14,7 @@
 	// reports before it is repeated. Reports arrive within tens of milliseconds.
 	orderEffectTimeout = time.Second
 	// joinTimeout is how long the members of a new group may take to report it.
-	// An unanswered join may be carried out this late.
+	// An unanswered join may be carried out later than that.
 	joinTimeout = 4 * time.Second
 	// closeTimeout is how long a head may take to finish its work after close.
 	closeTimeout = 10 * time.Second
@@ -72,6 +72,9 @@
 	// LastStageOrders are the last stage orders, by host ID. They run alongside
 	// other orders.
 	LastStageOrders map[string]SentOrder
+	// LatestJoins are the epochs of the last joins sent to the hosts, by host ID, whether
+	// they were answered or not.
+	LatestJoins map[string]int64
 	// UnlimitedLoads is true before the first request. Loads are quick then, and
 	// LoadBudget does not apply.
 	UnlimitedLoads bool
@@ -387,14 +390,14 @@
 		p.endMembershipOfHead(g, "the group is closed")
 		return
 	}
-	p.keepGroup(g, head.Group.State == fleet.MemberOpen)
-	if head.Group.State != fleet.MemberReady {
+	isReady := !slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return h.Group.State != fleet.MemberReady })
+	if isReady && p.isSuperseded(g) {
+		p.endMembershipOfHead(g, "a member may still carry out a later join")
 		return
 	}
-	for _, h := range g.members {
-		if h.Group.State != fleet.MemberReady {
-			return
-		}
+	p.keepGroup(g, head.Group.State == fleet.MemberOpen)
+	if !isReady {
+		return
 	}
 	if last, ok := p.orderInFlight(head); ok && last.Order.Operation == OpOpen && last.Order.Group == g.name {
 		return
@@ -402,6 +405,13 @@
 	p.addOrder(Order{Operation: OpOpen, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "all members are ready"})
 }
 
+// isSuperseded reports whether a member was sent a join with a higher epoch. An
+// unanswered join has no time limit: the member may carry it out while the group serves,
+// and refuses it only once it has joined a group with a higher epoch.
+func (p *planner) isSuperseded(g *group) bool {
+	return slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return p.LatestJoins[h.ID] > g.epoch })
+}
+
 // lastOrderAbout returns the last order to the host if it was sent to its present
 // start and names the group.
 func (p *planner) lastOrderAbout(g *group, h *fleet.Host) (SentOrder, bool) {
--- a/internal/version/formation/simulation_test.go
+++ b/internal/version/formation/simulation_test.go
@@ -31,6 +31,7 @@
 	hostsAdded      int
 	sentOrders      map[string]SentOrder
 	sentStageOrders map[string]SentOrder
+	latestJoins     map[string]int64
 }
 
 // effect is what an order does to its host at a later time.
@@ -44,6 +45,7 @@
 	return &simulation{
 		t: t, rand: rand.New(rand.NewSource(seed)), engine: e, stepTime: time.Second, loadBudget: 4, now: now, epoch: 1,
 		memberLists: map[string][]string{}, effects: map[string]effect{}, sentOrders: map[string]SentOrder{}, sentStageOrders: map[string]SentOrder{},
+		latestJoins: map[string]int64{},
 	}
 }
 
@@ -89,7 +91,7 @@
 	}
 	plan := MakePlan(Input{
 		Now: s.now, Engine: s.engine, Hosts: s.hosts, Conditions: map[string]Condition{}, LastOrders: s.sentOrders, LastStageOrders: s.sentStageOrders,
-		LoadBudget: s.loadBudget, FirstEpoch: s.epoch,
+		LoadBudget: s.loadBudget, FirstEpoch: s.epoch, LatestJoins: s.latestJoins,
 	})
 	s.epoch = plan.NextEpoch
 	seen := map[string]bool{}
@@ -125,6 +127,7 @@
 	switch o.Operation {
 	case OpJoin:
 		s.checkMayJoin(h, o)
+		s.latestJoins[h.ID] = o.Epoch
 		s.memberLists[o.Group] = o.Members
 		h.Group = fleet.Membership{Name: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, h.ID), State: fleet.MemberJoining}
 		s.effects[h.ID] = effect{s.now.Add(s.stepTime), func() {
