Formation: a leader opens only groups of its own term

Cause: the new leader knows nothing of the orders on their way. It took over complete groups of former terms and opened them. Their epochs are not above those of a former leader's later joins, so a member still accepts those.

Change: the record of last joins is of one term, and a group opens only if it is the last that all its members were called to in it. A complete group of another term that does not serve is ended at its head, which may have been ordered to open, and formed again. For the time that opening takes a new leader waits for reports first, so that it ends no group that has just been opened. Joins of hosts that are not registered are dropped, which bounds the record.

TestNewLeaderKeepsAGroupThatIsOpening fails without the wait. The setup of three tests of plans now says that their leader sent the joins of the groups: input() records them, TestCopyWithOtherEpoch... names them. What they check is unchanged.

--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -131,7 +131,8 @@
 	started         time.Time
 	sentOrders      map[string]SentOrder
 	sentStageOrders map[string]SentOrder
-	// latestJoins are the epochs of the last joins, by host ID.
+	// latestJoins are the epochs of the last joins in this term, by ID of the registered
+	// hosts.
 	latestJoins map[string]int64
 	conditions  map[string]Condition
 	lastProbed  map[string]time.Time
@@ -235,6 +236,7 @@
 		if c.term != term {
 			c.epoch = term * epochsPerTerm
 			clear(c.unopened)
+			clear(c.latestJoins)
 		}
 		c.term = term
 		c.ledSince = now
@@ -289,7 +291,7 @@
 		Now: now, Engine: service.Engine, Hosts: hosts, Unregistered: c.unregisteredMembers(service.Name, view),
 		Conditions: maps.Clone(c.conditions), Busy: c.busyHeads(hosts), LastOrders: maps.Clone(c.sentOrders), LastStageOrders: maps.Clone(c.sentStageOrders),
 		UnlimitedLoads: c.FirstStart && !c.Traffic() && now.Sub(c.started) < unlimitedLoadsTimeout,
-		LoadBudget:     budget, FirstEpoch: c.epoch + 1, Unopened: c.unopenedGroups(now), LatestJoins: maps.Clone(c.latestJoins),
+		LoadBudget:     budget, FirstEpoch: c.epoch + 1, Unopened: c.unopenedGroups(now), LatestJoins: maps.Clone(c.latestJoins), LedSince: c.ledSince,
 	}
 }
 
@@ -435,7 +437,8 @@
 }
 
 // updateMembers records the members of open groups, except the heads, so that a
-// member can still be probed after its registration lapses.
+// member can still be probed after its registration lapses. It drops the latest joins of
+// hosts that are not registered.
 func (c *Controller) updateMembers(view *fleet.View) {
 	open := map[string]bool{}
 	for _, h := range view.Hosts {
@@ -445,6 +448,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.latestJoins, func(id string, _ int64) bool { return view.Host(id) == nil })
 	for id, h := range c.members {
 		if view.Host(id) != nil || !open[h.Group.Name] || c.conditions[id].Lost {
 			delete(c.members, id)
--- a/internal/version/formation/latejoin_test.go
+++ b/internal/version/formation/latejoin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand"
 	"slices"
 	"strings"
 	"sync"
@@ -19,9 +20,12 @@
 
 // Times of a lateHost.
 const (
-	lateHostReportLag  = 20 * time.Millisecond
-	lateHostRejoinTime = 200 * time.Millisecond
-	lateHostOpenTime   = 300 * time.Millisecond
+	lateHostReportLag   = 20 * time.Millisecond
+	lateHostRejoinTime  = 200 * time.Millisecond
+	lateHostLoadTime    = 2 * time.Second
+	lateHostOpenTime    = 300 * time.Millisecond
+	lateHostLapseTime   = 3600 * time.Millisecond
+	lateHostRestartTime = 2500 * time.Millisecond
 )
 
 // errNoAnswer is the error of an order that the host carries out late.
@@ -55,12 +59,13 @@
 	highestEpoch int64
 }
 
-// newLateFleet returns a fleet of hosts in fabric domains of the given sizes that all have the weights of the model "big".
+// newLateFleet returns a fleet of hosts in fabric domains of the given sizes. The models of the engine are staged in turn.
 func newLateFleet(engine *fleet.Engine, domainSizes ...int) *lateFleet {
+	engine.FormTime = lateHostOpenTime
 	f := &lateFleet{engine: engine, holder: &fleet.ViewHolder{}, lateness: func(Order) time.Duration { return 0 }, started: time.Now(), hosts: map[string]*lateHost{}, term: 1, leader: 0}
 	for domain, size := range domainSizes {
 		for i := range size {
-			h := spare(fmt.Sprintf("h%d%d", domain, i), fmt.Sprintf("d%d", domain), "big")
+			h := spare(fmt.Sprintf("h%d%d", domain, i), fmt.Sprintf("d%d", domain), engine.Models[i%len(engine.Models)].Name)
 			h.Address, h.Started = h.ID, time.Now()
 			f.hosts[h.ID] = &lateHost{Host: *h, alive: true, registered: h}
 		}
@@ -156,6 +161,7 @@
 	accepted := true
 	switch o.Operation {
 	case OpStage:
+		f.after(h, lateHostLoadTime, func() { h.StagedModels = []string{o.Model} })
 	case OpJoin:
 		accepted = f.join(h, o, isMember)
 	case OpOpen:
@@ -210,6 +216,28 @@
 	}
 }
 
+// restart ends a host, which starts again later under its ID. The caller holds mu.
+func (f *lateFleet) restart(h *lateHost) {
+	f.record("%s ends", h.ID)
+	h.alive = false
+	ended := h.registered
+	time.AfterFunc(lateHostLapseTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if h.registered == ended {
+			h.registered = nil
+			f.publish()
+		}
+	})
+	time.AfterFunc(lateHostRestartTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		h.Host = *spare(h.ID, h.FabricDomain, h.StagedModels[0])
+		h.Address, h.Started, h.highestEpoch, h.members, h.alive = h.ID, time.Now(), 0, nil, true
+		f.report(h)
+	})
+}
+
 // stalledHeads returns the heads of open groups that lack a member.
 func (f *lateFleet) stalledHeads() []string {
 	f.mu.Lock()
@@ -245,6 +273,15 @@
 	time.Sleep(20 * time.Second) // lets late orders be carried out
 }
 
+// elect makes a controller lead in a new term.
+func (f *lateFleet) elect(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.term++
+	f.leader = i
+	f.record("controller %d leads in term %d", i, f.term)
+}
+
 // pairEngine returns an engine with one model of two hosts.
 func pairEngine() *fleet.Engine {
 	e := engine()
@@ -252,6 +289,14 @@
 	return e
 }
 
+// sparesEngine returns an engine whose groups of one model are the spares of the other one.
+func sparesEngine() *fleet.Engine {
+	e := engine()
+	e.KeepsStaged = 1
+	e.Models[0].Size, e.Models[1].Size = 4, 1
+	return e
+}
+
 // lateJoins returns a lateness that leaves joins unanswered, by host the time of its first, second and further joins.
 func lateJoins(times map[string][]time.Duration) func(Order) time.Duration {
 	return func(o Order) time.Duration {
@@ -294,3 +339,110 @@
 		t.Error("no group was opened, want one")
 	}
 }
+
+// TestGroupOfFormerLeaderIsFormedAgainBeforeItOpens guards against a past failure: a new leader opened a group that its
+// members reported as complete, while one of them still had a join of the former leader to carry out.
+func TestGroupOfFormerLeaderIsFormedAgainBeforeItOpens(t *testing.T) {
+	for _, electAfter := range []time.Duration{4100 * time.Millisecond, 4500 * time.Millisecond, 4900 * time.Millisecond, 5500 * time.Millisecond} {
+		name := fmt.Sprintf("new leader after %s", electAfter)
+		opened := playLateFleet(t, name, pairEngine(), []int{2}, 2, 30*time.Second, func(f *lateFleet) {
+			f.lateness = lateJoins(map[string][]time.Duration{"h00": {0, 3500 * time.Millisecond}, "h01": {5 * time.Second, 7 * time.Second}})
+			time.AfterFunc(electAfter, func() { f.elect(1) })
+		})
+		if opened == 0 {
+			t.Errorf("%s: no group was opened, want one", name)
+		}
+	}
+}
+
+// TestLeaderDoesNotRelyOnJoinsOfItsFormerTerm guards against a leader that opens a group of its former term, while a member
+// still has a join of the leader between both terms to carry out.
+func TestLeaderDoesNotRelyOnJoinsOfItsFormerTerm(t *testing.T) {
+	playLateFleet(t, "two terms of one node", pairEngine(), []int{3}, 2, 30*time.Second, func(f *lateFleet) {
+		joins := lateJoins(map[string][]time.Duration{"h01": {3500 * time.Millisecond, 12 * time.Second}})
+		f.lateness = func(o Order) time.Duration {
+			if o.Operation == OpLeave && o.HostID == "h00" {
+				return 20 * time.Second
+			}
+			return joins(o)
+		}
+		time.AfterFunc(time.Second, func() { f.elect(1) })
+		time.AfterFunc(2*time.Second, func() { f.elect(0) })
+	})
+}
+
+// TestNewLeaderKeepsAGroupThatIsOpening guards against a new leader that ends a group because its reports do not show yet
+// that the former leader has opened it.
+func TestNewLeaderKeepsAGroupThatIsOpening(t *testing.T) {
+	var f *lateFleet
+	playLateFleet(t, "new leader while a group opens", pairEngine(), []int{2}, 2, 10*time.Second, func(fleet *lateFleet) {
+		f = fleet
+		time.AfterFunc(700*time.Millisecond, func() { f.elect(1) })
+	})
+	if log := strings.Join(f.log, "\n"); f.opened != 1 || strings.Contains(log, " leave ") {
+		t.Errorf("%d groups were opened, want one that stays open:\n%s", f.opened, log)
+	}
+}
+
+// TestLateOrdersEndNoServingGroup verifies that no host joins another group while the head of its group serves, with orders
+// of all kinds that are carried out late, changes of leader, and hosts that start again.
+func TestLateOrdersEndNoServingGroup(t *testing.T) {
+	const seeds = 300
+	opened := 0
+	for seed := range int64(seeds) {
+		fleetEngine := []*fleet.Engine{engine(), pairEngine(), sparesEngine()}[seed%3]
+		opened += playLateFleet(t, fmt.Sprintf("seed %d", seed), fleetEngine, []int{6, 4}, 2, 45*time.Second, func(f *lateFleet) {
+			random := rand.New(rand.NewSource(seed))
+			f.lateness = func(Order) time.Duration {
+				switch random.Intn(5) {
+				case 0, 1:
+					return 0
+				case 2:
+					return time.Millisecond // only the answer is lost
+				}
+				return 2*time.Second + time.Duration(random.Int63n(int64(10*time.Second)))
+			}
+			go f.disturb(random, 30*time.Second)
+		})
+	}
+	if opened < seeds {
+		t.Errorf("%d groups were opened, want at least %d", opened, seeds)
+	}
+}
+
+// disturb ends hosts and changes the leader at random for a time. Then all orders are answered.
+func (f *lateFleet) disturb(random *rand.Rand, length time.Duration) {
+	ids := []string{}
+	for id := range f.hosts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for until := time.Now().Add(length); time.Now().Before(until); {
+		f.mu.Lock()
+		pause, choice, id := time.Duration(random.Int63n(int64(3*time.Second))), random.Intn(5), ids[random.Intn(len(ids))]
+		f.mu.Unlock()
+		time.Sleep(pause)
+		switch choice {
+		case 0, 1:
+			f.elect(choice)
+		case 2: // the same leader continues in its term after a break
+			f.mu.Lock()
+			leader := f.leader
+			f.leader = -1
+			f.mu.Unlock()
+			time.Sleep(pause)
+			f.mu.Lock()
+			f.leader = leader
+			f.mu.Unlock()
+		default:
+			f.mu.Lock()
+			if h := f.hosts[id]; h.alive {
+				f.restart(h)
+			}
+			f.mu.Unlock()
+		}
+	}
+	f.mu.Lock()
+	f.lateness = func(Order) time.Duration { return 0 }
+	f.mu.Unlock()
+}
--- a/internal/version/formation/order.go
+++ b/internal/version/formation/order.go
@@ -11,8 +11,8 @@
 // MakePlan is a pure function of the host reports, the recent orders and the
 // time. It is level-triggered: beyond the reports, state is kept only for as
 // long as an order takes, for a minute which groups were never opened, and which
-// join was sent to each host last. A new leader continues from the reports, and
-// treats each group as one that may serve.
+// join was sent to each host last. A new leader continues from the reports,
+// treats each group as one that may serve, and opens no group of another leader.
 package formation
 
 import (
--- a/internal/version/formation/otherwriter_test.go
+++ b/internal/version/formation/otherwriter_test.go
@@ -51,7 +51,7 @@
 	for _, copyID := range []string{"a", "z"} { // before and after the IDs of the members
 		for rank := range 2 {
 			for _, epoch := range []int64{1, 3_000_000_000_000_000} {
-				in := Input{Now: now, Engine: engine, FirstEpoch: 1_000_002, Conditions: map[string]Condition{copyID: {Lost: true}}, Hosts: []*fleet.Host{
+				in := Input{Now: now, Engine: engine, FirstEpoch: 1_000_002, Conditions: map[string]Condition{copyID: {Lost: true}}, LatestJoins: map[string]int64{"m0": 1_000_001, "m1": 1_000_001}, Hosts: []*fleet.Host{
 					member(copyID, epoch, rank, fleet.MemberReady), member("m0", 1_000_001, 0, fleet.MemberReady), member("m1", 1_000_001, 1, fleet.MemberReady),
 				}}
 				slices.SortFunc(in.Hosts, func(a, b *fleet.Host) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -13,6 +13,8 @@
 	// orderEffectTimeout is how long an order may show no effect in the host's
 	// reports before it is repeated. Reports arrive within tens of milliseconds.
 	orderEffectTimeout = time.Second
+	// reportTimeout is how long the host list may take to show an effect.
+	reportTimeout = 200 * time.Millisecond
 	// joinTimeout is how long the members of a new group may take to report it.
 	// An unanswered join may be carried out later than that.
 	joinTimeout = 4 * time.Second
@@ -72,9 +74,11 @@
 	// LastStageOrders are the last stage orders, by host ID. They run alongside
 	// other orders.
 	LastStageOrders map[string]SentOrder
-	// LatestJoins are the epochs of the last joins sent to the hosts, by host ID, whether
-	// they were answered or not.
+	// LatestJoins are the epochs of the last joins that this leader sent to the
+	// registered hosts in its term, by host ID, whether they were answered or not.
 	LatestJoins map[string]int64
+	// LedSince is when the leader began to plan, for the last time.
+	LedSince time.Time
 	// UnlimitedLoads is true before the first request. Loads are quick then, and
 	// LoadBudget does not apply.
 	UnlimitedLoads bool
@@ -391,12 +395,12 @@
 		return
 	}
 	isReady := !slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return h.Group.State != fleet.MemberReady })
-	if isReady && p.isSuperseded(g) {
+	if isReady && !p.isLatestJoin(g) && !p.mayBeOpening(g) {
 		p.endMembershipOfHead(g, "a member may still carry out a later join")
 		return
 	}
 	p.keepGroup(g, head.Group.State == fleet.MemberOpen)
-	if !isReady {
+	if !isReady || !p.isLatestJoin(g) {
 		return
 	}
 	if last, ok := p.orderInFlight(head); ok && last.Order.Operation == OpOpen && last.Order.Group == g.name {
@@ -405,11 +409,18 @@
 	p.addOrder(Order{Operation: OpOpen, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "all members are ready"})
 }
 
-// isSuperseded reports whether a member was sent a join with a higher epoch. An
-// unanswered join has no time limit: the member may carry it out while the group serves,
-// and refuses it only once it has joined a group with a higher epoch.
-func (p *planner) isSuperseded(g *group) bool {
-	return slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return p.LatestJoins[h.ID] > g.epoch })
+// isLatestJoin reports whether this leader, in its term, sent all members the join of the
+// group and none of them a later one. Otherwise a member may have an unanswered join of
+// this or a former leader with a higher epoch, and may carry it out at any time while
+// the group serves. It refuses it once it has joined a group with a yet higher epoch.
+func (p *planner) isLatestJoin(g *group) bool {
+	return !slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return p.LatestJoins[h.ID] != g.epoch })
+}
+
+// mayBeOpening reports whether a former leader may have ordered the group to open so
+// recently that its reports do not show it.
+func (p *planner) mayBeOpening(g *group) bool {
+	return !p.Unopened[g.name] && p.Now.Sub(p.LedSince) < p.Engine.FormTime+reportTimeout
 }
 
 // lastOrderAbout returns the last order to the host if it was sent to its present
--- a/internal/version/formation/plan_test.go
+++ b/internal/version/formation/plan_test.go
@@ -52,10 +52,14 @@
 	return h
 }
 
-// input returns the input of a plan for the hosts, without conditions or earlier
-// orders.
+// input returns the input of a plan for the hosts, without conditions or earlier orders
+// but the joins of their groups.
 func input(hosts ...*fleet.Host) Input {
-	return Input{Now: now, Engine: engine(), Hosts: hosts, Conditions: map[string]Condition{}, LastOrders: map[string]SentOrder{}, LastStageOrders: map[string]SentOrder{}, LoadBudget: 6, FirstEpoch: 1000}
+	joins := map[string]int64{}
+	for _, h := range hosts {
+		joins[h.ID] = h.Group.Epoch
+	}
+	return Input{LatestJoins: joins, Now: now, Engine: engine(), Hosts: hosts, Conditions: map[string]Condition{}, LastOrders: map[string]SentOrder{}, LastStageOrders: map[string]SentOrder{}, LoadBudget: 6, FirstEpoch: 1000}
 }
 
 // orders returns the sorted host IDs of the orders of one operation.
