Formation: a new lead begins without the probes of an earlier one

Cause: a node keeps what probes have shown of the hosts while another node leads, and probes nothing then. A host that it had found lost has started again and serves; as the node leads again, its first plan orders the group to leave before the new probes end.

Evidence: two controllers in virtual time, TestLeaderDoesNotRelyOnProbes- OfItsFormerTerm. Before: member h01 ends at 3.0 s, the other controller forms the group again at 5.8 s, the first one leads again at 15.0 s and orders the head to leave at 15.2 s. A lost head did not show it.

Ruled out: late orders (all are answered in this test), a stale registration (the plan saw the present start of the host).

Change: conditions are dropped when a node begins to lead.

Measured: the test passes, and internal/version/formation with it.

--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -240,6 +240,7 @@
 		}
 		c.term = term
 		c.ledSince = now
+		clear(c.conditions) // hosts are not probed while this node does not lead
 		c.hostCountSince = now
 	}
 	if n := len(view.Hosts); n != c.hostCount {
--- a/internal/version/formation/latejoin_test.go
+++ b/internal/version/formation/latejoin_test.go
@@ -371,6 +371,28 @@
 	})
 }
 
+// TestLeaderDoesNotRelyOnProbesOfItsFormerTerm guards against a past failure: a host that a leader had found lost started
+// again while another node led. When the first one led again, it ended the group that the host served in by then.
+func TestLeaderDoesNotRelyOnProbesOfItsFormerTerm(t *testing.T) {
+	for _, lost := range []string{"h00", "h01"} {
+		var f *lateFleet
+		playLateFleet(t, "lost host "+lost, pairEngine(), []int{2}, 2, 20*time.Second, func(fleet *lateFleet) {
+			f = fleet
+			time.AfterFunc(3*time.Second, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.restart(f.hosts[lost])
+			})
+			time.AfterFunc(5*time.Second, func() { f.elect(1) })
+			time.AfterFunc(15*time.Second, func() { f.elect(0) })
+		})
+		log := strings.Join(f.log, "\n")
+		if _, after, _ := strings.Cut(log, "leads in term 3"); f.opened != 2 || strings.Contains(after, " leave ") {
+			t.Errorf("lost host %s: %d groups were opened, want 2, the second of which stays open:\n%s", lost, f.opened, log)
+		}
+	}
+}
+
 // TestNewLeaderKeepsAGroupThatIsOpening guards against a new leader that ends a group because its reports do not show yet
 // that the former leader has opened it.
 func TestNewLeaderKeepsAGroupThatIsOpening(t *testing.T) {
