Formation: a group that a member was ordered to leave is not opened

The head did not carry out its join in time, so the leader ordered the members to leave, without an answer. Then the head joined, the group was complete by the reports, and the leader opened it; 3 s later a member carried out the order to leave, and the group stood still.

Change: a host that was ordered to leave has no latest join, so its group is not opened; its hosts form another one, which the late order does not name.

--- a/internal/version/formation/controller.go
+++ b/internal/version/formation/controller.go
@@ -132,7 +132,7 @@
 	sentOrders      map[string]SentOrder
 	sentStageOrders map[string]SentOrder
 	// latestJoins are the epochs of the last joins in this term, by ID of the registered
-	// hosts.
+	// hosts that were not ordered to leave since.
 	latestJoins map[string]int64
 	conditions  map[string]Condition
 	lastProbed  map[string]time.Time
@@ -376,6 +376,8 @@
 		}
 	case OpOpen:
 		delete(c.unopened, o.Group)
+	case OpLeave:
+		delete(c.latestJoins, o.HostID)
 	}
 	c.mu.Unlock()
 	c.Log.Log(eventlog.OrderSent, eventlog.Fields{
--- a/internal/version/formation/latejoin_test.go
+++ b/internal/version/formation/latejoin_test.go
@@ -31,8 +31,8 @@
 // errNoAnswer is the error of an order that the host carries out late.
 var errNoAnswer = errors.New("no answer")
 
-// lateFleet is a fleet whose hosts may leave orders unanswered and carry them out late. It records joins that a host takes
-// while the head of its group serves, and groups that open without all members.
+// lateFleet is a fleet whose hosts may leave orders unanswered and carry them out late. It records hosts that join another
+// group or leave while the head of their group serves, and groups that open without all members.
 type lateFleet struct {
 	engine *fleet.Engine
 	holder *fleet.ViewHolder
@@ -174,6 +174,9 @@
 		}
 	case OpLeave:
 		if accepted = isMember; accepted {
+			if head := f.hosts[h.members[0]]; head != h && head.alive && head.Group.Name == o.Group && head.Group.State == fleet.MemberOpen {
+				f.violate("%s leaves %s while its head %s is open", h.ID, o.Group, head.ID)
+			}
 			h.Group = fleet.Membership{}
 		}
 	}
@@ -355,6 +358,26 @@
 	}
 }
 
+// TestGroupThatAMemberMayLeaveIsNotOpened guards against a past failure: the leader ordered the members of a group to leave,
+// as its head did not join. The head joined late, before the members carried out the order, and the leader opened the group.
+// Then they left, and its streams were cut.
+func TestGroupThatAMemberMayLeaveIsNotOpened(t *testing.T) {
+	opened := playLateFleet(t, "leave without an answer", pairEngine(), []int{2}, 1, 30*time.Second, func(f *lateFleet) {
+		joins := lateJoins(map[string][]time.Duration{"h00": {4500 * time.Millisecond}})
+		first := true
+		f.lateness = func(o Order) time.Duration {
+			if o.Operation == OpLeave && first {
+				first = false
+				return 10 * time.Second
+			}
+			return joins(o)
+		}
+	})
+	if opened == 0 {
+		t.Error("no group was opened, want one")
+	}
+}
+
 // TestLeaderDoesNotRelyOnJoinsOfItsFormerTerm guards against a leader that opens a group of its former term, while a member
 // still has a join of the leader between both terms to carry out.
 func TestLeaderDoesNotRelyOnJoinsOfItsFormerTerm(t *testing.T) {
--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -75,7 +75,8 @@
 	// other orders.
 	LastStageOrders map[string]SentOrder
 	// LatestJoins are the epochs of the last joins that this leader sent to the
-	// registered hosts in its term, by host ID, whether they were answered or not.
+	// registered hosts in its term, by host ID, whether they were answered or not. A
+	// host that it has ordered to leave since has none.
 	LatestJoins map[string]int64
 	// LedSince is when the leader began to plan, for the last time.
 	LedSince time.Time
@@ -396,7 +397,7 @@
 	}
 	isReady := !slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return h.Group.State != fleet.MemberReady })
 	if isReady && !p.isLatestJoin(g) && !p.mayBeOpening(g) {
-		p.endMembershipOfHead(g, "a member may still carry out a later join")
+		p.endMembershipOfHead(g, "a member may still carry out a later join or leave")
 		return
 	}
 	p.keepGroup(g, head.Group.State == fleet.MemberOpen)
@@ -410,9 +411,10 @@
 }
 
 // isLatestJoin reports whether this leader, in its term, sent all members the join of the
-// group and none of them a later one. Otherwise a member may have an unanswered join of
-// this or a former leader with a higher epoch, and may carry it out at any time while
-// the group serves. It refuses it once it has joined a group with a yet higher epoch.
+// group and none of them a later join or leave. Otherwise a member may have an unanswered
+// order of this or a former leader that ends its membership, and may carry it out at any
+// time while the group serves. It refuses it once it has joined a group with a yet higher
+// epoch.
 func (p *planner) isLatestJoin(g *group) bool {
 	return !slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return p.LatestJoins[h.ID] != g.epoch })
 }
