--- a/internal/version/formation/plan.go
+++ b/internal/version/formation/plan.go
@@ -13,7 +13,7 @@
 	// orderEffectTimeout is how long an order may show no effect in the host's
 	// reports before it is repeated. Reports arrive within tens of milliseconds.
 	orderEffectTimeout = time.Second
-	// reportTimeout is how long the host list may take to show an effect.
+	// reportTimeout is how long a change of a host may take to show in the host list.
 	reportTimeout = 200 * time.Millisecond
 	// joinTimeout is how long the members of a new group may take to report it.
 	// An unanswered join may be carried out later than that.
@@ -78,7 +78,7 @@
 	// registered hosts in its term, by host ID, whether they were answered or not. A
 	// host that it has ordered to leave since has none.
 	LatestJoins map[string]int64
-	// LedSince is when the leader began to plan, for the last time.
+	// LedSince is when this node last began to lead.
 	LedSince time.Time
 	// UnlimitedLoads is true before the first request. Loads are quick then, and
 	// LoadBudget does not apply.
@@ -396,12 +396,12 @@
 		return
 	}
 	isReady := !slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return h.Group.State != fleet.MemberReady })
-	if isReady && !p.isLatestJoin(g) && !p.mayBeOpening(g) {
+	if isReady && !p.mayOpen(g) && !p.mayBeOpening(g) {
 		p.endMembershipOfHead(g, "a member may still carry out a later join or leave")
 		return
 	}
 	p.keepGroup(g, head.Group.State == fleet.MemberOpen)
-	if !isReady || !p.isLatestJoin(g) {
+	if !isReady || !p.mayOpen(g) {
 		return
 	}
 	if last, ok := p.orderInFlight(head); ok && last.Order.Operation == OpOpen && last.Order.Group == g.name {
@@ -410,12 +410,12 @@
 	p.addOrder(Order{Operation: OpOpen, HostID: head.ID, Group: g.name, Epoch: g.epoch, Model: g.model.Name, Reason: "all members are ready"})
 }
 
-// isLatestJoin reports whether this leader, in its term, sent all members the join of the
+// mayOpen reports whether this leader, in its term, sent all members the join of the
 // group and none of them a later join or leave. Otherwise a member may have an unanswered
 // order of this or a former leader that ends its membership, and may carry it out at any
 // time while the group serves. It refuses it once it has joined a group with a yet higher
 // epoch.
-func (p *planner) isLatestJoin(g *group) bool {
+func (p *planner) mayOpen(g *group) bool {
 	return !slices.ContainsFunc(g.members, func(h *fleet.Host) bool { return p.LatestJoins[h.ID] != g.epoch })
 }
 
