Soak: hosts that carry out orders late

No run with processes played orders that are carried out late.

Cause: the hosts of the soak answered each order at once.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,6 +26,7 @@
 	{"evacuations", 311, []string{evacuations, evacuationsInARow, "kill node", "stop node"}},
 	{"evacuations while the store fails", 312, []string{evacuations, evacuationsInARow, evacuationAndRestore, "cut node from store", "store refuses", "store drops history"}},
 	{"cold hosts", 313, []string{coldHosts, evacuationOfColdHosts, "kill host"}},
+	{"orders that are carried out late", 331, []string{lateOrders, "host leaves", "kill node", "stop node"}},
 	{"planned work beside silent hosts and odd registrations", 292, []string{
 		"configuration storm", "stop nodes in turn", "stop nodes at once", "reload nodes", "service falls silent", "odd registrations",
 	}},
