--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -25,7 +25,8 @@
 
 // cases are the scripts by name.
 var cases = map[string]func(*lab){
-	"cut-answer": runCutAnswer,
+	"cut-answer":      runCutAnswer,
+	"crash-at-freeze": runCrashAtFreeze,
 }
 
 func main() {
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -148,7 +148,12 @@
 
 // startWorker starts a worker process and registers it as ready.
 func (l *lab) startWorker(id, service, zone string) *workerHandle {
-	h := &workerHandle{id: id, service: service, address: l.freeAddresses(1)[0], born: time.Now()}
+	return l.startWorkerAt(l.freeAddresses(1)[0], id, service, zone)
+}
+
+// startWorkerAt is startWorker at an address that a former worker may have had.
+func (l *lab) startWorkerAt(address, id, service, zone string) *workerHandle {
+	h := &workerHandle{id: id, service: service, address: address, born: time.Now()}
 	self, err := os.Executable()
 	if err != nil {
 		l.fail("find the stand-in: %w", err)
