--- a/review/lab3/client.go
+++ b/review/lab3/client.go
@@ -46,7 +46,13 @@
 }
 
 // call sends a request on the channel, as the pages show it, and reads the answer.
-func (c *channel) call(id, method, target, body string, limit time.Duration) (o outcome) {
+func (c *channel) call(id, method, target, body string, limit time.Duration) outcome {
+	return c.callAndLeave(id, method, target, body, limit, 0)
+}
+
+// callAndLeave is call for a client that gives up after a time, unless it is 0: it closes its side of the
+// channel, and reads what the node still sends until the node closes the other side.
+func (c *channel) callAndLeave(id, method, target, body string, limit, leaveAfter time.Duration) (o outcome) {
 	o = outcome{id: id, method: method, target: target, sent: time.Now()}
 	defer func() { o.ended = time.Now() }()
 	if c.conn == nil {
@@ -67,6 +73,11 @@
 		o.err = err
 		return o
 	}
+	if leaveAfter > 0 {
+		conn := c.conn.(*net.TCPConn)
+		defer time.AfterFunc(leaveAfter, func() { _ = conn.CloseWrite() }).Stop()
+		defer c.close()
+	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		c.close()
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -29,17 +29,21 @@
 )
 
 // worker is a plain worker of the users' platform. The path of a request says how it works:
-// a segment "long" stands for one that works for longTime and whose answer has no length, and
-// "fails" for one that runs and then fails.
+// a segment "long" stands for one that works for longTime and whose answer has no length, "slow" for
+// one that works for slowTime, and "stream" for one that is answered by events.
 type worker struct {
 	id   string
 	runs *os.File
 }
 
-// workTime and longTime are how long requests take.
+// workTime, slowTime and longTime are how long requests take. A stream has streamEvents events with
+// eventInterval between them.
 const (
-	workTime = 20 * time.Millisecond
-	longTime = 3 * time.Second
+	workTime      = 20 * time.Millisecond
+	slowTime      = 400 * time.Millisecond
+	longTime      = 3 * time.Second
+	streamEvents  = 27
+	eventInterval = 30 * time.Millisecond
 )
 
 func runWorker(id, address, runsPath string) {
@@ -102,11 +106,19 @@
 		time.Sleep(longTime)
 		_, _ = io.WriteString(conn, whole[len(whole)/2:])
 		return false
-	case strings.Contains(r.RequestURI, "/fails/"):
-		time.Sleep(workTime)
-		failure := "the booking was written, but its confirmation could not be sent\n"
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerSeal, sealOf(failure), len(failure), failure)
-		return true
+	case strings.Contains(r.RequestURI, "/stream/"):
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, id, headerSeal, sealOf(id))
+		for i := range streamEvents {
+			time.Sleep(eventInterval)
+			event := eventOf(id, i+1)
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return false
+			}
+		}
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err == nil
+	case strings.Contains(r.RequestURI, "/slow/"):
+		time.Sleep(slowTime - workTime)
 	}
 	time.Sleep(workTime)
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(whole), whole)
@@ -127,6 +139,9 @@
 	return b.String()
 }
 
+// eventOf returns the n-th event of the stream that answers a request.
+func eventOf(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", n, id, n) }
+
 // sealOf returns the receipt of a body.
 func sealOf(body string) string {
 	sum := sha256.Sum256([]byte(body))
