--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,9 +32,12 @@
 // worker is a plain worker of the users' platform. The path of a request says how it works:
 // a segment "long" stands for one that works for longTime and whose answer has no length, "slow" for
 // one that works for slowTime, and "stream" for one that is answered by events.
+//
+// A worker whose id ends with "-grey" fails two fifths of its requests after it has run them.
 type worker struct {
 	id   string
 	runs *os.File
+	ran  atomic.Int64
 }
 
 // workTime, slowTime and longTime are how long requests take. A stream has streamEvents events with
@@ -57,7 +61,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	w := &worker{id, runs}
+	w := &worker{id: id, runs: runs}
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -117,6 +121,11 @@
 		}
 		_, err := io.WriteString(conn, "0\r\n\r\n")
 		return err == nil
+	case strings.HasSuffix(w.id, "-grey") && w.ran.Add(1)%5 < 2:
+		time.Sleep(workTime)
+		failure := "the booking is written, but its confirmation could not be sent\n"
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerSeal, sealOf(failure), len(failure), failure)
+		return true
 	case strings.Contains(r.RequestURI, "/slow/"):
 		time.Sleep(slowTime - workTime)
 	}
