--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -41,6 +42,7 @@
 	broken []string
 	procs  []*process
 	nodes  []*node
+	ended  bool
 }
 
 // process is a process that this run started.
@@ -164,14 +166,21 @@
 		close(p.done)
 	}()
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.procs = append(l.procs, p)
-	l.mu.Unlock()
+	if l.ended {
+		_ = cmd.Process.Kill()
+	}
 	return p
 }
 
 // endProcesses kills what still runs.
 func (l *lab) endProcesses() {
-	for _, p := range l.procs {
+	l.mu.Lock()
+	l.ended = true
+	procs := slices.Clone(l.procs)
+	l.mu.Unlock()
+	for _, p := range procs {
 		select {
 		case <-p.done:
 		default:
@@ -181,6 +190,13 @@
 	}
 }
 
+// ending reports whether the processes are being ended.
+func (l *lab) ending() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended
+}
+
 // nodeSettings renders platform/node.ini.tmpl with the bounds of a small deployment.
 func (l *lab) nodeSettings(n *node, zone string, peers string, firstStart bool) string {
 	return fmt.Sprintf(`[node]
@@ -224,6 +240,11 @@
 		n.process = l.start(n.name, n.log, []string{"CURRANTLADDER_BOOT=" + settings}, gatewayProgram, "gateway")
 		l.nodes = append(l.nodes, n)
 	}
+	l.awaitReady()
+}
+
+// awaitReady waits until all nodes are ready.
+func (l *lab) awaitReady() {
 	deadline := time.Now().Add(readyTimeout)
 	for _, n := range l.nodes {
 		for !n.isReady() {
