--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if a request that crashes workers reached too many of them, 0 if not, and 2 if the case could not run.
+# Exits with 1 if a request that has run was refused as not run, 0 if none was, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/lab3 case deadly review/15/record.txt
+exec target/lab3 case grey-refusal review/15/record.txt
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -42,7 +41,6 @@
 	broken []string
 	procs  []*process
 	nodes  []*node
-	ended  bool
 }
 
 // process is a process that this run started.
@@ -166,21 +164,14 @@
 		close(p.done)
 	}()
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.procs = append(l.procs, p)
-	if l.ended {
-		_ = cmd.Process.Kill()
-	}
+	l.mu.Unlock()
 	return p
 }
 
 // endProcesses kills what still runs.
 func (l *lab) endProcesses() {
-	l.mu.Lock()
-	l.ended = true
-	procs := slices.Clone(l.procs)
-	l.mu.Unlock()
-	for _, p := range procs {
+	for _, p := range l.procs {
 		select {
 		case <-p.done:
 		default:
@@ -190,13 +181,6 @@
 	}
 }
 
-// ending reports whether the processes are being ended.
-func (l *lab) ending() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.ended
-}
-
 // nodeSettings renders platform/node.ini.tmpl with the bounds of a small deployment.
 func (l *lab) nodeSettings(n *node, zone string, peers string, firstStart bool) string {
 	return fmt.Sprintf(`[node]
@@ -240,11 +224,6 @@
 		n.process = l.start(n.name, n.log, []string{"CURRANTLADDER_BOOT=" + settings}, gatewayProgram, "gateway")
 		l.nodes = append(l.nodes, n)
 	}
-	l.awaitReady()
-}
-
-// awaitReady waits until all nodes are ready.
-func (l *lab) awaitReady() {
 	deadline := time.Now().Add(readyTimeout)
 	for _, n := range l.nodes {
 		for !n.isReady() {
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -27,7 +27,7 @@
 var cases = map[string]func(*lab){
 	"cut-answer":      runCutAnswer,
 	"crash-at-freeze": runCrashAtFreeze,
-	"deadly":          runDeadly,
+	"grey-refusal":    runGreyRefusal,
 	"slashes":         runSlashes,
 	"half-close":      runHalfClose,
 }
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -12,10 +12,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
-	"syscall"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,10 +33,11 @@
 // a segment "long" stands for one that works for longTime and whose answer has no length, "slow" for
 // one that works for slowTime, and "stream" for one that is answered by events.
 //
-// A segment "deadly" makes the worker that begins to run the request go dark.
+// A worker whose id ends with "-grey" fails two fifths of its requests after it has run them.
 type worker struct {
 	id   string
 	runs *os.File
+	ran  atomic.Int64
 }
 
 // workTime, slowTime and longTime are how long requests take. A stream has streamEvents events with
@@ -121,10 +121,11 @@
 		}
 		_, err := io.WriteString(conn, "0\r\n\r\n")
 		return err == nil
-	case strings.Contains(r.RequestURI, "/deadly/"):
-		// The machine goes dark: nothing more comes from it, not even the end of its channels.
-		_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
-		select {}
+	case strings.HasSuffix(w.id, "-grey") && w.ran.Add(1)%5 < 2:
+		time.Sleep(workTime)
+		failure := "the booking is written, but its confirmation could not be sent\n"
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerSeal, sealOf(failure), len(failure), failure)
+		return true
 	case strings.Contains(r.RequestURI, "/slow/"):
 		time.Sleep(slowTime - workTime)
 	}
@@ -206,11 +207,6 @@
 	l.note("the store has accepted that %s is %s", h.id, state)
 }
 
-// sortRuns sorts runs by time.
-func sortRuns(runs []run) {
-	slices.SortFunc(runs, func(a, b run) int { return a.at.Compare(b.at) })
-}
-
 // readRuns returns what the workers began to work on.
 func (l *lab) readRuns() []run {
 	paths, _ := filepath.Glob(filepath.Join(l.dir, "*.runs"))
