wellformed: a response that is reset while its request is written is not complete

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as the whole answer, plain or as a stream with a clean end, in managed deployments and from services of `serve`; there it would be recorded for a non-idempotent call (read in the code, no test shows it).

Cause: the kernel reports a reset once. net/http writes the request and reads the response in two goroutines; if the blocked write takes ECONNRESET, the read gets an end of file, which ends a response without framing. Timeouts of the connection (ETIMEDOUT) are reported in the same way. What a failed write had learned did not reach the reader.

Ruled out: a host that left or crashed (the address still listens, as the worker that resets one connection does), and a cut head or a length, which net/http finds by itself.

Change: a connection of wellformed keeps the error of its first failed write. At an end of file it interrupts the write in progress, so that its error is known, and returns that error unless it is EPIPE: the kernel returns EPIPE for a reset only if the server had ended its side before. All responses of hosts, services, engines, peers and the store are read through this connection.

--- a/internal/connection/wellformed/transport.go
+++ b/internal/connection/wellformed/transport.go
@@ -33,7 +33,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: raw}, nil
+		return newConn(raw), nil
 	}
 	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := dial(ctx, network, address)
@@ -45,7 +45,7 @@
 			raw.Close()
 			return nil, err
 		}
-		return &conn{Conn: secured}, nil
+		return newConn(secured), nil
 	}
 	return &Transport{base}
 }
@@ -115,33 +115,3 @@
 	}
 	return n, io.EOF
 }
-
-// conn is a connection that checks the heads of responses as they are read. The transport
-// uses it from one goroutine at a time.
-type conn struct {
-	net.Conn
-	// head checks the response to the current request or the next one.
-	head headChecker
-	// malformed is the error of all reads after a malformed line.
-	malformed error
-}
-
-// expectResponse begins to check the next response after a complete one.
-func (c *conn) expectResponse() { c.head = headChecker{} }
-
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	if c.malformed != nil {
-		return 0, c.malformed
-	}
-	n, err := c.Conn.Read(p)
-	checked, malformed := c.head.check(p[:n])
-	if malformed == nil {
-		return n, err
-	}
-	c.malformed = malformed
-	if checked > 0 {
-		return checked, nil
-	}
-	return 0, malformed
-}
--- a/internal/connection/wellformed/transport_test.go
+++ b/internal/connection/wellformed/transport_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -165,6 +166,9 @@
 	return n, nil
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *partsConn) SetWriteDeadline(time.Time) error { return nil }
+
 // TestResponsesArriveInAnyParts verifies that the result does not depend on the reads in
 // which a response arrives, that no byte of it is lost or changed, and that net/http makes
 // no response of a part of a malformed one.
@@ -182,7 +186,7 @@
 			n := rapid.IntRange(1, len(rest)).Draw(t, "part")
 			parts, rest = append(parts, rest[:n]), rest[n:]
 		}
-		got, err := io.ReadAll(&conn{Conn: &partsConn{parts: slices.Clone(parts)}})
+		got, err := io.ReadAll(newConn(&partsConn{parts: slices.Clone(parts)}))
 		if (err == nil) != (want == nil) || err == nil && string(got) != whole || err != nil && err.Error() != want.Error() {
 			t.Errorf("got %q and error %v of %q, want error %v", got, err, whole, want)
 		}
--- /dev/null
+++ b/internal/process/callerapi/earlyanswer_test.go
@@ -0,0 +1,80 @@
+package callerapi_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"currantladder.example/currantladder/internal/connection/endpoint"
+	"currantladder.example/currantladder/internal/process/callerapi"
+	"currantladder.example/currantladder/internal/standin/earlyanswer"
+)
+
+// TestServiceAnswerDuringItsUpload guards against a part of an answer that reaches a caller as
+// the whole one, because it has no length and was reset while the call was still being written.
+// An answer that comes to its end is delivered.
+func TestServiceAnswerDuringItsUpload(t *testing.T) {
+	const rounds = 8
+	const head = "HTTP/1.1 200 OK\r\n"
+	for name, test := range map[string]struct {
+		answer earlyanswer.Answer
+		sound  bool
+	}{
+		"reset":                   {earlyanswer.Answer{Text: head + "\r\nbook", End: earlyanswer.Reset}, false},
+		"reset, empty":            {earlyanswer.Answer{Text: head + "\r\n", End: earlyanswer.Reset}, false},
+		"no length":               {earlyanswer.Answer{Text: head + "\r\nbooked", End: earlyanswer.ReadOn}, true},
+		"no length, rest unread":  {earlyanswer.Answer{Text: head + "\r\nbooked", End: earlyanswer.LeaveUnread}, true},
+		"with length":             {earlyanswer.Answer{Text: head + "Content-Length: 6\r\n\r\nbooked", End: earlyanswer.ReadOn}, true},
+		"with length, cut, reset": {earlyanswer.Answer{Text: head + "Content-Length: 6\r\n\r\nbook", End: earlyanswer.Reset}, false},
+	} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(fmt.Sprintf("%s, %s", name, method), func(t *testing.T) {
+				t.Parallel()
+				for range rounds {
+					status, body := uploadToService(t, method, test.answer)
+					if test.sound && (status != http.StatusOK || body != "booked") {
+						t.Errorf("got status %d and body %q of a sound answer, want it", status, body)
+					}
+					if !test.sound && (status != http.StatusBadGateway || strings.Contains(body, `"ran":"no"`)) {
+						t.Errorf("got status %d and body %q of an answer that was reset, want 502 for a call that may have run", status, body)
+					}
+				}
+			})
+		}
+	}
+}
+
+// uploadToService sends a call with a long body through a node, to a service that answers
+// before it has read it.
+func uploadToService(t *testing.T, method string, answer earlyanswer.Answer) (status int, body string) {
+	t.Helper()
+	service, err := earlyanswer.Start(func(*http.Request) earlyanswer.Answer { return answer })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer service.Close()
+	client := endpoint.NewClient()
+	defer client.Close()
+	server := httptest.NewServer(newTestNodeWithBodies(t.Context(), client, "", service.Address(), 1, 2*earlyanswer.UploadBytes).handler)
+	defer server.Close()
+	request, err := http.NewRequestWithContext(t.Context(), method, server.URL+"/services/booking/1", bytes.NewReader(make([]byte, earlyanswer.UploadBytes)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set(callerapi.HeaderRank, "urgent")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatalf("got error %v, want an answer", err)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Errorf("got error %v in the answer", err)
+	}
+	return response.StatusCode, string(content)
+}
--- a/internal/process/callerapi/harness_test.go
+++ b/internal/process/callerapi/harness_test.go
@@ -45,6 +45,11 @@
 
 // newTestNode returns a node whose goroutines end with ctx.
 func newTestNode(ctx context.Context, client *endpoint.Client, engine, service string, slots int) *testNode {
+	return newTestNodeWithBodies(ctx, client, engine, service, slots, maxBodyBytes)
+}
+
+// newTestNodeWithBodies is newTestNode with another limit of the bodies of requests.
+func newTestNodeWithBodies(ctx context.Context, client *endpoint.Client, engine, service string, slots int, maxBodyBytes int64) *testNode {
 	n := &testNode{}
 	tracker := suspects{suspect.New()}
 	n.home = dispatch.NewHome(ctx, client, tracker, nil)
--- a/internal/standin/loopback/loopback_test.go
+++ b/internal/standin/loopback/loopback_test.go
@@ -1,10 +1,12 @@
 package loopback
 
 import (
+	"errors"
 	"net"
 	"os"
 	"os/exec"
 	"testing"
+	"time"
 )
 
 const childVariable = "LOOPBACK_TEST_ADDRESS"
@@ -44,3 +46,26 @@
 		t.Fatalf("second process: %v\n%s", err, output)
 	}
 }
+
+// TestNarrowListenerBlocksAnUpload verifies that the kernel does not buffer an upload of 1 MB
+// to a narrow listener, as it does over other loopback connections.
+func TestNarrowListenerBlocksAnUpload(t *testing.T) {
+	listener, err := ListenNarrow()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	n, err := conn.Write(make([]byte, 1<<20))
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %d bytes written and error %v, want a write that blocks", n, err)
+	}
+	t.Logf("%d bytes fit into the buffers", n)
+}
