wellformed: a whole response whose connection is reset during the request is delivered

What callers saw: a host answered a long upload early, with its whole answer, and closed the connection without reading the rest of the body. Callers got 502, or a second attempt where the request may be repeated, although the answer had arrived.

Cause: closing a connection with unread bytes resets it. net/http closes its side at once after a failed write, so that the reader loses what the kernel holds for it.

Ruled out: bytes lost in the kernel. It keeps what came before a reset, and the tests get it in each run.

Change: a write that meets the end or a reset by the server (EPIPE, ECONNRESET) returns once the reads have returned an error or the transport has closed the connection. After such an error reads do not block. Other errors return at once.

--- a/internal/connection/wellformed/conn.go
+++ b/internal/connection/wellformed/conn.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-// conn is a connection that checks the heads of responses as they are read, and whose reads
-// report a reset that a write has met. The transport reads from one goroutine at a time and
-// writes from another one.
+// conn is a connection that checks the heads of responses as they are read. The transport
+// reads from one goroutine at a time and writes from another one; a failure that a write met
+// neither passes for the end of a response nor ends one that can still be read.
 type conn struct {
 	net.Conn
 	// head checks the response to the current request or the next one.
@@ -25,15 +25,27 @@
 	// that failed.
 	writing  sync.Mutex
 	writeErr error
+	// readsEnded is closed once a read has returned an error or the connection is closed.
+	readsEnded chan struct{}
+	endReads   sync.Once
 }
 
-func newConn(raw net.Conn) *conn { return &conn{Conn: raw} }
+func newConn(raw net.Conn) *conn { return &conn{Conn: raw, readsEnded: make(chan struct{})} }
 
 // expectResponse begins to check the next response after a complete one.
 func (c *conn) expectResponse() { c.head = headChecker{} }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if err != nil {
+		c.endReads.Do(func() { close(c.readsEnded) })
+	}
+	return n, err
+}
+
+// read reads and checks the next bytes of a response.
+func (c *conn) read(p []byte) (int, error) {
 	if c.malformed != nil {
 		return 0, c.malformed
 	}
@@ -52,17 +64,6 @@
 	return 0, malformed
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	n, err := c.Conn.Write(p)
-	if err != nil && c.writeErr == nil {
-		c.writeErr = err
-	}
-	return n, err
-}
-
 // endOfStream returns io.EOF if the server has ended its side of the connection, and the
 // cause if the connection failed. The kernel reports a failure once: if a write has got it,
 // reads return io.EOF as after a regular end. A write that is in progress is interrupted,
@@ -71,14 +72,38 @@
 	_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only if writes fail as well
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if c.writeErr == nil || endedBeforeWriteFailed(c.writeErr) {
+	if c.writeErr == nil || errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, syscall.EPIPE) {
+		// EPIPE is the error of a reset that came after the end of the server's side, and
+		// ECONNRESET of one before it.
 		return io.EOF
 	}
 	return fmt.Errorf("connection failed while the request was written: %w", c.writeErr)
 }
 
-// endedBeforeWriteFailed reports whether a write that returned err tells that the server had
-// ended its side before. A reset after that end is EPIPE, one before it ECONNRESET.
-func endedBeforeWriteFailed(err error) bool {
-	return errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded)
+// Write implements net.Conn. The transport closes the connection after a failed write. If the
+// server has closed or reset it, a write therefore returns after the reads, which can still
+// return what the server sent before.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		<-c.readsEnded
+	}
+	return n, err
+}
+
+// write writes and records the first error.
+func (c *conn) write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.endReads.Do(func() { close(c.readsEnded) })
+	return c.Conn.Close()
 }
--- a/internal/connection/wellformed/conn_test.go
+++ b/internal/connection/wellformed/conn_test.go
@@ -15,23 +15,25 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"currantladder.example/currantladder/internal/standin/loopback"
 )
 
-// failingConn is a connection whose writes fail one after the other with given errors, nil
-// for none, and whose reads return io.EOF.
+// failingConn is a connection whose writes return an error, nil for none, and whose reads
+// return io.EOF.
 type failingConn struct {
 	net.Conn
-	writeErrs []error
+	writeErr error
+	// wrote gets a value for each write.
+	wrote chan struct{}
 }
 
 // Write implements net.Conn.
 func (c *failingConn) Write(p []byte) (int, error) {
-	err := c.writeErrs[0]
-	c.writeErrs = c.writeErrs[1:]
-	return len(p), err
+	c.wrote <- struct{}{}
+	return len(p), c.writeErr
 }
 
 // Read implements net.Conn.
@@ -40,33 +42,79 @@
 // SetWriteDeadline implements net.Conn.
 func (*failingConn) SetWriteDeadline(time.Time) error { return nil }
 
+// Close implements net.Conn.
+func (*failingConn) Close() error { return nil }
+
 // TestEndOfFileAfterAFailedWrite guards against a connection that failed and whose end of file
 // counts as the end of a response, because a write got the error.
 func TestEndOfFileAfterAFailedWrite(t *testing.T) {
-	for _, test := range []struct {
-		writeErrs []error
-		wantEnd   bool
-	}{
-		{nil, true},
-		{[]error{nil}, true},
-		{[]error{nil, syscall.EPIPE}, true}, // the server had ended its side before it reset the connection
-		{[]error{syscall.ECONNRESET}, false},
-		{[]error{nil, syscall.ECONNRESET}, false},
-		{[]error{syscall.ECONNRESET, syscall.EPIPE}, false},
-		{[]error{syscall.ETIMEDOUT}, false},
-		{[]error{syscall.EHOSTUNREACH}, false},
-		{[]error{errors.New("unknown")}, false},
+	for writeErr, wantEnd := range map[error]bool{
+		nil:                   true,
+		syscall.EPIPE:         true, // the server had ended its side before it reset the connection
+		syscall.ECONNRESET:    false,
+		syscall.ETIMEDOUT:     false,
+		syscall.EHOSTUNREACH:  false,
+		errors.New("unknown"): false,
 	} {
-		c := newConn(&failingConn{writeErrs: test.writeErrs})
-		for _, want := range test.writeErrs {
-			if _, err := c.Write([]byte("request")); !errors.Is(err, want) {
-				t.Errorf("%v: got error %v of a write, want %v", test.writeErrs, err, want)
-			}
-		}
+		raw := &failingConn{writeErr: writeErr, wrote: make(chan struct{}, 2)}
+		c := newConn(raw)
 		for range 2 {
-			if _, err := c.Read(make([]byte, 1)); (err == io.EOF) != test.wantEnd || !test.wantEnd && !errors.Is(err, test.writeErrs[len(test.writeErrs)-1]) && !errors.Is(err, test.writeErrs[0]) {
-				t.Errorf("%v: got error %v of a read, want io.EOF: %t", test.writeErrs, err, test.wantEnd)
+			written := make(chan error, 1)
+			go func() {
+				_, err := c.Write([]byte("request"))
+				written <- err
+			}()
+			<-raw.wrote
+			if _, err := c.Read(make([]byte, 1)); (err == io.EOF) != wantEnd || !wantEnd && !errors.Is(err, writeErr) {
+				t.Errorf("write error %v: got error %v of a read, want io.EOF: %t", writeErr, err, wantEnd)
 			}
+			if err := <-written; err != raw.writeErr {
+				t.Errorf("got error %v of a write, want %v", err, raw.writeErr)
+			}
+			if writeErr != nil {
+				raw.writeErr = syscall.EPIPE // as the kernel does after it has reported a failure
+			}
+		}
+	}
+}
+
+// TestFailedWriteReturnsAfterTheReads guards against a response that is lost because the
+// transport closes its connection after a failed write, and against writes that wait for reads
+// that may not end.
+func TestFailedWriteReturnsAfterTheReads(t *testing.T) {
+	for writeErr, wantWait := range map[error]bool{
+		nil: false, syscall.ECONNRESET: true, syscall.EPIPE: true, syscall.ENOBUFS: false, net.ErrClosed: false, os.ErrDeadlineExceeded: false,
+	} {
+		for name, end := range map[string]func(c net.Conn){
+			"read":  func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) },
+			"close": func(c net.Conn) { c.Close() },
+		} {
+			synctest.Test(t, func(t *testing.T) {
+				c := newConn(&failingConn{writeErr: writeErr, wrote: make(chan struct{}, 1)})
+				written := make(chan struct{})
+				go func() {
+					_, _ = c.Write([]byte("request"))
+					close(written)
+				}()
+				synctest.Wait()
+				select {
+				case <-written:
+					if wantWait {
+						t.Errorf("the write that failed with %v returned before the reads have ended", writeErr)
+					}
+				default:
+					if !wantWait {
+						t.Errorf("the write that ended with %v has not returned", writeErr)
+					}
+				}
+				end(c)
+				synctest.Wait()
+				select {
+				case <-written:
+				default:
+					t.Errorf("%s: the write that failed with %v has not returned", name, writeErr)
+				}
+			})
 		}
 	}
 }
--- a/internal/connection/wellformed/transport_test.go
+++ b/internal/connection/wellformed/transport_test.go
@@ -190,7 +190,7 @@
 		if (err == nil) != (want == nil) || err == nil && string(got) != whole || err != nil && err.Error() != want.Error() {
 			t.Errorf("got %q and error %v of %q, want error %v", got, err, whole, want)
 		}
-		reader := bufio.NewReader(&conn{Conn: &partsConn{parts: parts}})
+		reader := bufio.NewReader(newConn(&partsConn{parts: parts}))
 		for want != nil {
 			response, err := http.ReadResponse(reader, nil)
 			if err != nil {
--- a/internal/process/callerapi/earlyanswer_test.go
+++ b/internal/process/callerapi/earlyanswer_test.go
@@ -16,7 +16,7 @@
 
 // TestServiceAnswerDuringItsUpload guards against a part of an answer that reaches a caller as
 // the whole one, because it has no length and was reset while the call was still being written.
-// An answer that comes to its end is delivered.
+// An answer that comes to its end is delivered, also if its connection is reset after that.
 func TestServiceAnswerDuringItsUpload(t *testing.T) {
 	const rounds = 8
 	const head = "HTTP/1.1 200 OK\r\n"
@@ -29,6 +29,8 @@
 		"no length":               {earlyanswer.Answer{Text: head + "\r\nbooked", End: earlyanswer.ReadOn}, true},
 		"no length, rest unread":  {earlyanswer.Answer{Text: head + "\r\nbooked", End: earlyanswer.LeaveUnread}, true},
 		"with length":             {earlyanswer.Answer{Text: head + "Content-Length: 6\r\n\r\nbooked", End: earlyanswer.ReadOn}, true},
+		"with length, reset":      {earlyanswer.Answer{Text: head + "Content-Length: 6\r\n\r\nbooked", End: earlyanswer.ResetAtOnce}, true},
+		"no length, end, reset":   {earlyanswer.Answer{Text: head + "\r\nbooked", End: earlyanswer.EndAndReset}, true},
 		"with length, cut, reset": {earlyanswer.Answer{Text: head + "Content-Length: 6\r\n\r\nbook", End: earlyanswer.Reset}, false},
 	} {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
