--- a/internal/connection/wellformed/transport.go
+++ b/internal/connection/wellformed/transport.go
@@ -4,6 +4,10 @@
 //
 // A response that is not well-formed is an error of its request, and its connection is
 // closed. Whether the request ran is unknown.
+//
+// A response without a length or chunks ends with its connection. It is complete only if the
+// server ended the connection, and an error if the connection failed, whichever of the
+// goroutines that write the request and read the response met the failure.
 package wellformed
 
 import (
--- a/internal/process/callerapi/earlyanswer_test.go
+++ b/internal/process/callerapi/earlyanswer_test.go
@@ -1,16 +1,11 @@
 package callerapi_test
 
 import (
-	"bytes"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 
-	"currantladder.example/currantladder/internal/connection/endpoint"
-	"currantladder.example/currantladder/internal/process/callerapi"
 	"currantladder.example/currantladder/internal/standin/earlyanswer"
 )
 
@@ -59,24 +54,5 @@
 		t.Fatal(err)
 	}
 	defer service.Close()
-	client := endpoint.NewClient()
-	defer client.Close()
-	server := httptest.NewServer(newTestNodeWithBodies(t.Context(), client, "", service.Address(), 1, 2*earlyanswer.UploadBytes).handler)
-	defer server.Close()
-	request, err := http.NewRequestWithContext(t.Context(), method, server.URL+"/services/booking/1", bytes.NewReader(make([]byte, earlyanswer.UploadBytes)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Header.Set("Authorization", "Bearer "+testKey)
-	request.Header.Set(callerapi.HeaderRank, "urgent")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		t.Fatalf("got error %v, want an answer", err)
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Errorf("got error %v in the answer", err)
-	}
-	return response.StatusCode, string(content)
+	return callServiceAt(t, service.Address(), method, "", make([]byte, earlyanswer.UploadBytes))
 }
--- a/internal/process/callerapi/harness_test.go
+++ b/internal/process/callerapi/harness_test.go
@@ -1,11 +1,15 @@
 package callerapi_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
@@ -75,6 +79,35 @@
 	return n
 }
 
+// callServiceAt sends a call through a node to the service at an address. An empty key is not
+// sent.
+func callServiceAt(t *testing.T, service, method, key string, content []byte) (status int, body string) {
+	t.Helper()
+	client := endpoint.NewClient()
+	defer client.Close()
+	server := httptest.NewServer(newTestNodeWithBodies(t.Context(), client, "", service, 1, max(maxBodyBytes, int64(len(content)))).handler)
+	defer server.Close()
+	request, err := http.NewRequestWithContext(t.Context(), method, server.URL+"/services/booking/1", bytes.NewReader(content))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set(callerapi.HeaderRank, "urgent")
+	if key != "" {
+		request.Header.Set(callerapi.HeaderIdempotencyKey, key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatalf("got error %v, want an answer", err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Errorf("got error %v in the answer", err)
+	}
+	return response.StatusCode, string(answer)
+}
+
 func newSnapshot() *snapshot.Snapshot {
 	sum := sha256.Sum256([]byte(testKey))
 	rank := func(priority int) *object.RankSpec {
--- a/internal/process/callerapi/malformed_test.go
+++ b/internal/process/callerapi/malformed_test.go
@@ -69,30 +69,8 @@
 // connection.
 func TestMalformedAnswersOfServices(t *testing.T) {
 	call := func(t *testing.T, head, method, key string) (status int, body string) {
-		client := endpoint.NewClient()
-		defer client.Close()
 		service := serveMalformed(t, head, func(*http.Request) string { return "booked" })
-		server := httptest.NewServer(newTestNode(t.Context(), client, "", service, 1).handler)
-		defer server.Close()
-		request, err := http.NewRequestWithContext(t.Context(), method, server.URL+"/services/booking/1", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		request.Header.Set("Authorization", "Bearer "+testKey)
-		request.Header.Set(callerapi.HeaderRank, "urgent")
-		if key != "" {
-			request.Header.Set(callerapi.HeaderIdempotencyKey, key)
-		}
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			t.Fatalf("got error %v, want an answer", err)
-		}
-		defer response.Body.Close()
-		content, err := io.ReadAll(response.Body)
-		if err != nil {
-			t.Errorf("got error %v in the answer", err)
-		}
-		return response.StatusCode, string(content)
+		return callServiceAt(t, service, method, key, nil)
 	}
 	for _, c := range []struct{ method, key string }{{http.MethodGet, ""}, {http.MethodPost, ""}, {http.MethodPost, "key"}} {
 		if status, body := call(t, soundHead, c.method, c.key); status != http.StatusOK || body != "booked" {
--- a/internal/standin/earlyanswer/earlyanswer.go
+++ b/internal/standin/earlyanswer/earlyanswer.go
@@ -30,7 +30,8 @@
 	End End
 }
 
-// End ends a connection on which the body of a request has not been read.
+// End ends a connection on which the body of a request has not been read. The Host closes the
+// connection after it.
 type End func(conn *net.TCPConn)
 
 // Reset resets the connection after the other side has read what was written.
@@ -39,7 +40,8 @@
 	ResetAtOnce(conn)
 }
 
-// ResetAtOnce resets the connection directly behind the answer.
+// ResetAtOnce resets the connection directly behind the answer: without lingering, closing it
+// does so.
 func ResetAtOnce(conn *net.TCPConn) { _ = conn.SetLinger(0) } // fails on a closed connection
 
 // EndAndReset ends the answer and resets the connection directly behind it.
