--- a/internal/process/callerapi/harness_test.go
+++ b/internal/process/callerapi/harness_test.go
@@ -87,15 +87,24 @@
 	defer client.Close()
 	server := httptest.NewServer(newTestNodeWithBodies(t.Context(), client, "", service, 1, max(maxBodyBytes, int64(len(content)))).handler)
 	defer server.Close()
-	request, err := http.NewRequestWithContext(t.Context(), method, server.URL+"/services/booking/1", bytes.NewReader(content))
+	header := http.Header{}
+	if key != "" {
+		header.Set(callerapi.HeaderIdempotencyKey, key)
+	}
+	return sendUrgent(t, method, server.URL+"/services/booking/1", header, bytes.NewReader(content))
+}
+
+// sendUrgent sends a request of the test account with the rank "urgent" and returns the whole
+// answer.
+func sendUrgent(t *testing.T, method, url string, header http.Header, content io.Reader) (status int, body string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, content)
 	if err != nil {
 		t.Fatal(err)
 	}
+	request.Header = header
 	request.Header.Set("Authorization", "Bearer "+testKey)
 	request.Header.Set(callerapi.HeaderRank, "urgent")
-	if key != "" {
-		request.Header.Set(callerapi.HeaderIdempotencyKey, key)
-	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		t.Fatalf("got error %v, want an answer", err)
--- a/internal/process/callerapi/malformed_test.go
+++ b/internal/process/callerapi/malformed_test.go
@@ -12,7 +12,6 @@
 	"testing"
 
 	"currantladder.example/currantladder/internal/connection/endpoint"
-	"currantladder.example/currantladder/internal/process/callerapi"
 	"currantladder.example/currantladder/internal/standin/loopback"
 )
 
@@ -102,22 +101,7 @@
 		server := httptest.NewServer(newTestNode(t.Context(), client, engine, "", 4).handler)
 		defer server.Close()
 		content := fmt.Sprintf(`{"model":%q,"prompt":"p","max_tokens":1,"stream":%t}`, testModel, stream)
-		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/v1/completions", strings.NewReader(content))
-		if err != nil {
-			t.Fatal(err)
-		}
-		request.Header.Set("Authorization", "Bearer "+testKey)
-		request.Header.Set(callerapi.HeaderRank, "urgent")
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			t.Fatalf("got error %v, want an answer", err)
-		}
-		defer response.Body.Close()
-		answer, err := io.ReadAll(response.Body)
-		if err != nil {
-			t.Errorf("got error %v in the answer", err)
-		}
-		return response.StatusCode, string(answer)
+		return sendUrgent(t, http.MethodPost, server.URL+"/v1/completions", http.Header{}, strings.NewReader(content))
 	}
 	for _, stream := range []bool{false, true} {
 		if status, body := complete(t, soundHead, stream); status != http.StatusOK || !strings.Contains(body, "hello") {
