Tests: orders are audited in the sequence in which engines carry them out

Cause: a fault of the test. It compared epochs in the sequence in which the goroutines of the nodes got the answers. Two nodes sent orders in the same instant of virtual time; the engine carried out 10 and then 11, and the answer of 11 was looked at first.

Change: the stand-in reports each order under its lock, with the boot ID of its process, and the audit compares these. That is stricter: an order whose answer is lost counts too, and none of the epochs after a restart are forgotten. TestFencing still checks what the engine answers.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -56,6 +56,10 @@
 	// ChecksFencing makes the engine refuse orders whose epoch is below the
 	// highest accepted one.
 	ChecksFencing bool
+	// OnOrder, unless it is nil, is called for each order in the sequence in which the
+	// engine carries them out or refuses them. bootID names the engine's process.
+	// OnOrder must not call the engine.
+	OnOrder func(bootID string, order endpoint.Order, refused bool)
 	// Seed determines which cache events are lost.
 	Seed int64
 	// HTTPClient is used for calls to other members and the weight store.
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -43,7 +43,11 @@
 	if e.crashed {
 		return e.state, nil
 	}
-	if e.options.ChecksFencing && order.Epoch < e.state.Epoch {
+	refused := e.options.ChecksFencing && order.Epoch < e.state.Epoch
+	if e.options.OnOrder != nil {
+		e.options.OnOrder(e.state.BootID, order, refused)
+	}
+	if refused {
 		return e.state, &endpoint.StaleOrder{HighestEpoch: e.state.Epoch}
 	}
 	e.state.Epoch = max(e.state.Epoch, order.Epoch)
--- a/internal/version/groupcontrol/controller_test.go
+++ b/internal/version/groupcontrol/controller_test.go
@@ -128,7 +128,6 @@
 		e.Crash()
 	case 9:
 		e.Restart()
-		h.audit.forget(name)
 	case 10:
 		e.SetFaults(engine.Faults{Pause: random.IntN(2) == 0})
 	}
@@ -142,11 +141,10 @@
 		n.gate.Set(false, 0)
 	}
 	h.platform.SetFaults(platform.Faults{})
-	for name, e := range h.engines {
+	for _, e := range h.engines {
 		e.SetFaults(engine.Faults{})
 		if !e.Alive() {
 			e.Restart()
-			h.audit.forget(name)
 		}
 	}
 }
--- a/internal/version/groupcontrol/harness_test.go
+++ b/internal/version/groupcontrol/harness_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -141,10 +140,11 @@
 	h.hosts = next
 }
 
-// orderAudit checks the epoch of every order that an engine answered.
+// orderAudit checks the epochs of the orders that engines carry out, in the sequence in which
+// they do. Nodes may get the answers in another one.
 type orderAudit struct {
 	mu      sync.Mutex
-	highest map[string]int64 // epoch carried out, by host
+	highest map[string]int64 // epoch carried out, by boot ID: an engine keeps none over a restart
 	// staleRefused and staleUnchecked count orders whose epoch is below one
 	// that the host carried out before: those refused by hosts that check
 	// fencing tokens, and those sent to hosts that do not.
@@ -153,30 +153,23 @@
 	violations     []string
 }
 
-func (a *orderAudit) record(host string, checksFencing bool, epoch int64, status int) {
+func (a *orderAudit) record(host, bootID string, epoch int64, refused bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	stale := epoch < a.highest[host]
+	stale := epoch < a.highest[bootID]
 	switch {
-	case stale && checksFencing && status != http.StatusConflict:
-		a.violations = append(a.violations, fmt.Sprintf("host %s carried out an order of epoch %d after one of epoch %d", host, epoch, a.highest[host]))
-	case stale && checksFencing:
+	case stale && checksFencing(host) && !refused:
+		a.violations = append(a.violations, fmt.Sprintf("host %s carried out an order of epoch %d after one of epoch %d", host, epoch, a.highest[bootID]))
+	case stale && checksFencing(host):
 		a.staleRefused++
 	case stale:
 		a.staleUnchecked++
 	}
-	if status == http.StatusOK {
-		a.highest[host] = max(a.highest[host], epoch)
+	if !refused {
+		a.highest[bootID] = max(a.highest[bootID], epoch)
 	}
 }
 
-// forget drops the epoch of a host. An engine keeps no epoch over a restart.
-func (a *orderAudit) forget(host string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.highest, host)
-}
-
 // nodeTransport carries a node's HTTP calls to engines.
 type nodeTransport struct {
 	harness *harness
@@ -213,12 +206,6 @@
 		return nil, err
 	}
 	answer.Body = &cancelBody{answer.Body, cancel}
-	var order endpoint.Order
-	if err := json.Unmarshal(body, &order); err != nil {
-		return nil, err
-	}
-	host := r.URL.Hostname()
-	n.harness.audit.record(host, checksFencing(host), order.Epoch, answer.StatusCode)
 	return answer, nil
 }
 
@@ -285,7 +272,12 @@
 
 func (h *harness) addEngine(name, fabric string) {
 	address := name + ":1"
-	e := engine.New(engine.Options{Host: name, Address: address, LoadDelay: testLoadTime, ChecksFencing: checksFencing(name), HTTPClient: h.client})
+	e := engine.New(engine.Options{
+		Host: name, Address: address, LoadDelay: testLoadTime, ChecksFencing: checksFencing(name), HTTPClient: h.client,
+		OnOrder: func(bootID string, order endpoint.Order, refused bool) {
+			h.audit.record(name, bootID, order.Epoch, refused)
+		},
+	})
 	h.engines[name] = e
 	h.names = append(h.names, name)
 	h.servers = append(h.servers, h.network.Serve(address, e.Handler()))
